--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of waxwingsaddle."""
--- /dev/null
+++ b/test/processes.py
@@ -0,0 +1,108 @@
+"""Real processes for integration tests: start, wait, freeze and kill."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+from urllib.request import urlopen
+
+ROOT = Path(__file__).parents[1]
+WAIT_S = 20
+POLL_S = 0.05
+
+
+def free_address() -> str:
+    """Returns a loopback address with a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+def wait_until(condition: Callable[[], Any], what: str, limit_s=WAIT_S) -> Any:
+    """Polls a condition until it holds, and returns its value.
+
+    Raises:
+        AssertionError: It did not hold in time.
+    """
+    deadline_s = time.monotonic() + limit_s
+    while time.monotonic() < deadline_s:
+        with suppress(OSError, ValueError):
+            value = condition()
+            if value:
+                return value
+        time.sleep(POLL_S)
+    raise AssertionError(f'not within {limit_s} s: {what}')
+
+
+def get_json(address: str, path: str) -> Any:
+    """Returns the JSON document at a path of a server."""
+    with urlopen(f'http://{address}{path}', timeout=5) as got:
+        return json.load(got)
+
+
+def is_ready(address: str) -> bool:
+    """Says whether a program answers that it is ready."""
+    return bool(get_json(address, '/readyz')['ready'])
+
+
+@dataclass
+class Process:
+    """One program under test."""
+
+    program: str
+    settings_file: Path
+    log_file: Path
+    arguments: tuple[str, ...] = ()
+    popen: subprocess.Popen | None = None
+
+    def start(self) -> 'Process':
+        """Starts the program with its settings file."""
+        command = [
+            sys.executable,
+            '-m',
+            f'waxwingsaddle.ui.{self.program}',
+            *self.arguments,
+            '--settings',
+            str(self.settings_file),
+        ]
+        environment = {
+            **os.environ,
+            'PYTHONPATH': str(ROOT),
+            'EVENTLET_NO_GREENDNS': 'yes',
+        }
+        with self.log_file.open('ab') as log:
+            self.popen = subprocess.Popen(
+                command,
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+        return self
+
+    def signal(self, number: int) -> None:
+        """Sends a signal, such as SIGSTOP or SIGCONT."""
+        if self.popen and self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kills the process with SIGKILL and waits for its end."""
+        self.signal(signal.SIGKILL)
+        if self.popen:
+            self.popen.wait(WAIT_S)
+
+    def terminate(self, limit_s: float = WAIT_S) -> int:
+        """Asks for a graceful stop and returns the exit status."""
+        self.signal(signal.SIGTERM)
+        return self.popen.wait(limit_s)
+
+    def log_text(self) -> str:
+        """Returns what the program has written."""
+        return self.log_file.read_text(encoding='utf-8', errors='replace')
--- /dev/null
+++ b/test/test_patch.py
@@ -0,0 +1,32 @@
+"""Structural differences."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from waxwingsaddle import patch
+
+_keys = st.sampled_from('abcd')
+_trees = st.recursive(
+    st.dictionaries(_keys, st.integers(0, 3)),
+    lambda below: st.dictionaries(_keys, below | st.integers(0, 3)),
+    max_leaves=12,
+)
+
+
+@given(_trees, _trees)
+def test_patch_turns_old_into_new(old, new):
+    """Guards against a delta that leaves a node with another tree."""
+    before = repr(old)
+    assert patch.apply(old, patch.difference(old, new)) == new
+    assert repr(old) == before
+
+
+def test_misfit_is_an_error():
+    """Guards against a delta applied to the wrong base."""
+    operation = patch.Operation(('a', 'b'), is_delete=True)
+    for tree in ({}, {'a': 1}, {'a': {}}):
+        try:
+            patch.apply(tree, (operation,))
+        except patch.PatchError:
+            continue
+        raise AssertionError(f'no error for {tree}')
--- /dev/null
+++ b/waxwingsaddle/addresses.py
@@ -0,0 +1,56 @@
+"""Models of addresses that several programs' settings share."""
+
+from typing import Annotated
+
+import msgspec
+
+Address = Annotated[
+    str,
+    msgspec.Meta(pattern=r'^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$'),
+]
+HostName = Annotated[str, msgspec.Meta(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$')]
+
+
+class ControlHost(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """One control host, as it stands in settings files.
+
+    Attributes:
+        host: Unique name of the host.
+        availability_zone: Its availability zone.
+        peer_address: Where it receives messages from other control hosts.
+        node_address: Where it serves nodes.
+        http_address: Where it serves the administration API.
+        is_voter: Whether it votes when the first control hosts start; later
+            the replicated log holds the members.
+    """
+
+    host: HostName
+    availability_zone: HostName
+    peer_address: Address
+    node_address: Address
+    http_address: Address
+    is_voter: bool = True
+
+
+class NodeControl(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """One control host, as a node sees it.
+
+    Attributes:
+        host: Unique name of the host.
+        availability_zone: Its availability zone.
+        node_address: Where it serves nodes.
+    """
+
+    host: HostName
+    availability_zone: HostName
+    node_address: Address
--- /dev/null
+++ b/waxwingsaddle/program.py
@@ -0,0 +1,91 @@
+"""Life of a long-running program: settings, logs, start, signals, stop."""
+
+import argparse
+import signal
+import socket
+import sys
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Protocol, TypeVar
+
+import msgspec
+
+from waxwingsaddle import logs, settings
+from waxwingsaddle.kernel import Kernel
+
+EXIT_SETTINGS = 2
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class ProgramSettings(Protocol):
+    """Settings that every program has."""
+
+    host: str
+    log_level: str
+    log_form: str
+
+
+_Model = TypeVar('_Model', bound=msgspec.Struct)
+
+
+def run(
+    table: str,
+    model: type[_Model],
+    build: Callable[[_Model], Kernel],
+    arguments: Sequence[str] | None = None,
+) -> int:
+    """Runs a program until SIGTERM or SIGINT, then stops it gracefully.
+
+    Args:
+        table: Name of the program and of its settings table.
+        model: Struct of its settings.
+        build: Makes the kernel with all services.
+        arguments: Command line; that of the process when absent.
+
+    Returns:
+        The exit status: 0 after a graceful stop, 2 for unusable settings.
+    """
+    parser = argparse.ArgumentParser(prog=f'waxwing-{table}')
+    parser.add_argument('--settings', type=Path, required=True)
+    path = parser.parse_args(arguments).settings
+    loaded = settings.load(path, table, model)
+    if isinstance(loaded, settings.SettingsError):
+        print(f'waxwing-{table}: {loaded}', file=sys.stderr)
+        return EXIT_SETTINGS
+    logs.configure(
+        loaded.log_level,
+        loaded.log_form,
+        program=table,
+        host=loaded.host,
+    )
+    kernel = build(loaded)
+    stop_requests = _stop_requests()
+    kernel.start()
+    logs.logger().info('started')
+    stop_requests.recv(1)
+    logs.logger().info('stopping')
+    kernel.stop()
+    logs.logger().info('stopped')
+    return 0
+
+
+def _stop_requests() -> socket.socket:
+    """Returns a socket that becomes readable at a stop signal.
+
+    A wake-up descriptor also ends the wait of the event loop, which a Python
+    signal handler alone does not.
+    """
+    readable, writable = socket.socketpair()
+    writable.setblocking(False)
+    for number in STOP_SIGNALS:
+        signal.signal(number, _ignore)
+    signal.set_wakeup_fd(writable.fileno(), warn_on_full_buffer=False)
+    _kept_open.append(writable)
+    return readable
+
+
+_kept_open: list[socket.socket] = []
+
+
+def _ignore(_number: int, _frame: object) -> None:
+    """Leaves the signal to the wake-up descriptor."""
--- /dev/null
+++ b/waxwingsaddle/ui/__init__.py
@@ -0,0 +1,1 @@
+"""Thin commands over the library."""
--- /dev/null
+++ b/waxwingsaddle/util/__init__.py
@@ -0,0 +1,1 @@
+"""Leaf modules without dependencies on the rest of the package."""
