--- /dev/null
+++ b/test/fake_control.py
@@ -0,0 +1,265 @@
+"""A control host on fakes: the real administration API over HTTP."""
+
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from socketserver import ThreadingMixIn
+from tempfile import TemporaryDirectory
+from types import SimpleNamespace
+from wsgiref.simple_server import WSGIRequestHandler, WSGIServer, make_server
+
+from waxwingsaddle import api, settings
+from waxwingsaddle.config import SourceSet, check_sources
+from waxwingsaddle.control_settings import ControlSettings
+from waxwingsaddle.edits import Accepted, Conflict, Edit, Refused, Unavailable
+from waxwingsaddle.events import Timeline
+from waxwingsaddle.kernel import Kernel
+
+BASE = """version = 1
+[services.orders]
+timeout_ms = 1500
+[services.plans]
+[routes.order]
+path_prefix = "/orders"
+service = "orders"
+methods = ["POST"]
+[routes.plan]
+path_prefix = "/plans"
+service = "plans"
+"""
+OVERLAYS = {'north': '', 'south': '[services.plans]\ntimeout_ms = 900\n'}
+
+
+def sources(version: int = 1, base: str = BASE, **overlays: str) -> SourceSet:
+    """Returns an edit that wants a version."""
+    return SourceSet(
+        base=base.replace('version = 1', f'version = {version}'),
+        overlays=overlays or OVERLAYS,
+    )
+
+
+@dataclass
+class FakeState:
+    """Accepted configurations in memory, with the rules of section 6."""
+
+    entries: list[Accepted] = field(default_factory=list)
+    files: dict[int, SourceSet] = field(default_factory=dict)
+
+    @property
+    def version(self) -> int:
+        """The accepted version."""
+        return self.entries[-1].version if self.entries else 0
+
+    @property
+    def digest(self) -> str:
+        """The digest of the accepted version."""
+        return self.entries[-1].digest if self.entries else ''
+
+    def history(self) -> tuple[Accepted, ...]:
+        """Returns the entries, oldest first."""
+        return tuple(self.entries)
+
+    def sources_of(self, version: int) -> SourceSet | None:
+        """Returns the files of a version."""
+        return self.files.get(version)
+
+
+@dataclass
+class FakeReplication:
+    """Accepts edits at once.
+
+    Attributes:
+        lost_answers: Number of edits that are accepted and not answered.
+        is_available: Whether there is a majority.
+    """
+
+    state: FakeState = field(default_factory=FakeState)
+    lost_answers: int = 0
+    is_available: bool = True
+    submitted: list[Edit] = field(default_factory=list)
+    changes: list = field(default_factory=list)
+
+    def submit(self, edit: Edit):
+        """Accepts an edit, or says why not."""
+        self.submitted.append(edit)
+        if not self.is_available:
+            return Unavailable(reason='no majority of control hosts')
+        checked = check_sources(edit.sources)
+        outcome = self._decide(edit, checked)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            return Unavailable(reason='the answer was lost')
+        return outcome
+
+    def _decide(self, edit, checked):
+        for entry in self.state.entries:
+            if entry.version == checked.version:
+                if entry.digest == checked.digest:
+                    return entry
+                return Conflict(
+                    version=entry.version,
+                    digest=entry.digest,
+                    author=entry.author,
+                )
+        expected = self.state.version + 1
+        is_first = edit.is_restore and not self.state.version
+        if checked.version != expected and not is_first:
+            return Refused(
+                problems=(f'version: expected {expected}',),
+                expected_version=expected,
+            )
+        entry = Accepted(
+            version=checked.version,
+            digest=checked.digest,
+            author=edit.author,
+            accepted_ms=1_700_000_000_000 + checked.version,
+        )
+        self.state.entries.append(entry)
+        self.state.files[checked.version] = edit.sources
+        return entry
+
+    def majority_age_ms(self) -> float:
+        """Returns the time since contact with a majority."""
+        return 12
+
+    def members(self) -> tuple[SimpleNamespace, ...]:
+        """Returns one leader."""
+        return (
+            SimpleNamespace(
+                host='c1',
+                availability_zone='a',
+                is_voter=True,
+                identity='one',
+                is_leader=True,
+            ),
+        )
+
+    def change_members(self, change):
+        """Notes a change."""
+        self.changes.append(change)
+
+
+@dataclass
+class FakeControl:
+    """Services of one control host, and the address of its API."""
+
+    kernel: Kernel
+    replication: FakeReplication
+    nodes: list[SimpleNamespace]
+    upstreams: list[SimpleNamespace]
+    address: str = ''
+
+    @property
+    def application(self):
+        """The WSGI application."""
+        return self.kernel.find(api.SERVICE)
+
+    def set_nodes(self, *versions: int) -> None:
+        """Sets the versions that the nodes n0, n1, ... have in force."""
+        self.nodes.clear()
+        self.nodes.extend(
+            SimpleNamespace(
+                host=f'n{number}',
+                availability_zone='a',
+                version=version,
+                age_ms=40,
+            )
+            for number, version in enumerate(versions)
+        )
+
+
+def control(**given) -> FakeControl:
+    """Returns a control host on fakes that does not listen."""
+    host = {
+        'host': 'c1',
+        'availability_zone': 'a',
+        'peer_address': '127.0.0.1:1',
+        'node_address': '127.0.0.1:2',
+        'http_address': '127.0.0.1:3',
+    }
+    loaded = settings.check(
+        'fake',
+        'control',
+        {'host': 'c1', 'data_folder': '.', 'hosts': [host], **given},
+        ControlSettings,
+    )
+    assert isinstance(loaded, ControlSettings), str(loaded)
+    made = FakeControl(Kernel(), FakeReplication(), [], [])
+    made.kernel.provide('events', Timeline('control', 'c1', 10))
+    made.kernel.provide('replication', made.replication)
+    made.kernel.provide(
+        'distribution',
+        SimpleNamespace(
+            fleet_status=lambda: SimpleNamespace(
+                nodes=tuple(made.nodes),
+                silent_hosts=(),
+            ),
+        ),
+    )
+    made.kernel.provide(
+        'directory',
+        SimpleNamespace(entries=lambda: tuple(made.upstreams)),
+    )
+    api.attach(made.kernel, loaded)
+    return made
+
+
+class _Server(ThreadingMixIn, WSGIServer):
+    daemon_threads = True
+
+
+class _QuietHandler(WSGIRequestHandler):
+    def log_message(self, *_args) -> None:
+        """Writes no line a request."""
+
+
+@contextmanager
+def serving(port: int = 0, **given) -> Iterator[FakeControl]:
+    """Runs a control host on fakes in a thread."""
+    made = control(**given)
+    with served(made, port):
+        yield made
+
+
+@contextmanager
+def served(made: FakeControl, port: int = 0) -> Iterator[None]:
+    """Serves the API of a control host on fakes."""
+    server = make_server(
+        '127.0.0.1',
+        port,
+        made.application,
+        _Server,
+        _QuietHandler,
+    )
+    made.address = f'127.0.0.1:{server.server_port}'
+    thread = threading.Thread(target=server.serve_forever, args=(0.02,))
+    thread.start()
+    try:
+        yield
+    finally:
+        _close(server, thread)
+
+
+def _close(server: _Server, thread: threading.Thread) -> None:
+    server.shutdown()
+    thread.join()
+    server.server_close()
+
+
+@contextmanager
+def files(edit: SourceSet) -> Iterator[Path]:
+    """Writes the files of an edit into a new folder."""
+    with TemporaryDirectory() as name:
+        folder = Path(name)
+        (folder / 'overlays').mkdir()
+        write_files(folder, edit)
+        yield folder
+
+
+def write_files(folder: Path, edit: SourceSet) -> None:
+    """Writes the files of an edit."""
+    (folder / 'base.toml').write_text(edit.base)
+    for site, text in edit.overlays.items():
+        (folder / 'overlays' / f'{site}.toml').write_text(text)
--- /dev/null
+++ b/waxwingsaddle/access.py
@@ -0,0 +1,236 @@
+"""Access of teams to the administration API: bearer tokens with a scope."""
+
+import hashlib
+import hmac
+import secrets
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from typing import Annotated
+
+import msgspec
+
+from waxwingsaddle.addresses import HostName
+from waxwingsaddle.api_models import Failure
+from waxwingsaddle.config import Name
+from waxwingsaddle.util.codec import Tree
+
+EVERY = '*'
+TOKEN_BYTES = 32
+SALT_BYTES = 16
+_SCHEME = 'bearer'
+
+Pattern = Name | Annotated[str, msgspec.Meta(pattern=r'^\*$')]
+HexDigest = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
+HexSalt = Annotated[str, msgspec.Meta(pattern='^([0-9a-f]{2}){8,64}$')]
+
+
+class AccessToken(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """One token, as it stands in the settings of the control hosts.
+
+    Tokens are random and long, so a salted SHA-256 is enough: there is no
+    dictionary to try, and a slow hash would block the event loop.
+
+    Attributes:
+        name: Name of the holder; the author in the history.
+        salt: Random bytes in hexadecimal.
+        sha256: SHA-256 of salt and token, in hexadecimal.
+        services: Services that edits may touch; `*` for all.
+        sites: Sites that edits may touch; `*` for all.
+        may_write: Whether edits and other changes are allowed at all.
+    """
+
+    name: HostName
+    salt: HexSalt
+    sha256: HexDigest
+    services: tuple[Pattern, ...] = (EVERY,)
+    sites: tuple[Pattern, ...] = (EVERY,)
+    may_write: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """Who asks, and what they may change.
+
+    Attributes:
+        name: Name of the token; empty when no tokens are in use.
+        services: Services in the scope.
+        sites: Sites in the scope.
+        may_write: Whether changes are allowed.
+    """
+
+    name: str
+    services: frozenset[str]
+    sites: frozenset[str]
+    may_write: bool
+
+    @property
+    def is_unlimited(self) -> bool:
+        """Whether the scope has all services and sites, and may write."""
+        return self.may_write and EVERY in self.services and EVERY in self.sites
+
+
+ANYONE = Caller('', frozenset((EVERY,)), frozenset((EVERY,)), may_write=True)
+
+
+@dataclass(frozen=True, slots=True)
+class NewToken:
+    """A generated token and the entry for the control settings."""
+
+    token: str
+    entry: AccessToken
+
+
+class Access:
+    """Finds the caller of a request.
+
+    Args:
+        tokens: Tokens of the settings; with none, anyone may do everything.
+    """
+
+    def __init__(self, tokens: Iterable[AccessToken]) -> None:
+        self._tokens = tuple(tokens)
+
+    def caller(self, authorization: str) -> Caller | Failure:
+        """Returns who asks.
+
+        Args:
+            authorization: Value of the `Authorization` header; empty if none.
+        """
+        if not self._tokens:
+            return ANYONE
+        scheme, _, token = authorization.partition(' ')
+        if scheme.lower() != _SCHEME:
+            return _not_authenticated('no bearer token; set token_file')
+        found = [
+            entry
+            for entry in self._tokens
+            if hmac.compare_digest(
+                entry.sha256, _hash(entry.salt, token.strip())
+            )
+        ]
+        if not found:
+            return _not_authenticated(
+                'the token is unknown; ask for a new one or check token_file',
+            )
+        entry = found[0]
+        return Caller(
+            entry.name,
+            frozenset(entry.services),
+            frozenset(entry.sites),
+            entry.may_write,
+        )
+
+
+def new_token(
+    name: str,
+    services: tuple[str, ...] = (EVERY,),
+    sites: tuple[str, ...] = (EVERY,),
+    may_write: bool = False,
+) -> NewToken:
+    """Generates a token.
+
+    Raises:
+        msgspec.ValidationError: A name of the scope is not valid.
+    """
+    token = secrets.token_urlsafe(TOKEN_BYTES)
+    salt = secrets.token_hex(SALT_BYTES)
+    entry = msgspec.convert(
+        {
+            'name': name,
+            'salt': salt,
+            'sha256': _hash(salt, token),
+            'services': services,
+            'sites': sites,
+            'may_write': may_write,
+        },
+        AccessToken,
+    )
+    return NewToken(token, entry)
+
+
+def repeated_name(tokens: Iterable[AccessToken]) -> str | None:
+    """Returns a name that two tokens share, if there is one."""
+    seen: set[str] = set()
+    for token in tokens:
+        if token.name in seen:
+            return token.name
+        seen.add(token.name)
+    return None
+
+
+def outside_scope(
+    caller: Caller,
+    old_sites: Mapping[str, Tree],
+    new_sites: Mapping[str, Tree],
+) -> tuple[str, ...]:
+    """Returns what an edit touches outside the scope of its caller.
+
+    Args:
+        caller: Who submits the edit.
+        old_sites: Merged tree by site of the version before.
+        new_sites: Merged tree by site of the edit.
+
+    Returns:
+        One readable line for each site or service outside the scope.
+    """
+    return tuple(
+        problem
+        for site in sorted(old_sites.keys() | new_sites.keys())
+        if old_sites.get(site) != new_sites.get(site)
+        for problem in _site_problems(
+            caller,
+            site,
+            old_sites.get(site, {}),
+            new_sites.get(site, {}),
+        )
+    )
+
+
+def _site_problems(
+    caller: Caller,
+    site: str,
+    old: Tree,
+    new: Tree,
+) -> Iterator[str]:
+    if not caller.sites & {EVERY, site}:
+        yield f'site {site!r} is outside the scope of token {caller.name!r}'
+        return
+    if EVERY in caller.services:
+        return
+    for service in sorted(_touched_services(old, new) - caller.services):
+        yield (
+            f'service {service!r} (changed on site {site!r}) is outside the '
+            f'scope of token {caller.name!r}'
+        )
+
+
+def _touched_services(old: Tree, new: Tree) -> set[str]:
+    services = set(_changed_names(old, new, 'services'))
+    for route in _changed_names(old, new, 'routes'):
+        services.update(
+            tree['routes'][route]['service']
+            for tree in (old, new)
+            if route in tree.get('routes', {})
+        )
+    return services
+
+
+def _changed_names(old: Tree, new: Tree, table: str) -> Iterator[str]:
+    before, after = old.get(table, {}), new.get(table, {})
+    for name in before.keys() | after.keys():
+        if before.get(name) != after.get(name):
+            yield name
+
+
+def _hash(salt: str, token: str) -> str:
+    salted = bytes.fromhex(salt) + token.encode('utf-8', 'surrogatepass')
+    return hashlib.sha256(salted).hexdigest()
+
+
+def _not_authenticated(message: str) -> Failure:
+    return Failure(kind='not-authenticated', message=message)
--- /dev/null
+++ b/waxwingsaddle/api_edits.py
@@ -0,0 +1,367 @@
+"""Edits in the administration API: submit, history, difference, roll back."""
+
+from collections.abc import Mapping
+from functools import singledispatch
+
+from eventlet import greenthread
+
+from waxwingsaddle.access import Caller, outside_scope
+from waxwingsaddle.api_endpoints import Endpoint, Parameter, Request
+from waxwingsaddle.api_models import (
+    CheckedEdit,
+    Difference,
+    EditBody,
+    Failure,
+    History,
+    RollForwardBody,
+    VersionEntry,
+    VersionSources,
+)
+from waxwingsaddle.changes import changes
+from waxwingsaddle.config import (
+    CheckedSources,
+    Refused,
+    SourceSet,
+    check_sources,
+)
+from waxwingsaddle.control_settings import ControlSettings
+from waxwingsaddle.edits import (
+    Accepted,
+    Conflict,
+    Edit,
+    EditOutcome,
+    Unavailable,
+)
+from waxwingsaddle.edits import Refused as RefusedEdit
+from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.sources import with_version
+from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
+from waxwingsaddle.util.codec import Tree
+
+# An edit that comes right after another one finds this host a heartbeat
+# (200 ms) behind the leader; the wait covers that.
+CATCH_UP_POLL_S = 0.02
+HISTORY_LIMIT = 20
+
+
+class EditHandlers:
+    """Handlers of the paths under `/v1/edits`.
+
+    Args:
+        kernel: Has the service `replication`.
+        settings: Settings of the control host.
+    """
+
+    def __init__(self, kernel: Kernel, settings: ControlSettings) -> None:
+        self._kernel = kernel
+        self._catch_up_s = settings.api_catch_up_ms / MS_PER_S
+
+    def post_edit(self, request: Request) -> VersionEntry | Failure:
+        """Submits an edit, or checks it when the query says so."""
+        body: EditBody = request.body
+        sources = SourceSet(base=body.base, overlays=body.overlays)
+        checked = check_sources(sources)
+        if isinstance(checked, Refused):
+            return _refused(checked.problems)
+        failure = self._outside_scope(request.caller, checked)
+        if failure:
+            return failure
+        if request.query['check']:
+            return self._checked(checked)
+        return self._submit(request.caller, sources, body.author)
+
+    def get_history(self, request: Request) -> History:
+        """Returns the newest versions."""
+        state = self._state
+        newest_first = sorted(
+            state.history(),
+            key=lambda entry: entry.version,
+            reverse=True,
+        )
+        return History(
+            version=state.version,
+            versions=tuple(
+                map(version_entry, newest_first[: request.query['limit']]),
+            ),
+        )
+
+    def get_version(self, request: Request) -> VersionSources | Failure:
+        """Returns a version with its files."""
+        return version_sources(self._state, request.path['version'])
+
+    def get_difference(self, request: Request) -> Difference | Failure:
+        """Returns what changed between two versions."""
+        new_version = request.path['version']
+        old_version = request.query['since']
+        if old_version < 0:
+            old_version = new_version - 1
+        old_sites = self._sites(old_version)
+        new_sites = self._sites(new_version)
+        for sites in (old_sites, new_sites):
+            if isinstance(sites, Failure):
+                return sites
+        return Difference(
+            old_version=old_version,
+            new_version=new_version,
+            changes=changes(old_sites, new_sites),
+        )
+
+    def post_roll_forward(self, request: Request) -> VersionEntry | Failure:
+        """Submits the content of an older version as a new version."""
+        body: RollForwardBody = request.body
+        older = version_sources(self._state, request.path['version'])
+        if isinstance(older, Failure):
+            return older
+        sources = with_version(
+            SourceSet(base=older.base, overlays=older.overlays),
+            body.version,
+        )
+        if isinstance(sources, Refused):
+            return _refused(sources.problems)
+        checked = check_sources(sources)
+        failure = self._outside_scope(request.caller, checked)
+        return failure or self._submit(request.caller, sources, body.author)
+
+    @property
+    def _state(self):
+        return self._kernel.find('replication').state
+
+    def _submit(
+        self,
+        caller: Caller,
+        sources: SourceSet,
+        author: str,
+    ) -> VersionEntry | Failure:
+        edit = Edit(sources=sources, author=caller.name or author)
+        return edit_answer(self._kernel.find('replication').submit(edit))
+
+    def _checked(self, checked: CheckedSources) -> CheckedEdit | Failure:
+        state = self._state
+        if checked.version > state.version + 1:
+            return wrong_version(state.version + 1, checked.version)
+        if checked.version <= state.version:
+            return self._stale(checked)
+        return CheckedEdit(
+            version=checked.version,
+            digest=checked.digest,
+            changes=changes(self._sites(state.version), checked.sites),
+        )
+
+    def _stale(self, checked: CheckedSources) -> CheckedEdit | Failure:
+        entry = find_version(self._state, checked.version)
+        if entry and entry.digest == checked.digest:
+            return CheckedEdit(
+                version=checked.version,
+                digest=checked.digest,
+                changes=(),
+            )
+        if entry:
+            return edit_answer(
+                Conflict(
+                    version=entry.version,
+                    digest=entry.digest,
+                    author=entry.author,
+                ),
+            )
+        return wrong_version(self._state.version + 1, checked.version)
+
+    def _outside_scope(
+        self,
+        caller: Caller,
+        checked: CheckedSources,
+    ) -> Failure | None:
+        if caller.is_unlimited:
+            return None
+        if not self._catch_up(checked.version - 1):
+            return wrong_version(self._state.version + 1, checked.version)
+        # The edit can only be accepted right after the version before it, so
+        # the difference is taken against exactly that one.
+        before = self._sites(checked.version - 1)
+        if isinstance(before, Failure):
+            return before
+        problems = outside_scope(caller, before, checked.sites)
+        if not problems:
+            return None
+        return Failure(
+            kind='forbidden',
+            message=f'{problems[0]}; leave it unchanged or ask its owner',
+            problems=problems,
+        )
+
+    def _catch_up(self, version: int) -> bool:
+        deadline_s = monotonic_s() + self._catch_up_s
+        while self._state.version < version and monotonic_s() < deadline_s:
+            greenthread.sleep(CATCH_UP_POLL_S)
+        return self._state.version >= version
+
+    def _sites(self, version: int) -> Mapping[str, Tree] | Failure:
+        if version == 0:
+            return {}
+        found = version_sources(self._state, version)
+        if isinstance(found, Failure):
+            return found
+        checked = check_sources(
+            SourceSet(base=found.base, overlays=found.overlays),
+        )
+        if isinstance(checked, Refused):
+            return _refused(checked.problems)
+        return checked.sites
+
+
+def endpoints(
+    kernel: Kernel,
+    settings: ControlSettings,
+) -> tuple[Endpoint, ...]:
+    """Returns the endpoints under `/v1/edits`."""
+    handlers = EditHandlers(kernel, settings)
+    limit = Parameter('limit', int, HISTORY_LIMIT, 'Most versions returned.')
+    check = Parameter('check', bool, False, 'Checks without submitting.')
+    since = Parameter(
+        'since',
+        int,
+        -1,
+        'Version to compare with; the one before when absent.',
+    )
+    return (
+        Endpoint(
+            'POST',
+            '/v1/edits',
+            'Submits an edit.',
+            handlers.post_edit,
+            (VersionEntry, CheckedEdit),
+            EditBody,
+            (check,),
+            'write',
+        ),
+        Endpoint(
+            'GET',
+            '/v1/edits',
+            'Returns the newest accepted versions.',
+            handlers.get_history,
+            History,
+            query=(limit,),
+        ),
+        Endpoint(
+            'GET',
+            '/v1/edits/{version}',
+            'Returns an accepted version with its files.',
+            handlers.get_version,
+            VersionSources,
+        ),
+        Endpoint(
+            'GET',
+            '/v1/edits/{version}/difference',
+            'Returns what changed between two versions.',
+            handlers.get_difference,
+            Difference,
+            query=(since,),
+        ),
+        Endpoint(
+            'POST',
+            '/v1/edits/{version}/roll-forward',
+            'Submits the content of an older version as a new version.',
+            handlers.post_roll_forward,
+            VersionEntry,
+            RollForwardBody,
+            need='write',
+        ),
+    )
+
+
+@singledispatch
+def edit_answer(outcome: EditOutcome) -> VersionEntry | Failure:
+    """Returns the answer for the outcome of a submitted edit."""
+    raise TypeError(f'unknown outcome of an edit: {outcome!r}')
+
+
+@edit_answer.register
+def _accepted(outcome: Accepted) -> VersionEntry:
+    return version_entry(outcome)
+
+
+@edit_answer.register
+def _conflict(outcome: Conflict) -> Failure:
+    return Failure(
+        kind='conflict',
+        message=f'version {outcome.version} was accepted before with other '
+        f'content, from {outcome.author or "an unnamed author"}; look at it, '
+        'merge the edit, and raise the version',
+        version=outcome.version,
+        digest=outcome.digest,
+        author=outcome.author,
+    )
+
+
+@edit_answer.register
+def _refused_edit(outcome: RefusedEdit) -> Failure:
+    return _refused(outcome.problems, outcome.expected_version)
+
+
+@edit_answer.register
+def _unavailable(outcome: Unavailable) -> Failure:
+    return Failure(
+        kind='unavailable',
+        message=f'{outcome.reason}; submit the same edit again',
+    )
+
+
+def wrong_version(expected: int, wanted: int) -> Failure:
+    """Returns the answer for an edit that wants another than the next."""
+    return _refused(
+        (
+            f'base.toml: version: the edit wants {wanted}, '
+            f'expected {expected}; set version = {expected}',
+        ),
+        expected,
+    )
+
+
+def version_entry(entry) -> VersionEntry:
+    """Returns the document of one entry of the history."""
+    return VersionEntry(
+        version=entry.version,
+        digest=entry.digest,
+        author=entry.author,
+        accepted_ms=entry.accepted_ms,
+    )
+
+
+def find_version(state, version: int):
+    """Returns the entry of a version in the history, if it is still held."""
+    return next(
+        (entry for entry in state.history() if entry.version == version),
+        None,
+    )
+
+
+def version_sources(state, version: int) -> VersionSources | Failure:
+    """Returns an accepted version with its files."""
+    entry = find_version(state, version)
+    sources = state.sources_of(version) if entry else None
+    if sources is None:
+        return Failure(
+            kind='not-found',
+            message=f'version {version} is not held; the accepted version is '
+            f'{state.version}',
+        )
+    return VersionSources(
+        version=version,
+        digest=entry.digest,
+        author=entry.author,
+        accepted_ms=entry.accepted_ms,
+        base=sources.base,
+        overlays=sources.overlays,
+    )
+
+
+def _refused(
+    problems: tuple[str, ...],
+    expected_version: int | None = None,
+) -> Failure:
+    more = f' (and {len(problems) - 1} more)' if len(problems) > 1 else ''
+    return Failure(
+        kind='refused',
+        message=f'{problems[0]}{more}',
+        problems=problems,
+        expected_version=expected_version,
+    )
--- /dev/null
+++ b/waxwingsaddle/api_endpoints.py
@@ -0,0 +1,165 @@
+"""Endpoints of the administration API: paths, requests and answers."""
+
+import re
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from types import MappingProxyType
+from typing import Any, Literal, TypeVar
+
+import msgspec
+
+from waxwingsaddle.access import Caller
+from waxwingsaddle.api_models import Failure
+
+Need = Literal['nothing', 'read', 'write', 'manage']
+Answer = msgspec.Struct | dict[str, Any]
+
+_PLACEHOLDER = re.compile(r'\{(\w+)\}')
+# Longer numbers can't be versions and cost time to convert.
+_MAX_DIGITS = 15
+# Longest part of a value that an error message repeats.
+MAX_SHOWN_LENGTH = 40
+
+_Body = TypeVar('_Body', bound=msgspec.Struct)
+
+STATUS_OF: Mapping[str, str] = MappingProxyType(
+    {
+        'bad-request': '400 Bad Request',
+        'not-authenticated': '401 Unauthorized',
+        'forbidden': '403 Forbidden',
+        'not-found': '404 Not Found',
+        'conflict': '409 Conflict',
+        'too-large': '413 Content Too Large',
+        'refused': '422 Unprocessable Content',
+        'internal': '500 Internal Server Error',
+        'unavailable': '503 Service Unavailable',
+    },
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One request, after its path, query and body are checked.
+
+    Attributes:
+        caller: Who asks.
+        path: Numbers in the path, by name.
+        query: Numbers, switches and texts in the query, by name.
+        body: The document sent, for endpoints that take one.
+    """
+
+    caller: Caller
+    path: Mapping[str, int]
+    query: Mapping[str, Any]
+    body: Any = None
+
+
+Handler = Callable[[Request], Answer | Failure]
+
+
+@dataclass(frozen=True, slots=True)
+class Parameter:
+    """One parameter in a query.
+
+    Attributes:
+        name: Its name.
+        kind: Type of its value.
+        default: Value when it is absent.
+        text: What it does.
+    """
+
+    name: str
+    kind: type[int] | type[bool] | type[str]
+    default: Any
+    text: str
+
+    def read(self, given: str | None) -> Any | Failure:
+        """Returns the checked value."""
+        if given is None:
+            return self.default
+        if self.kind is str:
+            return given
+        accepted = _switch(given) if self.kind is bool else parse_number(given)
+        if accepted is None:
+            expected = 'true or false' if self.kind is bool else 'a number'
+            return Failure(
+                kind='bad-request',
+                message=f'query: {self.name}: expected {expected}, '
+                f'got {given[:MAX_SHOWN_LENGTH]!r}',
+            )
+        return accepted
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """One method of one path.
+
+    Attributes:
+        method: HTTP method.
+        template: Path, with numbers in braces such as `{version}`.
+        summary: One sentence for the description.
+        handler: Does the request.
+        answer: Model of the answer; a tuple for one of several.
+        body: Model of the document that the request brings.
+        query: Parameters in the query.
+        need: What the caller's token must allow.
+        is_bulk: Whether the larger limit for bodies holds.
+    """
+
+    method: str
+    template: str
+    summary: str
+    handler: Handler
+    answer: Any
+    body: type[msgspec.Struct] | None = None
+    query: tuple[Parameter, ...] = ()
+    need: Need = 'read'
+    is_bulk: bool = False
+    pattern: re.Pattern[str] = field(init=False)
+
+    def __post_init__(self) -> None:
+        expression = _PLACEHOLDER.sub(
+            rf'(?P<\1>[0-9]{{1,{_MAX_DIGITS}}})',
+            self.template,
+        )
+        object.__setattr__(self, 'pattern', re.compile(f'{expression}/?'))
+
+    @property
+    def answers(self) -> tuple[Any, ...]:
+        """Models of the answers."""
+        return self.answer if isinstance(self.answer, tuple) else (self.answer,)
+
+    @property
+    def placeholders(self) -> tuple[str, ...]:
+        """Names of the numbers in the path."""
+        return tuple(_PLACEHOLDER.findall(self.template))
+
+    def path_numbers(self, path: str) -> dict[str, int] | None:
+        """Returns the numbers in a path, or nothing for another path."""
+        match = self.pattern.fullmatch(path)
+        if match is None:
+            return None
+        return {name: int(text) for name, text in match.groupdict().items()}
+
+
+def decode_body(raw: bytes, model: type[_Body]) -> _Body | Failure:
+    """Returns the checked document of a request."""
+    try:
+        return msgspec.json.decode(raw, type=model)
+    except msgspec.ValidationError as error:
+        return Failure(kind='bad-request', message=f'body: {error}')
+    except (msgspec.DecodeError, RecursionError) as error:
+        return Failure(
+            kind='bad-request',
+            message=f'body: not valid JSON: {error}',
+        )
+
+
+def parse_number(given: str) -> int | None:
+    """Returns a number in decimal digits, or nothing for other text."""
+    is_number = given.isascii() and given.isdigit()
+    return int(given) if is_number and len(given) <= _MAX_DIGITS else None
+
+
+def _switch(given: str) -> bool | None:
+    return {'true': True, 'false': False}.get(given)
--- /dev/null
+++ b/waxwingsaddle/changes.py
@@ -0,0 +1,45 @@
+"""Differences between accepted versions, as people read them."""
+
+from collections.abc import Mapping
+from functools import reduce
+from typing import Any
+
+from waxwingsaddle import patch
+from waxwingsaddle.api_models import Change
+from waxwingsaddle.util.codec import Tree
+
+
+def changes(
+    old_sites: Mapping[str, Tree],
+    new_sites: Mapping[str, Tree],
+) -> tuple[Change, ...]:
+    """Returns the values that differ between two versions, by site and key."""
+    old, new = dict(old_sites), dict(new_sites)
+    return tuple(
+        Change(
+            site=operation.path[0],
+            key='.'.join(operation.path[1:]),
+            before=_at(old, operation.path),
+            after=operation.content,
+            is_delete=operation.is_delete,
+        )
+        for operation in patch.difference(old, new)
+    )
+
+
+def change_line(change: Change) -> str:
+    """Returns one readable line for a change."""
+    place = f'{change.site}: {change.key}' if change.key else change.site
+    if change.is_delete:
+        return f'- {place} = {change.before!r}'
+    if change.before is None:
+        return f'+ {place} = {change.after!r}'
+    return f'~ {place}: {change.before!r} -> {change.after!r}'
+
+
+def _at(tree: Tree, path: patch.Path) -> Any:
+    return reduce(_child, path, tree)
+
+
+def _child(node: Any, key: str) -> Any:
+    return node.get(key) if isinstance(node, dict) else None
--- /dev/null
+++ b/waxwingsaddle/client.py
@@ -0,0 +1,251 @@
+"""Client of the administration API; usable without the other programs."""
+
+from collections.abc import Iterator, Sequence
+from typing import Any, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+import urllib3
+
+from waxwingsaddle.api_models import (
+    Backup,
+    CheckedEdit,
+    Difference,
+    EditBody,
+    Events,
+    Failure,
+    History,
+    MemberBody,
+    Members,
+    Restored,
+    RollForwardBody,
+    Status,
+    Upstreams,
+    VersionEntry,
+    VersionSources,
+)
+from waxwingsaddle.config import SourceSet
+from waxwingsaddle.util.codec import pack_json
+
+MS_PER_S = 1000
+SUCCESS_LIMIT = 400
+# Answers after which another control host may still do the request.
+ELSEWHERE = frozenset((502, 503, 504))
+
+_Answer = TypeVar('_Answer', bound=msgspec.Struct)
+
+
+class Client:
+    """Asks the control hosts, one after the other until one answers.
+
+    Args:
+        controls: `IP:PORT` of the administration API of the control hosts.
+        token: Bearer token; empty when the platform uses none.
+        timeout_ms: Longest wait for one control host, in milliseconds.
+        pool: Connections; a new pool when absent.
+    """
+
+    def __init__(
+        self,
+        controls: Sequence[str],
+        token: str = '',
+        timeout_ms: int = 5000,
+        pool: urllib3.PoolManager | None = None,
+    ) -> None:
+        if not controls:
+            raise ValueError('a client needs the address of a control host')
+        self._controls = tuple(controls)
+        self._first = 0
+        self._timeout_s = timeout_ms / MS_PER_S
+        self._pool = pool or urllib3.PoolManager(retries=False)
+        self._headers = {'Content-Type': 'application/json'}
+        if token:
+            self._headers['Authorization'] = f'Bearer {token}'
+
+    def check(self, sources: SourceSet) -> CheckedEdit | Failure:
+        """Checks an edit without submitting it."""
+        body = EditBody(base=sources.base, overlays=sources.overlays)
+        return self._post('/v1/edits?check=true', body, CheckedEdit)
+
+    def submit(
+        self,
+        sources: SourceSet,
+        author: str = '',
+    ) -> VersionEntry | Failure:
+        """Submits an edit.
+
+        Submitting the same content again is safe: the answer is that of the
+        first time. So a lost answer is followed by another control host.
+        """
+        body = EditBody(
+            base=sources.base,
+            overlays=sources.overlays,
+            author=author,
+        )
+        return self._post('/v1/edits', body, VersionEntry)
+
+    def history(self, limit: int = 20) -> History | Failure:
+        """Returns the newest accepted versions."""
+        return self._get('/v1/edits', History, limit=limit)
+
+    def version(self, version: int) -> VersionSources | Failure:
+        """Returns an accepted version with its files."""
+        return self._get(f'/v1/edits/{version}', VersionSources)
+
+    def difference(
+        self,
+        old_version: int,
+        new_version: int,
+    ) -> Difference | Failure:
+        """Returns what changed from one version to another."""
+        path = f'/v1/edits/{new_version}/difference'
+        return self._get(path, Difference, since=old_version)
+
+    def roll_forward(
+        self,
+        older: int,
+        version: int,
+        author: str = '',
+    ) -> VersionEntry | Failure:
+        """Submits the content of an older version as a new version."""
+        body = RollForwardBody(version=version, author=author)
+        return self._post(f'/v1/edits/{older}/roll-forward', body, VersionEntry)
+
+    def status(self) -> Status | Failure:
+        """Returns the state of the fleet."""
+        return self._get('/v1/status', Status)
+
+    def upstreams(self, service: str = '') -> Upstreams | Failure:
+        """Returns the upstreams in the directory, or those of a service."""
+        return self._get('/v1/upstreams', Upstreams, service=service)
+
+    def members(self) -> Members | Failure:
+        """Returns the control hosts."""
+        return self._get('/v1/members', Members)
+
+    def change_members(self, change: MemberBody) -> Members | Failure:
+        """Adds, promotes, removes or replaces a control host."""
+        return self._post('/v1/members', change, Members)
+
+    def events(self, address: str, since: int = 0) -> Events | Failure:
+        """Returns the events of one process, which needs no other to answer."""
+        return self._ask_one(
+            address,
+            'GET',
+            _with_query('/v1/events', {'since': since}),
+            b'',
+            Events,
+        )
+
+    def backup(self) -> Backup | Failure:
+        """Returns all accepted configurations that the log still holds."""
+        return self._get('/v1/backup', Backup)
+
+    def restore(self, backup: Backup) -> Restored | Failure:
+        """Makes the last version of a backup the accepted configuration."""
+        return self._post('/v1/backup', backup, Restored)
+
+    @property
+    def controls(self) -> tuple[str, ...]:
+        """Addresses of the control hosts."""
+        return self._controls
+
+    def _get(
+        self,
+        path: str,
+        model: type[_Answer],
+        **query: Any,
+    ) -> _Answer | Failure:
+        return self._ask('GET', _with_query(path, query), b'', model)
+
+    def _post(
+        self,
+        path: str,
+        body: msgspec.Struct,
+        model: type[_Answer],
+    ) -> _Answer | Failure:
+        return self._ask('POST', path, pack_json(body), model)
+
+    def _ask(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        model: type[_Answer],
+    ) -> _Answer | Failure:
+        failures: list[Failure] = []
+        for position, address in self._in_order():
+            answer = self._ask_one(address, method, path, body, model)
+            if not _is_worth_another_host(answer):
+                self._first = position
+                return answer
+            failures.append(answer)
+        # An answer tells more than a connection that failed.
+        answered = [one for one in failures if one.kind != 'unreachable']
+        return (answered or failures)[-1]
+
+    def _ask_one(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes,
+        model: type[_Answer],
+    ) -> _Answer | Failure:
+        try:
+            got = self._pool.request(
+                method,
+                f'http://{address}{path}',
+                body=body or None,
+                headers=self._headers,
+                timeout=self._timeout_s,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            return Failure(
+                kind='unreachable',
+                message=f'no answer from {address}: {_reason(error)}; check '
+                'that the program runs there, or name another address',
+            )
+        return _decoded(address, got.status, got.data, model)
+
+    def _in_order(self) -> Iterator[tuple[int, str]]:
+        count = len(self._controls)
+        for step in range(count):
+            position = (self._first + step) % count
+            yield position, self._controls[position]
+
+
+def _with_query(path: str, query: dict[str, Any]) -> str:
+    given = {key: given for key, given in query.items() if given != ''}
+    return f'{path}?{urlencode(given)}' if given else path
+
+
+def _is_worth_another_host(answer: msgspec.Struct | Failure) -> bool:
+    return isinstance(answer, Failure) and answer.kind in {
+        'unreachable',
+        'unavailable',
+        'internal',
+    }
+
+
+def _decoded(
+    address: str,
+    status: int,
+    raw: bytes,
+    model: type[_Answer],
+) -> _Answer | Failure:
+    expected = model if status < SUCCESS_LIMIT else Failure
+    try:
+        return msgspec.json.decode(raw, type=expected)
+    except msgspec.DecodeError as error:
+        return Failure(
+            kind='unavailable' if status in ELSEWHERE else 'internal',
+            message=f'{address} answered {status} with an unexpected '
+            f'document: {error}; check that this is the administration API '
+            'of a control host of the same release',
+        )
+
+
+def _reason(error: urllib3.exceptions.HTTPError) -> str:
+    text = str(error).rpartition(': ')[2] or type(error).__name__
+    return text.lower().rstrip('.')
--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from waxwingsaddle.access import AccessToken, repeated_name
 from waxwingsaddle.addresses import ControlHost, HostName
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
@@ -24,6 +25,11 @@
         log_level: Least level of log lines.
         log_form: `json` or `text`.
         events_kept: Events kept for the time line.
+        tokens: Bearer tokens of the administration API; none for free access.
+        api_body_limit_bytes: Largest body of a request, in bytes.
+        api_restore_limit_bytes: Largest backup to restore, in bytes.
+        api_catch_up_ms: Longest wait of an edit for the version before it, in
+            milliseconds.
     """
 
     host: HostName
@@ -35,6 +41,20 @@
     log_level: Literal['debug', 'info', 'warning', 'error']
     log_form: Literal['json', 'text']
     events_kept: Positive
+    tokens: tuple[AccessToken, ...] = ()
+    api_body_limit_bytes: Positive
+    api_restore_limit_bytes: Positive
+    api_catch_up_ms: Positive
+
+    def __post_init__(self) -> None:
+        """Checks what concerns several keys.
+
+        Raises:
+            ValueError: Two tokens have one name.
+        """
+        repeated = repeated_name(self.tokens)
+        if repeated:
+            raise ValueError(f'two `tokens` have the name {repeated!r}')
 
     @property
     def this_host(self) -> ControlHost:
--- /dev/null
+++ b/waxwingsaddle/ui/ctl.py
@@ -0,0 +1,50 @@
+"""Program `waxwingctl`: commands for operators."""
+
+import sys
+
+from cleo.application import Application
+from cleo.exceptions import CleoError
+
+from waxwingsaddle import __version__
+from waxwingsaddle.ui import ctl_edits, ctl_fleet
+from waxwingsaddle.ui.ctl_base import ExitCode
+
+COMMANDS = (
+    ctl_edits.CheckCommand,
+    ctl_edits.DiffCommand,
+    ctl_edits.ApplyCommand,
+    ctl_edits.HistoryCommand,
+    ctl_fleet.StatusCommand,
+    ctl_fleet.UpstreamsCommand,
+)
+
+
+def application() -> Application:
+    """Returns the command line application."""
+    ctl = Application('waxwingctl', __version__)
+    for command in COMMANDS:
+        ctl.add(command())
+    return ctl
+
+
+def main() -> int:
+    """Runs one command.
+
+    Returns:
+        The exit code, one of `ExitCode`.
+    """
+    ctl = application()
+    ctl.auto_exits(False)
+    ctl.catch_exceptions(False)
+    try:
+        return ctl.run()
+    except CleoError as error:
+        message = ' '.join(str(error).split())
+        print(f'waxwingctl: {message}; see --help', file=sys.stderr)
+        return ExitCode.usage
+    except KeyboardInterrupt:
+        return ExitCode.interrupted
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/waxwingsaddle/ui/ctl_edits.py
@@ -0,0 +1,215 @@
+"""Commands about edits: check, diff, apply, history, roll forward."""
+
+from collections.abc import Iterator
+from datetime import UTC, datetime
+
+from cleo.helpers import argument, option
+
+from waxwingsaddle.api_models import Failure, VersionEntry
+from waxwingsaddle.changes import change_line
+from waxwingsaddle.client import Client
+from waxwingsaddle.config import Refused, check_sources
+from waxwingsaddle.rollout import Progress, follow
+from waxwingsaddle.ui.ctl_base import (
+    CommandError,
+    CtlCommand,
+    ExitCode,
+    escaped,
+    file_options,
+)
+
+MS_PER_S = 1000
+# More names do not fit a line.
+MAX_NAMES_SHOWN = 5
+
+
+class CheckCommand(CtlCommand):
+    """Checks the files of an edit and submits nothing."""
+
+    name = 'check'
+    description = 'Checks the files of an edit and submits nothing.'
+    own_options = [
+        *file_options(),
+        option('offline', None, 'Checks the files alone, asks no host.'),
+    ]
+
+    def run_command(self) -> ExitCode:
+        """Checks the files here, then on a control host."""
+        if self.option('offline'):
+            return self._check_offline()
+        loaded = self.load_settings()
+        sources = self.read_files(loaded)
+        checked = self.expect(self.client(loaded).check(sources))
+        self.show(
+            checked,
+            [
+                f'version {checked.version} is valid, '
+                f'{len(checked.changes)} changes',
+                *map(change_line, checked.changes),
+            ],
+        )
+        return ExitCode.done
+
+    def _check_offline(self) -> ExitCode:
+        sources = self.read_files(self.load_settings())
+        checked = check_sources(sources)
+        if isinstance(checked, Refused):
+            failure = Failure(
+                kind='refused',
+                message=checked.problems[0],
+                problems=checked.problems,
+            )
+            self.expect(failure)
+        self.show(
+            {'version': checked.version, 'digest': checked.digest},
+            [f'version {checked.version} is valid'],
+        )
+        return ExitCode.done
+
+
+class ApplyCommand(CtlCommand):
+    """Submits the files as an edit."""
+
+    name = 'apply'
+    description = 'Submits the files as an edit.'
+    own_options = [
+        *file_options(),
+        option('wait', None, 'Waits until it is in force on every node.'),
+        option('timeout-s', None, 'Longest wait, in seconds.', flag=False),
+    ]
+
+    def run_command(self) -> ExitCode:
+        """Submits the edit and follows it to the nodes."""
+        loaded = self.load_settings()
+        client = self.client(loaded)
+        sources = self.read_files(loaded)
+        entry = self.expect(client.submit(sources, loaded.author))
+        if not self.option('wait'):
+            self.show(entry, [_accepted_line(entry)])
+            return ExitCode.done
+        if not self.option('json'):
+            self.line(_accepted_line(entry))
+        limit_s = float(self.option('timeout-s') or loaded.wait_limit_s)
+        return self._wait(client, entry, loaded.poll_ms / MS_PER_S, limit_s)
+
+    def _wait(
+        self,
+        client: Client,
+        entry: VersionEntry,
+        poll_s: float,
+        limit_s: float,
+    ) -> ExitCode:
+        looks = follow(client, entry.version, poll_s, limit_s)
+        last = self._last_look(looks)
+        if isinstance(last, Failure):
+            self.expect(last)
+        document = {'accepted': entry, 'progress': last}
+        if last.is_done:
+            self.show(document, [])
+            return ExitCode.done
+        raise CommandError(
+            f'version {entry.version} is accepted, and after {limit_s:g} s '
+            f'in force on {last.in_force} of {last.nodes} nodes; look at '
+            '`waxwingctl status`',
+            ExitCode.not_in_force,
+            document,
+        )
+
+    def _last_look(
+        self,
+        looks: Iterator[Progress | Failure],
+    ) -> Progress | Failure:
+        """Prints each look at the fleet that differs, returns the last."""
+        shown: list[str] = []
+        for look in looks:
+            line = progress_line(look)
+            if line not in shown[-1:] and not self.option('json'):
+                self.line(escaped(line))
+            shown.append(line)
+            latest = look
+        return latest
+
+
+class HistoryCommand(CtlCommand):
+    """Lists accepted versions."""
+
+    name = 'history'
+    description = 'Lists accepted versions, newest first.'
+    own_options = [
+        option('limit', None, 'Most versions shown.', flag=False, default=20),
+    ]
+
+    def run_command(self) -> ExitCode:
+        """Prints one line a version."""
+        client = self.client(self.load_settings())
+        history = self.expect(client.history(int(self.option('limit'))))
+        self.show(history, map(_entry_line, history.versions))
+        return ExitCode.done
+
+
+class DiffCommand(CtlCommand):
+    """Shows what changed between two versions."""
+
+    name = 'diff'
+    description = (
+        'Shows what changed between two versions, or between the accepted '
+        'version and the files.'
+    )
+    arguments = [
+        argument('old', 'Older version.', optional=True),
+        argument('new', 'Newer version; the accepted one.', optional=True),
+    ]
+    own_options = file_options()
+
+    def run_command(self) -> ExitCode:
+        """Prints one line a changed value."""
+        loaded = self.load_settings()
+        client = self.client(loaded)
+        if self.argument('old') is None:
+            answer = self.expect(client.check(self.read_files(loaded)))
+        else:
+            old = int(self.argument('old'))
+            new = self.argument('new')
+            newer = int(new) if new else self.expect(client.history(1)).version
+            answer = self.expect(client.difference(old, newer))
+        self.show(
+            answer,
+            map(change_line, answer.changes) if answer.changes else ['equal'],
+        )
+        return ExitCode.done
+
+
+def progress_line(progress: Progress | Failure) -> str:
+    """Returns one line about a look at the fleet."""
+    if isinstance(progress, Failure):
+        return f'{progress.kind}: {progress.message}'
+    return ''.join(_progress_parts(progress))
+
+
+def _progress_parts(progress: Progress) -> Iterator[str]:
+    yield (
+        f'version {progress.version} in force on {progress.in_force} of '
+        f'{progress.nodes} nodes'
+    )
+    if progress.lagging:
+        names = ', '.join(
+            f'{node.host} ({node.version})'
+            for node in progress.lagging[:MAX_NAMES_SHOWN]
+        )
+        more = len(progress.lagging) - MAX_NAMES_SHOWN
+        yield f'; lagging: {names}'
+        yield f' and {more} more' if more > 0 else ''
+    if progress.silent_hosts:
+        yield f'; no answer from {", ".join(progress.silent_hosts)}'
+
+
+def _accepted_line(entry: VersionEntry) -> str:
+    return f'version {entry.version} accepted, digest {entry.digest[:12]}'
+
+
+def _entry_line(entry: VersionEntry) -> str:
+    accepted = datetime.fromtimestamp(entry.accepted_ms / MS_PER_S, UTC)
+    return (
+        f'{entry.version:6}  {accepted:%Y-%m-%d %H:%M:%S}  '
+        f'{entry.digest[:12]}  {entry.author or "-"}'
+    )
--- /dev/null
+++ b/waxwingsaddle/ui/ctl_fleet.py
@@ -0,0 +1,84 @@
+"""Commands about the fleet: status and upstreams."""
+
+import time
+
+from cleo.helpers import option
+
+from waxwingsaddle.api_models import NodeVersion, Status, Upstream
+from waxwingsaddle.ui.ctl_base import CtlCommand, ExitCode
+
+MS_PER_S = 1000
+# Contact with a majority is proven each heartbeat; after 2 s nodes move.
+FRESH_MS = 2000
+
+
+class StatusCommand(CtlCommand):
+    """Shows versions in force and nodes that lag."""
+
+    name = 'status'
+    description = 'Shows versions in force and nodes that lag.'
+    own_options = [
+        option('watch', None, 'Repeats until it is interrupted.'),
+        option('count', None, 'Looks with --watch.', flag=False, default=0),
+    ]
+
+    def run_command(self) -> ExitCode:
+        """Prints the state of the fleet, once or again and again."""
+        loaded = self.load_settings()
+        client = self.client(loaded)
+        looks_left = int(self.option('count')) or -1
+        while True:
+            status = self.expect(client.status())
+            self.show(status, _status_lines(status))
+            looks_left -= 1
+            if not self.option('watch') or not looks_left:
+                return ExitCode.done
+            time.sleep(loaded.poll_ms / MS_PER_S)
+
+
+class UpstreamsCommand(CtlCommand):
+    """Lists the upstreams in the directory."""
+
+    name = 'upstreams'
+    description = 'Lists the upstreams in the directory.'
+    own_options = [
+        option('service', None, 'Only this service.', flag=False, default=''),
+    ]
+
+    def run_command(self) -> ExitCode:
+        """Prints one line an upstream."""
+        client = self.client(self.load_settings())
+        answer = self.expect(client.upstreams(self.option('service')))
+        self.show(answer, map(_upstream_line, answer.upstreams))
+        return ExitCode.done
+
+
+def _status_lines(status: Status) -> list[str]:
+    lines = [
+        f'version {status.version} ({status.digest[:12]}) in force on '
+        f'{status.in_force} of {status.nodes} nodes; answer of {status.host}',
+    ]
+    if status.majority_age_ms > FRESH_MS:
+        lines.append(
+            f'{status.host} has had no majority for '
+            f'{status.majority_age_ms / MS_PER_S:.1f} s; this may be old',
+        )
+    if status.silent_hosts:
+        lines.append(f'no answer from {", ".join(status.silent_hosts)}')
+    lines.extend(map(_lagging_line, status.lagging))
+    return lines
+
+
+def _lagging_line(node: NodeVersion) -> str:
+    return (
+        f'lagging: {node.host} in {node.availability_zone} has '
+        f'{node.version}, heard {node.age_ms} ms ago'
+    )
+
+
+def _upstream_line(upstream: Upstream) -> str:
+    return (
+        f'{upstream.service:20} {upstream.name:24} {upstream.state:9} '
+        f'{upstream.slots:3} slots  {upstream.availability_zone} '
+        f'{upstream.host} {upstream.call_address}'
+    )
--- a/waxwingsaddle/web.py
+++ b/waxwingsaddle/web.py
@@ -55,15 +55,18 @@
     Args:
         application: Serves all other paths.
         is_ready: Whether the program can do its work now.
+        detail: Named values that `/readyz` adds, such as the last problem.
     """
 
     def __init__(
         self,
         application: Application,
         is_ready: Callable[[], bool],
+        detail: Callable[[], dict[str, Any]] = dict,
     ) -> None:
         self._application = application
         self._is_ready = is_ready
+        self._detail = detail
 
     def __call__(
         self,
@@ -87,7 +90,8 @@
         if path == '/readyz':
             is_ready = self._is_ready()
             status = '200 OK' if is_ready else '503 Service Unavailable'
-            return reply_json(start_response, status, {'ready': is_ready})
+            body = {**self._detail(), 'ready': is_ready}
+            return reply_json(start_response, status, body)
         return self._application(environ, start_response)
 
 
