--- a/waxwingsaddle/access.py
+++ b/waxwingsaddle/access.py
@@ -11,7 +11,6 @@
 
 from waxwingsaddle.addresses import HostName
 from waxwingsaddle.api_models import Failure
-from waxwingsaddle.config import Name
 from waxwingsaddle.util.codec import Tree
 
 EVERY = '*'
@@ -19,7 +18,10 @@
 SALT_BYTES = 16
 _SCHEME = 'bearer'
 
-Pattern = Name | Annotated[str, msgspec.Meta(pattern=r'^\*$')]
+NameOrEvery = Annotated[
+    str,
+    msgspec.Meta(pattern=r'^([a-z0-9][a-z0-9._-]{0,62}|\*)$'),
+]
 HexDigest = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
 HexSalt = Annotated[str, msgspec.Meta(pattern='^([0-9a-f]{2}){8,64}$')]
 
@@ -47,8 +49,8 @@
     name: HostName
     salt: HexSalt
     sha256: HexDigest
-    services: tuple[Pattern, ...] = (EVERY,)
-    sites: tuple[Pattern, ...] = (EVERY,)
+    services: tuple[NameOrEvery, ...] = (EVERY,)
+    sites: tuple[NameOrEvery, ...] = (EVERY,)
     may_write: bool = False
 
 
--- a/waxwingsaddle/api_edits.py
+++ b/waxwingsaddle/api_edits.py
@@ -4,6 +4,7 @@
 from functools import singledispatch
 
 from eventlet import greenthread
+from msgspec.structs import replace
 
 from waxwingsaddle.access import Caller, outside_scope
 from waxwingsaddle.api_endpoints import Endpoint, Parameter, Request
@@ -133,7 +134,17 @@
         author: str,
     ) -> VersionEntry | Failure:
         edit = Edit(sources=sources, author=caller.name or author)
-        return edit_answer(self._kernel.find('replication').submit(edit))
+        answer = edit_answer(self._kernel.find('replication').submit(edit))
+        return self._with_expected_version(answer)
+
+    def _with_expected_version(
+        self,
+        answer: VersionEntry | Failure,
+    ) -> VersionEntry | Failure:
+        if not isinstance(answer, Failure) or answer.kind != 'conflict':
+            return answer
+        expected = max(self._state.version, answer.version) + 1
+        return replace(answer, expected_version=expected)
 
     def _checked(self, checked: CheckedSources) -> CheckedEdit | Failure:
         state = self._state
@@ -156,13 +167,12 @@
                 changes=(),
             )
         if entry:
-            return edit_answer(
-                Conflict(
-                    version=entry.version,
-                    digest=entry.digest,
-                    author=entry.author,
-                ),
+            conflict = Conflict(
+                version=entry.version,
+                digest=entry.digest,
+                author=entry.author,
             )
+            return self._with_expected_version(edit_answer(conflict))
         return wrong_version(self._state.version + 1, checked.version)
 
     def _outside_scope(
--- a/waxwingsaddle/api_fleet.py
+++ b/waxwingsaddle/api_fleet.py
@@ -12,15 +12,16 @@
     VersionCount,
 )
 from waxwingsaddle.control_settings import ControlSettings
+from waxwingsaddle.events import Timeline
 from waxwingsaddle.kernel import Kernel
 
 
 class FleetHandlers:
-    """Handlers of `/v1/status`, `/v1/upstreams` and `/v1/events`.
+    """Handlers of `/v1/status` and `/v1/upstreams`.
 
     Args:
-        kernel: Has the services `replication`, `distribution`, `directory`
-            and `events`.
+        kernel: Has the services `replication`, `distribution` and
+            `directory`.
         settings: Settings of the control host.
     """
 
@@ -51,7 +52,7 @@
                 for node in sorted(fleet.nodes, key=_by_version_and_host)
                 if node.version < version
             ),
-            silent_hosts=tuple(fleet.silent_hosts),
+            missing_hosts=tuple(fleet.missing_hosts),
         )
 
     def get_upstreams(self, request: Request) -> Upstreams:
@@ -66,15 +67,6 @@
             ),
         )
 
-    def get_events(self, request: Request) -> Events:
-        """Returns the events of this process."""
-        timeline = self._kernel.find('events')
-        since = min(request.query['since'], timeline.recorded)
-        events, lost = timeline.since(since)
-        return Events(
-            recorded=since + lost + len(events), lost=lost, events=events
-        )
-
 
 def endpoints(
     kernel: Kernel,
@@ -83,7 +75,6 @@
     """Returns the endpoints about the fleet."""
     handlers = FleetHandlers(kernel, settings)
     service = Parameter('service', str, '', 'Only upstreams of this service.')
-    since = Parameter('since', int, 0, 'Only events after the first so many.')
     return (
         Endpoint(
             'GET',
@@ -100,21 +91,40 @@
             Upstreams,
             query=(service,),
         ),
-        Endpoint(
-            'GET',
-            '/v1/events',
-            'Returns the events of this control host.',
-            handlers.get_events,
-            Events,
-            query=(since,),
-        ),
+        events_endpoint(kernel),
     )
 
 
+def events_endpoint(kernel: Kernel) -> Endpoint:
+    """Returns the endpoint for the events of this process.
+
+    Args:
+        kernel: Has the service `events`.
+    """
+    since = Parameter('since', int, 0, 'Only events after the first so many.')
+    return Endpoint(
+        'GET',
+        '/v1/events',
+        'Returns the events of this process.',
+        lambda request: _events(kernel.find('events'), request.query['since']),
+        Events,
+        query=(since,),
+    )
+
+
+def _events(timeline: Timeline, since: int) -> Events:
+    # A reader may know more events than a process that was restarted.
+    known = since if since <= timeline.recorded else 0
+    events, lost = timeline.since(known)
+    return Events(recorded=timeline.recorded, lost=lost, events=events)
+
+
 def _node_version(node) -> NodeVersion:
     return NodeVersion(
         host=node.host,
         availability_zone=node.availability_zone,
+        site=node.site,
+        control_host=node.control_host,
         version=node.version,
         age_ms=int(node.age_ms),
     )
--- a/waxwingsaddle/api_models.py
+++ b/waxwingsaddle/api_models.py
@@ -168,12 +168,16 @@
     Attributes:
         host: Unique name of the host.
         availability_zone: Its availability zone.
+        site: Site whose configuration it carries.
+        control_host: Control host that holds its lease.
         version: Version in force; 0 for none yet.
         age_ms: Time since the node was last heard of, in milliseconds.
     """
 
     host: str
     availability_zone: str
+    site: str
+    control_host: str
     version: int
     age_ms: int
 
@@ -198,7 +202,7 @@
         in_force: Number of nodes with the accepted version in force.
         versions: Number of nodes for each version, newest first.
         lagging: Nodes behind the accepted version.
-        silent_hosts: Control hosts that did not answer, so that their nodes
+        missing_hosts: Control hosts that did not answer, so that their nodes
             may be missing.
     """
 
@@ -210,7 +214,7 @@
     in_force: int
     versions: tuple[VersionCount, ...]
     lagging: tuple[NodeVersion, ...]
-    silent_hosts: tuple[str, ...] = ()
+    missing_hosts: tuple[str, ...] = ()
 
 
 class Upstream(msgspec.Struct, frozen=True, kw_only=True):
--- a/waxwingsaddle/program.py
+++ b/waxwingsaddle/program.py
@@ -31,7 +31,7 @@
 def run(
     table: str,
     model: type[_Model],
-    build: Callable[[_Model], Kernel],
+    build: Callable[[_Model], Kernel | settings.SettingsError],
     arguments: Sequence[str] | None = None,
 ) -> int:
     """Runs a program until SIGTERM or SIGINT, then stops it gracefully.
@@ -39,7 +39,8 @@
     Args:
         table: Name of the program and of its settings table.
         model: Struct of its settings.
-        build: Makes the kernel with all services.
+        build: Makes the kernel with all services, or says which setting
+            can't be used.
         arguments: Command line; that of the process when absent.
 
     Returns:
@@ -50,8 +51,7 @@
     path = parser.parse_args(arguments).settings
     loaded = settings.load(path, table, model)
     if isinstance(loaded, settings.SettingsError):
-        print(f'waxwing-{table}: {loaded}', file=sys.stderr)
-        return EXIT_SETTINGS
+        return _unusable(table, loaded)
     logs.configure(
         loaded.log_level,
         loaded.log_form,
@@ -59,6 +59,8 @@
         host=loaded.host,
     )
     kernel = build(loaded)
+    if isinstance(kernel, settings.SettingsError):
+        return _unusable(table, kernel)
     stop_requests = _stop_requests()
     kernel.start()
     logs.logger().info('started')
@@ -69,6 +71,11 @@
     return 0
 
 
+def _unusable(table: str, error: settings.SettingsError) -> int:
+    print(f'waxwing-{table}: {error}', file=sys.stderr)
+    return EXIT_SETTINGS
+
+
 def _stop_requests() -> socket.socket:
     """Returns a socket that becomes readable at a stop signal.
 
--- a/waxwingsaddle/rollout.py
+++ b/waxwingsaddle/rollout.py
@@ -17,7 +17,7 @@
         nodes: Number of known nodes.
         in_force: Nodes that have this version or a newer one in force.
         lagging: The other nodes.
-        silent_hosts: Control hosts whose nodes may be missing.
+        missing_hosts: Control hosts whose nodes may be missing.
         waited_ms: Time since the wait began, in milliseconds.
     """
 
@@ -25,7 +25,7 @@
     nodes: int
     in_force: int
     lagging: tuple[NodeVersion, ...]
-    silent_hosts: tuple[str, ...]
+    missing_hosts: tuple[str, ...]
     waited_ms: int
 
     @property
@@ -78,6 +78,6 @@
         lagging=tuple(
             node for node in status.lagging if node.version < version
         ),
-        silent_hosts=status.silent_hosts,
+        missing_hosts=status.missing_hosts,
         waited_ms=round(waited_s * 1000),
     )
--- a/waxwingsaddle/ui/ctl_edits.py
+++ b/waxwingsaddle/ui/ctl_edits.py
@@ -199,8 +199,8 @@
         more = len(progress.lagging) - MAX_NAMES_SHOWN
         yield f'; lagging: {names}'
         yield f' and {more} more' if more > 0 else ''
-    if progress.silent_hosts:
-        yield f'; no answer from {", ".join(progress.silent_hosts)}'
+    if progress.missing_hosts:
+        yield f'; no answer from {", ".join(progress.missing_hosts)}'
 
 
 def _accepted_line(entry: VersionEntry) -> str:
--- a/waxwingsaddle/ui/ctl_fleet.py
+++ b/waxwingsaddle/ui/ctl_fleet.py
@@ -63,8 +63,8 @@
             f'{status.host} has had no majority for '
             f'{status.majority_age_ms / MS_PER_S:.1f} s; this may be old',
         )
-    if status.silent_hosts:
-        lines.append(f'no answer from {", ".join(status.silent_hosts)}')
+    if status.missing_hosts:
+        lines.append(f'no answer from {", ".join(status.missing_hosts)}')
     lines.extend(map(_lagging_line, status.lagging))
     return lines
 
