Add timeline, backup, restore and keys to waxwingctl

After a fault, operators need one order of what all processes did, and a copy of the accepted configurations outside the control hosts. timeline merges events by their hybrid logical time and draws one lane a process in plain SVG; backup and restore keep version numbers, so that no node is ahead of a restored log; keys makes CURVE pairs and tokens that only the owner can read.

--- a/waxwingsaddle/api.py
+++ b/waxwingsaddle/api.py
@@ -21,11 +21,11 @@
     Endpoint,
     Request,
     decode_body,
-    parse_number,
 )
 from waxwingsaddle.api_models import Failure
 from waxwingsaddle.control_settings import ControlSettings
 from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.util.numbers import parse_number
 from waxwingsaddle.web import Environ, StartResponse, reply_json
 
 SERVICE = 'http-application'
--- /dev/null
+++ b/waxwingsaddle/api_answers.py
@@ -0,0 +1,107 @@
+"""Answers of the administration API about edits and versions."""
+
+from functools import singledispatch
+
+from waxwingsaddle.api_models import Failure, VersionEntry, VersionSources
+from waxwingsaddle.edits import Accepted, Conflict, EditOutcome, Unavailable
+from waxwingsaddle.edits import Refused as RefusedEdit
+
+
+@singledispatch
+def edit_answer(outcome: EditOutcome) -> VersionEntry | Failure:
+    """Returns the answer for the outcome of a submitted edit."""
+    raise TypeError(f'unknown outcome of an edit: {outcome!r}')
+
+
+@edit_answer.register
+def _accepted(outcome: Accepted) -> VersionEntry:
+    return version_entry(outcome)
+
+
+@edit_answer.register
+def _conflict(outcome: Conflict) -> Failure:
+    return Failure(
+        kind='conflict',
+        message=f'version {outcome.version} was accepted before with other '
+        f'content, from {outcome.author or "an unnamed author"}; look at it, '
+        'merge the edit, and raise the version',
+        version=outcome.version,
+        digest=outcome.digest,
+        author=outcome.author,
+    )
+
+
+@edit_answer.register
+def _refused_edit(outcome: RefusedEdit) -> Failure:
+    return refused(outcome.problems, outcome.expected_version)
+
+
+@edit_answer.register
+def _unavailable(outcome: Unavailable) -> Failure:
+    return Failure(
+        kind='unavailable',
+        message=f'{outcome.reason}; submit the same edit again',
+    )
+
+
+def wrong_version(expected: int, wanted: int) -> Failure:
+    """Returns the answer for an edit that wants another than the next."""
+    return refused(
+        (
+            f'base.toml: version: the edit wants {wanted}, '
+            f'expected {expected}; set version = {expected}',
+        ),
+        expected,
+    )
+
+
+def version_entry(entry) -> VersionEntry:
+    """Returns the document of one entry of the history."""
+    return VersionEntry(
+        version=entry.version,
+        digest=entry.digest,
+        author=entry.author,
+        accepted_ms=entry.accepted_ms,
+    )
+
+
+def find_version(state, version: int):
+    """Returns the entry of a version in the history, if it is still held."""
+    return next(
+        (entry for entry in state.history() if entry.version == version),
+        None,
+    )
+
+
+def version_sources(state, version: int) -> VersionSources | Failure:
+    """Returns an accepted version with its files."""
+    entry = find_version(state, version)
+    sources = state.sources_of(version) if entry else None
+    if sources is None:
+        return Failure(
+            kind='not-found',
+            message=f'version {version} is not held; the accepted version is '
+            f'{state.version}',
+        )
+    return VersionSources(
+        version=version,
+        digest=entry.digest,
+        author=entry.author,
+        accepted_ms=entry.accepted_ms,
+        base=sources.base,
+        overlays=sources.overlays,
+    )
+
+
+def refused(
+    problems: tuple[str, ...],
+    expected_version: int | None = None,
+) -> Failure:
+    """Returns the answer for an edit with problems."""
+    more = f' (and {len(problems) - 1} more)' if len(problems) > 1 else ''
+    return Failure(
+        kind='refused',
+        message=f'{problems[0]}{more}',
+        problems=problems,
+        expected_version=expected_version,
+    )
--- a/waxwingsaddle/api_backup.py
+++ b/waxwingsaddle/api_backup.py
@@ -2,7 +2,7 @@
 
 from itertools import pairwise
 
-from waxwingsaddle.api_edits import edit_answer, version_sources
+from waxwingsaddle.api_answers import edit_answer, version_sources
 from waxwingsaddle.api_endpoints import Endpoint, Request
 from waxwingsaddle.api_models import (
     Backup,
--- a/waxwingsaddle/api_edits.py
+++ b/waxwingsaddle/api_edits.py
@@ -1,12 +1,19 @@
 """Edits in the administration API: submit, history, difference, roll back."""
 
 from collections.abc import Mapping
-from functools import singledispatch
 
 from eventlet import greenthread
 from msgspec.structs import replace
 
 from waxwingsaddle.access import Caller, outside_scope
+from waxwingsaddle.api_answers import (
+    edit_answer,
+    find_version,
+    refused,
+    version_entry,
+    version_sources,
+    wrong_version,
+)
 from waxwingsaddle.api_endpoints import Endpoint, Parameter, Request
 from waxwingsaddle.api_models import (
     CheckedEdit,
@@ -26,14 +33,7 @@
     check_sources,
 )
 from waxwingsaddle.control_settings import ControlSettings
-from waxwingsaddle.edits import (
-    Accepted,
-    Conflict,
-    Edit,
-    EditOutcome,
-    Unavailable,
-)
-from waxwingsaddle.edits import Refused as RefusedEdit
+from waxwingsaddle.edits import Conflict, Edit
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.sources import with_version
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
@@ -63,7 +63,7 @@
         sources = SourceSet(base=body.base, overlays=body.overlays)
         checked = check_sources(sources)
         if isinstance(checked, Refused):
-            return _refused(checked.problems)
+            return refused(checked.problems)
         failure = self._outside_scope(request.caller, checked)
         if failure:
             return failure
@@ -118,7 +118,7 @@
             body.version,
         )
         if isinstance(sources, Refused):
-            return _refused(sources.problems)
+            return refused(sources.problems)
         checked = check_sources(sources)
         failure = self._outside_scope(request.caller, checked)
         return failure or self._submit(request.caller, sources, body.author)
@@ -214,7 +214,7 @@
             SourceSet(base=found.base, overlays=found.overlays),
         )
         if isinstance(checked, Refused):
-            return _refused(checked.problems)
+            return refused(checked.problems)
         return checked.sites
 
 
@@ -276,102 +276,3 @@
             need='write',
         ),
     )
-
-
-@singledispatch
-def edit_answer(outcome: EditOutcome) -> VersionEntry | Failure:
-    """Returns the answer for the outcome of a submitted edit."""
-    raise TypeError(f'unknown outcome of an edit: {outcome!r}')
-
-
-@edit_answer.register
-def _accepted(outcome: Accepted) -> VersionEntry:
-    return version_entry(outcome)
-
-
-@edit_answer.register
-def _conflict(outcome: Conflict) -> Failure:
-    return Failure(
-        kind='conflict',
-        message=f'version {outcome.version} was accepted before with other '
-        f'content, from {outcome.author or "an unnamed author"}; look at it, '
-        'merge the edit, and raise the version',
-        version=outcome.version,
-        digest=outcome.digest,
-        author=outcome.author,
-    )
-
-
-@edit_answer.register
-def _refused_edit(outcome: RefusedEdit) -> Failure:
-    return _refused(outcome.problems, outcome.expected_version)
-
-
-@edit_answer.register
-def _unavailable(outcome: Unavailable) -> Failure:
-    return Failure(
-        kind='unavailable',
-        message=f'{outcome.reason}; submit the same edit again',
-    )
-
-
-def wrong_version(expected: int, wanted: int) -> Failure:
-    """Returns the answer for an edit that wants another than the next."""
-    return _refused(
-        (
-            f'base.toml: version: the edit wants {wanted}, '
-            f'expected {expected}; set version = {expected}',
-        ),
-        expected,
-    )
-
-
-def version_entry(entry) -> VersionEntry:
-    """Returns the document of one entry of the history."""
-    return VersionEntry(
-        version=entry.version,
-        digest=entry.digest,
-        author=entry.author,
-        accepted_ms=entry.accepted_ms,
-    )
-
-
-def find_version(state, version: int):
-    """Returns the entry of a version in the history, if it is still held."""
-    return next(
-        (entry for entry in state.history() if entry.version == version),
-        None,
-    )
-
-
-def version_sources(state, version: int) -> VersionSources | Failure:
-    """Returns an accepted version with its files."""
-    entry = find_version(state, version)
-    sources = state.sources_of(version) if entry else None
-    if sources is None:
-        return Failure(
-            kind='not-found',
-            message=f'version {version} is not held; the accepted version is '
-            f'{state.version}',
-        )
-    return VersionSources(
-        version=version,
-        digest=entry.digest,
-        author=entry.author,
-        accepted_ms=entry.accepted_ms,
-        base=sources.base,
-        overlays=sources.overlays,
-    )
-
-
-def _refused(
-    problems: tuple[str, ...],
-    expected_version: int | None = None,
-) -> Failure:
-    more = f' (and {len(problems) - 1} more)' if len(problems) > 1 else ''
-    return Failure(
-        kind='refused',
-        message=f'{problems[0]}{more}',
-        problems=problems,
-        expected_version=expected_version,
-    )
--- a/waxwingsaddle/api_endpoints.py
+++ b/waxwingsaddle/api_endpoints.py
@@ -10,13 +10,12 @@
 
 from waxwingsaddle.access import Caller
 from waxwingsaddle.api_models import Failure
+from waxwingsaddle.util.numbers import MAX_DIGITS, parse_number
 
 Need = Literal['nothing', 'read', 'write', 'manage']
 Answer = msgspec.Struct | dict[str, Any]
 
 _PLACEHOLDER = re.compile(r'\{(\w+)\}')
-# Longer numbers can't be versions and cost time to convert.
-_MAX_DIGITS = 15
 # Longest part of a value that an error message repeats.
 MAX_SHOWN_LENGTH = 40
 
@@ -119,7 +118,7 @@
 
     def __post_init__(self) -> None:
         expression = _PLACEHOLDER.sub(
-            rf'(?P<\1>[0-9]{{1,{_MAX_DIGITS}}})',
+            rf'(?P<\1>[0-9]{{1,{MAX_DIGITS}}})',
             self.template,
         )
         object.__setattr__(self, 'pattern', re.compile(f'{expression}/?'))
@@ -155,11 +154,5 @@
         )
 
 
-def parse_number(given: str) -> int | None:
-    """Returns a number in decimal digits, or nothing for other text."""
-    is_number = given.isascii() and given.isdigit()
-    return int(given) if is_number and len(given) <= _MAX_DIGITS else None
-
-
 def _switch(given: str) -> bool | None:
     return {'true': True, 'false': False}.get(given)
--- a/waxwingsaddle/ctl_settings.py
+++ b/waxwingsaddle/ctl_settings.py
@@ -19,6 +19,8 @@
 
     Attributes:
         controls: Administration API of the control hosts.
+        processes: HTTP addresses of nodes and sources that `timeline` asks
+            beside the control hosts.
         token_file: File with the bearer token; empty when tokens are off.
         author: Name for the history when tokens are off.
         base_file: The base file.
@@ -29,6 +31,7 @@
     """
 
     controls: Annotated[tuple[Address, ...], msgspec.Meta(min_length=1)]
+    processes: tuple[Address, ...] = ()
     token_file: str = ''
     author: str = ''
     base_file: str
--- a/waxwingsaddle/ui/ctl.py
+++ b/waxwingsaddle/ui/ctl.py
@@ -3,10 +3,17 @@
 import sys
 
 from cleo.application import Application
+from cleo.commands.completions_command import CompletionsCommand
 from cleo.exceptions import CleoError
 
 from waxwingsaddle import __version__
-from waxwingsaddle.ui import ctl_edits, ctl_fleet
+from waxwingsaddle.ui import (
+    ctl_backup,
+    ctl_edits,
+    ctl_fleet,
+    ctl_keys,
+    ctl_timeline,
+)
 from waxwingsaddle.ui.ctl_base import ExitCode
 
 COMMANDS = (
@@ -16,6 +23,12 @@
     ctl_edits.HistoryCommand,
     ctl_fleet.StatusCommand,
     ctl_fleet.UpstreamsCommand,
+    ctl_timeline.TimelineCommand,
+    ctl_backup.BackupCommand,
+    ctl_backup.RestoreCommand,
+    ctl_keys.KeysNewCommand,
+    ctl_keys.KeysTokenCommand,
+    CompletionsCommand,
 )
 
 
--- a/waxwingsaddle/ui/ctl_base.py
+++ b/waxwingsaddle/ui/ctl_base.py
@@ -18,6 +18,7 @@
 from waxwingsaddle.config import Refused, SourceSet
 from waxwingsaddle.ctl_settings import CtlSettings
 from waxwingsaddle.sources import read_sources
+from waxwingsaddle.util.numbers import parse_number
 
 SETTINGS_VARIABLE = 'WAXWING_CTL_SETTINGS'
 TABLE = 'ctl'
@@ -94,9 +95,7 @@
         except CommandError as error:
             if self.option('json'):
                 self.show_json(error.document)
-            self.io.write_error_line(
-                f'waxwingctl {self.name}: {escaped(str(error))}',
-            )
+            self.warn(str(error))
             return error.code
 
     def load_settings(self) -> CtlSettings:
@@ -159,6 +158,20 @@
             raise CommandError(sources.problems[0], ExitCode.refused)
         return sources
 
+    def number(self, name: str, given: str | int) -> int:
+        """Returns the value of an option or argument that is a number.
+
+        Raises:
+            CommandError: It is none.
+        """
+        number = parse_number(str(given))
+        if number is None:
+            raise CommandError(
+                f'{name}: expected a number, got {given!r}',
+                ExitCode.usage,
+            )
+        return number
+
     def expect(self, answer: Any) -> Any:
         """Returns an answer.
 
@@ -181,6 +194,12 @@
         for line in lines:
             self.line(escaped(line))
 
+    def warn(self, message: str) -> None:
+        """Prints one line on standard error."""
+        self.io.write_error_line(
+            escaped(f'waxwingctl {self.name}: {message}'),
+        )
+
     def show_json(self, document: Any) -> None:
         """Prints a document as indented JSON."""
         plain = msgspec.to_builtins(document)
--- a/waxwingsaddle/ui/ctl_fleet.py
+++ b/waxwingsaddle/ui/ctl_fleet.py
@@ -26,7 +26,7 @@
         """Prints the state of the fleet, once or again and again."""
         loaded = self.load_settings()
         client = self.client(loaded)
-        looks_left = int(self.option('count')) or -1
+        looks_left = self.number('count', self.option('count')) or -1
         while True:
             status = self.expect(client.status())
             self.show(status, _status_lines(status))
--- /dev/null
+++ b/waxwingsaddle/ui/ctl_keys.py
@@ -0,0 +1,105 @@
+"""Commands that generate keys and tokens."""
+
+from pathlib import Path
+
+import msgspec
+from cleo.helpers import argument, option
+
+from waxwingsaddle import access
+from waxwingsaddle.secret_files import write_secret
+from waxwingsaddle.ui.ctl_base import CommandError, CtlCommand, ExitCode
+
+
+class KeysNewCommand(CtlCommand):
+    """Generates a CURVE key pair for messages between processes."""
+
+    name = 'keys new'
+    description = 'Generates a CURVE key pair, readable by its owner only.'
+    arguments = [argument('key', 'Name of the key, such as the host.')]
+    own_options = [
+        option('folder', None, 'Where to write.', flag=False, default='.'),
+    ]
+
+    def run_command(self) -> ExitCode:
+        """Writes `NAME.key` and `NAME.key_secret`."""
+        # Only this command needs zmq.
+        import zmq
+
+        public, secret = zmq.curve_keypair()
+        stem = Path(self.option('folder')) / self.argument('key')
+        public_file = stem.with_name(f'{stem.name}.key')
+        secret_file = stem.with_name(f'{stem.name}.key_secret')
+        write_new(secret_file, b'%s\n' % secret)
+        write_new(public_file, b'%s\n' % public)
+        self.show(
+            {
+                'public_key': public.decode('ascii'),
+                'public_file': str(public_file),
+                'secret_file': str(secret_file),
+            },
+            [
+                f'public key {public.decode("ascii")} in {public_file}',
+                f'secret key in {secret_file}',
+            ],
+        )
+        return ExitCode.done
+
+
+class KeysTokenCommand(CtlCommand):
+    """Generates a bearer token with a scope."""
+
+    name = 'keys token'
+    description = 'Generates a bearer token and its entry for the settings.'
+    arguments = [argument('holder', 'Name of the holder, such as a team.')]
+    own_options = [
+        option('service', None, 'In scope.', flag=False, multiple=True),
+        option('site', None, 'In scope.', flag=False, multiple=True),
+        option('write', None, 'Allows changes.'),
+        option('file', None, 'Where to write the token.', flag=False),
+    ]
+
+    def run_command(self) -> ExitCode:
+        """Writes the token and prints the entry for the settings."""
+        holder = self.argument('holder')
+        try:
+            made = access.new_token(
+                holder,
+                tuple(self.option('service')) or (access.EVERY,),
+                tuple(self.option('site')) or (access.EVERY,),
+                self.option('write'),
+            )
+        except msgspec.ValidationError as error:
+            raise CommandError(str(error), ExitCode.usage) from None
+        file = Path(self.option('file') or f'{holder}.token')
+        write_new(file, f'{made.token}\n'.encode())
+        entry = msgspec.to_builtins(made.entry)
+        self.show(
+            {'file': str(file), 'entry': entry},
+            [
+                f'# The token is in {file}. Add this to the settings of all',
+                '# control hosts and restart them one by one:',
+                '[[control.tokens]]',
+                *(f'{key} = {_toml(entry[key])}' for key in entry),
+            ],
+        )
+        return ExitCode.done
+
+
+def write_new(path: Path, content: bytes) -> None:
+    """Writes a secret file.
+
+    Raises:
+        CommandError: The file exists or can't be written.
+    """
+    try:
+        write_secret(path, content)
+    except OSError as error:
+        raise CommandError(
+            f'{path}: {error.strerror}; nothing was overwritten',
+            ExitCode.usage,
+        ) from None
+
+
+def _toml(plain: object) -> str:
+    # Strings, booleans and arrays of strings look the same in JSON and TOML.
+    return msgspec.json.encode(plain).decode()
--- /dev/null
+++ b/waxwingsaddle/ui/ctl_timeline.py
@@ -0,0 +1,79 @@
+"""Command that merges the events of several processes."""
+
+from pathlib import Path
+
+from cleo.helpers import option
+
+from waxwingsaddle.timeline import Selection, event_line, gather, parse_since
+from waxwingsaddle.timeline_page import page
+from waxwingsaddle.ui.ctl_base import CommandError, CtlCommand, ExitCode
+from waxwingsaddle.util.clock import wall_ms
+from waxwingsaddle.util.files import replace_file
+
+
+class TimelineCommand(CtlCommand):
+    """Shows the events of several processes in one order."""
+
+    name = 'timeline'
+    description = 'Shows the events of several processes in one order.'
+    own_options = [
+        option('since', None, '90s, 10m, 2h, 1d or a time.', flag=False),
+        option('kind', None, 'Only this kind.', flag=False, multiple=True),
+        option('host', None, 'Only this host.', flag=False, multiple=True),
+        option('html', None, 'Draws into this file.', flag=False),
+        option(
+            'process',
+            None,
+            'IP:PORT of a node or source to ask, too; may be repeated.',
+            flag=False,
+            multiple=True,
+        ),
+    ]
+
+    def run_command(self) -> ExitCode:
+        """Gathers, merges and shows events."""
+        loaded = self.load_settings()
+        client = self.client(loaded)
+        selection = self._selection()
+        gathered = gather(
+            client.events,
+            (*loaded.controls, *loaded.processes, *self.option('process')),
+            selection,
+        )
+        for failure in gathered.failures:
+            self.warn(failure)
+        if self.option('html'):
+            self._draw(Path(self.option('html')), page(gathered.events))
+        else:
+            self.show(gathered.events, map(event_line, gathered.events))
+        if gathered.failures and not gathered.events:
+            raise CommandError('no process gave events', ExitCode.unreachable)
+        return ExitCode.done
+
+    def _selection(self) -> Selection:
+        since_ms = 0
+        text = self.option('since')
+        if text:
+            parsed = parse_since(text, wall_ms())
+            if parsed is None:
+                raise CommandError(
+                    f'--since {text!r}: give 90s, 10m, 2h, 1d or a time such '
+                    'as 2026-01-31T08:00',
+                    ExitCode.usage,
+                )
+            since_ms = parsed
+        return Selection(
+            since_ms,
+            frozenset(self.option('kind')),
+            frozenset(self.option('host')),
+        )
+
+    def _draw(self, file: Path, html: str) -> None:
+        try:
+            replace_file(file, html.encode())
+        except OSError as error:
+            raise CommandError(
+                f'--html {file}: {error.strerror}',
+                ExitCode.usage,
+            ) from None
+        self.show({'file': str(file)}, [f'drawn into {file}'])
