--- a/test/fake_control.py
+++ b/test/fake_control.py
@@ -13,9 +13,15 @@
 from waxwingsaddle import api, settings
 from waxwingsaddle.config import SourceSet, check_sources
 from waxwingsaddle.control_settings import ControlSettings
-from waxwingsaddle.edits import Accepted, Conflict, Edit, Refused, Unavailable
 from waxwingsaddle.events import Timeline
 from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.outcomes import (
+    Accepted,
+    Conflict,
+    Edit,
+    Refused,
+    Unavailable,
+)
 
 BASE = """version = 1
 [services.orders]
@@ -61,9 +67,13 @@
         """Returns the entries, oldest first."""
         return tuple(self.entries)
 
-    def sources_of(self, version: int) -> SourceSet | None:
-        """Returns the files of a version."""
-        return self.files.get(version)
+    def at(self, version: int) -> SimpleNamespace | None:
+        """Returns a version as a whole."""
+        files = self.files.get(version)
+        if files is None:
+            return None
+        checked = check_sources(files)
+        return SimpleNamespace(sources=files, sites=checked.sites)
 
 
 @dataclass
@@ -100,8 +110,9 @@
                     return entry
                 return Conflict(
                     version=entry.version,
-                    digest=entry.digest,
-                    author=entry.author,
+                    winner_digest=entry.digest,
+                    winner_author=entry.author,
+                    current_version=self.state.version,
                 )
         expected = self.state.version + 1
         is_first = edit.is_restore and not self.state.version
--- /dev/null
+++ b/test/test_docs.py
@@ -0,0 +1,34 @@
+"""Pages that must agree with the code."""
+
+import re
+from pathlib import Path
+
+from waxwingsaddle import settings_page
+from waxwingsaddle.ui import ctl
+from waxwingsaddle.ui.ctl_base import ExitCode
+
+DOCS = Path(__file__).parents[1] / 'docs'
+
+
+def test_settings_page_is_current():
+    """Guards against a page that misses a setting or shows an old default."""
+    committed = (DOCS / 'settings.md').read_text()
+    hint = 'run python -m waxwingsaddle.settings_page'
+    assert committed == settings_page.page(), hint
+
+
+def test_operations_page_names_existing_commands():
+    """Guards against a page that sends operators to a missing command."""
+    text = (DOCS / 'operations.md').read_text()
+    known = {command.name for command in ctl.application().all().values()}
+    for line in re.findall('`waxwingctl ([^`]+)`', text):
+        words = line.split()
+        names = {words[0], ' '.join(words[:2])}
+        assert names & known, line
+
+
+def test_operations_page_lists_exit_codes():
+    """Guards against an exit code without an explanation."""
+    text = (DOCS / 'operations.md').read_text()
+    listed = {int(code) for code in re.findall(r'^\| (\d+) \|', text, re.M)}
+    assert listed == {int(code) for code in ExitCode}
--- a/waxwingsaddle/api_answers.py
+++ b/waxwingsaddle/api_answers.py
@@ -3,12 +3,17 @@
 from functools import singledispatch
 
 from waxwingsaddle.api_models import Failure, VersionEntry, VersionSources
-from waxwingsaddle.edits import Accepted, Conflict, EditOutcome, Unavailable
-from waxwingsaddle.edits import Refused as RefusedEdit
+from waxwingsaddle.outcomes import (
+    Accepted,
+    Conflict,
+    Outcome,
+    Refused,
+    Unavailable,
+)
 
 
 @singledispatch
-def edit_answer(outcome: EditOutcome) -> VersionEntry | Failure:
+def edit_answer(outcome: Outcome) -> VersionEntry | Failure:
     """Returns the answer for the outcome of a submitted edit."""
     raise TypeError(f'unknown outcome of an edit: {outcome!r}')
 
@@ -20,19 +25,22 @@
 
 @edit_answer.register
 def _conflict(outcome: Conflict) -> Failure:
+    expected = outcome.current_version + 1
     return Failure(
         kind='conflict',
         message=f'version {outcome.version} was accepted before with other '
-        f'content, from {outcome.author or "an unnamed author"}; look at it, '
-        'merge the edit, and raise the version',
+        f'content, from {outcome.winner_author or "an unnamed author"}; '
+        'merge the edit with what was accepted, and set '
+        f'version = {expected}',
+        expected_version=expected,
         version=outcome.version,
-        digest=outcome.digest,
-        author=outcome.author,
+        digest=outcome.winner_digest,
+        author=outcome.winner_author,
     )
 
 
 @edit_answer.register
-def _refused_edit(outcome: RefusedEdit) -> Failure:
+def _refused_edit(outcome: Refused) -> Failure:
     return refused(outcome.problems, outcome.expected_version)
 
 
@@ -76,20 +84,25 @@
 def version_sources(state, version: int) -> VersionSources | Failure:
     """Returns an accepted version with its files."""
     entry = find_version(state, version)
-    sources = state.sources_of(version) if entry else None
-    if sources is None:
-        return Failure(
-            kind='not-found',
-            message=f'version {version} is not held; the accepted version is '
-            f'{state.version}',
-        )
+    stored = state.at(version) if entry else None
+    if stored is None:
+        return not_held(state, version)
     return VersionSources(
         version=version,
         digest=entry.digest,
         author=entry.author,
         accepted_ms=entry.accepted_ms,
-        base=sources.base,
-        overlays=sources.overlays,
+        base=stored.sources.base,
+        overlays=stored.sources.overlays,
+    )
+
+
+def not_held(state, version: int) -> Failure:
+    """Returns the answer for a version whose files are not held."""
+    return Failure(
+        kind='not-found',
+        message=f'version {version} is not held; the accepted version is '
+        f'{state.version}',
     )
 
 
--- a/waxwingsaddle/api_backup.py
+++ b/waxwingsaddle/api_backup.py
@@ -13,8 +13,8 @@
 )
 from waxwingsaddle.config import Refused, SourceSet, check_sources
 from waxwingsaddle.control_settings import ControlSettings
-from waxwingsaddle.edits import Edit
 from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.outcomes import Edit
 from waxwingsaddle.sources import with_version
 
 PATH = '/v1/backup'
--- a/waxwingsaddle/api_edits.py
+++ b/waxwingsaddle/api_edits.py
@@ -3,12 +3,12 @@
 from collections.abc import Mapping
 
 from eventlet import greenthread
-from msgspec.structs import replace
 
 from waxwingsaddle.access import Caller, outside_scope
 from waxwingsaddle.api_answers import (
     edit_answer,
     find_version,
+    not_held,
     refused,
     version_entry,
     version_sources,
@@ -33,8 +33,8 @@
     check_sources,
 )
 from waxwingsaddle.control_settings import ControlSettings
-from waxwingsaddle.edits import Conflict, Edit
 from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.outcomes import Conflict, Edit
 from waxwingsaddle.sources import with_version
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
 from waxwingsaddle.util.codec import Tree
@@ -134,17 +134,7 @@
         author: str,
     ) -> VersionEntry | Failure:
         edit = Edit(sources=sources, author=caller.name or author)
-        answer = edit_answer(self._kernel.find('replication').submit(edit))
-        return self._with_expected_version(answer)
-
-    def _with_expected_version(
-        self,
-        answer: VersionEntry | Failure,
-    ) -> VersionEntry | Failure:
-        if not isinstance(answer, Failure) or answer.kind != 'conflict':
-            return answer
-        expected = max(self._state.version, answer.version) + 1
-        return replace(answer, expected_version=expected)
+        return edit_answer(self._kernel.find('replication').submit(edit))
 
     def _checked(self, checked: CheckedSources) -> CheckedEdit | Failure:
         state = self._state
@@ -169,10 +159,11 @@
         if entry:
             conflict = Conflict(
                 version=entry.version,
-                digest=entry.digest,
-                author=entry.author,
+                winner_digest=entry.digest,
+                winner_author=entry.author,
+                current_version=self._state.version,
             )
-            return self._with_expected_version(edit_answer(conflict))
+            return edit_answer(conflict)
         return wrong_version(self._state.version + 1, checked.version)
 
     def _outside_scope(
@@ -207,15 +198,8 @@
     def _sites(self, version: int) -> Mapping[str, Tree] | Failure:
         if version == 0:
             return {}
-        found = version_sources(self._state, version)
-        if isinstance(found, Failure):
-            return found
-        checked = check_sources(
-            SourceSet(base=found.base, overlays=found.overlays),
-        )
-        if isinstance(checked, Refused):
-            return refused(checked.problems)
-        return checked.sites
+        stored = self._state.at(version)
+        return stored.sites if stored else not_held(self._state, version)
 
 
 def endpoints(
