--- /dev/null
+++ b/test/test_checker.py
@@ -0,0 +1,54 @@
+"""Checker of journals."""
+
+import json
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from waxwingsaddle import checker
+
+
+def _verdict(executions, answers):
+    with TemporaryDirectory() as folder:
+        files = (Path(folder, 'journal'), Path(folder, 'answers'))
+        for file, lines in zip(files, (executions, answers), strict=True):
+            file.write_text('\n'.join(map(json.dumps, lines)))
+        return checker.check_calls(files[:1], files[1:])
+
+
+def _execution(call_id, key=''):
+    return {'event': 'start', 'call_id': call_id, 'key': key}
+
+
+def _answer(call_id, outcome, is_whole=True):
+    return {
+        'call_id': call_id,
+        'outcome': outcome,
+        'status': 200,
+        'is_whole': is_whole,
+        'reason': '',
+    }
+
+
+def test_clean_run_has_no_violations():
+    """Guards against false alarms."""
+    verdict = _verdict([_execution('a', 'a')], [_answer('a', 'ran')])
+    assert (verdict.executions, verdict.answers) == (1, 1)
+    assert not verdict.violations
+
+
+def test_each_violation_is_found():
+    """Guards against a checker that passes a broken promise."""
+    verdict = _verdict(
+        [_execution('a', 'k'), _execution('b', 'k'), _execution('c')],
+        [_answer('c', 'not-run'), _answer('d', 'ran', is_whole=False)],
+    )
+    assert 'key k ran 2 times' in verdict.violations[0]
+    assert 'answered not-run' in verdict.violations[1]
+    assert 'not whole' in verdict.violations[2]
+    assert 'never ran' in verdict.violations[3]
+
+
+def test_step_back_of_a_version_is_found():
+    """Guards against a node that returns to an older version."""
+    seen = [('n1', 1), ('n2', 3), ('n1', 2), ('n2', 2)]
+    assert checker.check_versions(seen) == ('n2 went back from version 3 to 2',)
--- /dev/null
+++ b/waxwingsaddle/callers.py
@@ -0,0 +1,227 @@
+"""Open-loop callers: calls start on schedule however slow the answers are."""
+
+import json
+import random
+from collections.abc import Iterator
+from contextlib import suppress
+from dataclasses import dataclass
+from heapq import merge
+from http import HTTPStatus
+from itertools import count, pairwise
+
+import urllib3
+from eventlet import greenpool, greenthread, sleep
+
+from waxwingsaddle.experiment import Action, Experiment, Flow, Stage
+from waxwingsaddle.report import Recorder
+from waxwingsaddle.standin import CALL_ID_HEADER, is_whole_answer
+from waxwingsaddle.util.clock import MS_PER_S, monotonic_s, wall_ms
+from waxwingsaddle.util.jsonlines import JsonLinesWriter
+
+CONNECTIONS_PER_ADDRESS = 1024
+MAX_CONCURRENT_CALLS = 20_000
+DEFAULT_TIMEOUT_S = 30
+# A caller waits somewhat longer than its deadline, so that an answer that says
+# "deadline passed" still reaches it.
+TIMEOUT_MARGIN_S = 1
+ACTION_TIMEOUT_S = 5
+RESEND_PAUSE_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One call of the schedule.
+
+    Attributes:
+        at_s: Start, in seconds after the start of the run.
+        flow: The stream it belongs to.
+        call_id: Unique name of the call.
+    """
+
+    at_s: float
+    flow: Flow
+    call_id: str
+
+    def __lt__(self, other: 'Arrival') -> bool:
+        """Orders arrivals by time, for merging the flows."""
+        return self.at_s < other.at_s
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller received.
+
+    Attributes:
+        outcome: `ran`, `not-run`, `unknown`, or `no-answer`.
+        status: HTTP status, 0 without an answer.
+        is_whole: Whether the body is the whole answer to this call.
+        reason: The reason given with the outcome.
+    """
+
+    outcome: str
+    status: int
+    is_whole: bool
+    reason: str
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the call ran and its whole answer arrived."""
+        return (
+            self.outcome == 'ran'
+            and self.status < HTTPStatus.MULTIPLE_CHOICES
+            and self.is_whole
+        )
+
+
+def schedule(experiment: Experiment, prefix: str) -> Iterator[Arrival]:
+    """Yields the calls of a run in order of time, as Poisson arrivals."""
+    streams = (
+        _arrivals(flow, experiment, f'{prefix}-{index}')
+        for index, flow in enumerate(experiment.flows)
+    )
+    return merge(*streams)
+
+
+class Callers:
+    """Sends the calls of one run.
+
+    Args:
+        experiment: What to send.
+        recorder: Where answers are counted.
+        is_direct: Whether calls go straight to the upstreams.
+    """
+
+    def __init__(
+        self,
+        experiment: Experiment,
+        recorder: Recorder,
+        is_direct: bool,
+    ) -> None:
+        self._experiment = experiment
+        self._recorder = recorder
+        self._is_direct = is_direct
+        self._rng = random.Random(experiment.seed)
+        self._http = urllib3.PoolManager(
+            maxsize=CONNECTIONS_PER_ADDRESS,
+            retries=False,
+        )
+        self._answers = JsonLinesWriter(experiment.answers_file)
+
+    def run(self) -> None:
+        """Sends all calls and waits for all answers."""
+        prefix = f'{wall_ms():x}{"d" if self._is_direct else "n"}'
+        started_s = monotonic_s()
+        pool = greenpool.GreenPool(MAX_CONCURRENT_CALLS)
+        for action in self._experiment.actions:
+            greenthread.spawn_after(action.at_s, self._act, action)
+        for arrival in schedule(self._experiment, prefix):
+            sleep(max(0, started_s + arrival.at_s - monotonic_s()))
+            pool.spawn_n(self._call, arrival, started_s)
+        pool.waitall()
+
+    def _call(self, arrival: Arrival, started_s: float) -> None:
+        due_s = started_s + arrival.at_s
+        answer = self._send(arrival)
+        for _ in range(arrival.flow.resends):
+            if answer.outcome in {'ran', 'not-run'}:
+                break
+            sleep(RESEND_PAUSE_S)
+            answer = self._send(arrival)
+        took_ms = (monotonic_s() - due_s) * MS_PER_S
+        if arrival.at_s >= arrival.flow.measure_from_s:
+            self._recorder.record(arrival, answer, took_ms)
+
+    def _send(self, arrival: Arrival) -> Answer:
+        flow = arrival.flow
+        addresses = flow.direct if self._is_direct else self._experiment.nodes
+        address = self._rng.choice(addresses)
+        url = (
+            f'http://{address}{flow.path}'
+            f'?work_ms={flow.work_ms}&size_bytes={flow.size_bytes}'
+        )
+        timeout_s = DEFAULT_TIMEOUT_S
+        headers = {CALL_ID_HEADER: arrival.call_id}
+        if flow.deadline_ms:
+            headers['Waxwing-Deadline-Ms'] = str(flow.deadline_ms)
+            timeout_s = flow.deadline_ms / MS_PER_S + TIMEOUT_MARGIN_S
+        if flow.is_keyed:
+            headers['Idempotency-Key'] = arrival.call_id
+        answer = self._exchange(arrival, url, headers, timeout_s)
+        self._write(arrival, answer, address)
+        return answer
+
+    def _exchange(
+        self,
+        arrival: Arrival,
+        url: str,
+        headers: dict[str, str],
+        timeout_s: float,
+    ) -> Answer:
+        flow = arrival.flow
+        try:
+            response = self._http.request(
+                flow.method,
+                url,
+                headers=headers,
+                timeout=timeout_s,
+            )
+        except urllib3.exceptions.NewConnectionError as error:
+            return Answer('not-run', 0, is_whole=False, reason=str(error))
+        except urllib3.exceptions.HTTPError as error:
+            return Answer('no-answer', 0, is_whole=False, reason=str(error))
+        default = (
+            'ran'
+            if response.status < HTTPStatus.INTERNAL_SERVER_ERROR
+            else 'unknown'
+        )
+        return Answer(
+            outcome=response.headers.get('Waxwing-Outcome', default),
+            status=response.status,
+            is_whole=is_whole_answer(
+                arrival.call_id,
+                flow.size_bytes,
+                response.data,
+            ),
+            reason=response.headers.get('Waxwing-Reason', ''),
+        )
+
+    def _write(self, arrival: Arrival, answer: Answer, address: str) -> None:
+        line = {
+            'call_id': arrival.call_id,
+            'flow': arrival.flow.name,
+            'key': arrival.call_id if arrival.flow.is_keyed else '',
+            'address': address,
+            'outcome': answer.outcome,
+            'status': answer.status,
+            'is_whole': answer.is_whole,
+            'reason': answer.reason,
+            'wall_ms': wall_ms(),
+        }
+        self._answers.write(line)
+
+    def _act(self, action: Action) -> None:
+        body = {'factor': action.factor, 'duration_s': action.duration_s}
+        with suppress(urllib3.exceptions.HTTPError):
+            self._http.request(
+                'POST',
+                f'http://{action.upstream}/standin/{action.action}',
+                body=json.dumps(body).encode(),
+                timeout=ACTION_TIMEOUT_S,
+            )
+
+
+def _arrivals(
+    flow: Flow,
+    experiment: Experiment,
+    prefix: str,
+) -> Iterator[Arrival]:
+    rng = random.Random(f'{experiment.seed}/{flow.name}')
+    numbers = count()
+    last = Stage(at_s=experiment.duration_s, rate_per_s=0)
+    for stage, following in pairwise((*flow.stages, last)):
+        now_s = stage.at_s
+        while stage.rate_per_s > 0:
+            now_s += rng.expovariate(stage.rate_per_s)
+            if now_s >= min(following.at_s, experiment.duration_s):
+                break
+            yield Arrival(now_s, flow, f'{prefix}-{next(numbers)}')
--- /dev/null
+++ b/waxwingsaddle/checker.py
@@ -0,0 +1,118 @@
+"""Checks the journals of a run against the promises about calls.
+
+Reads what stand-in upstreams executed and what callers were told.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from itertools import chain
+from pathlib import Path
+from typing import Any
+
+from waxwingsaddle.util.jsonlines import read_lines
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What the journals show.
+
+    Attributes:
+        executions: Executions started.
+        answers: Answers that callers received.
+        violations: One readable line each; empty when every promise held.
+    """
+
+    executions: int
+    answers: int
+    violations: tuple[str, ...] = field(default=())
+
+
+def check_calls(
+    journals: Iterable[Path],
+    answers: Iterable[Path],
+) -> Verdict:
+    """Checks executions against answers.
+
+    Args:
+        journals: Journal files of stand-in upstreams.
+        answers: Answer files of the load tool.
+
+    Returns:
+        The verdict: no keyed call ran twice, no "not-run" ran, every answer
+        was whole and followed an execution.
+    """
+    started = [
+        line
+        for line in chain.from_iterable(map(read_lines, journals))
+        if line['event'] == 'start'
+    ]
+    told = list(chain.from_iterable(map(read_lines, answers)))
+    violations = (
+        *_repeated(started),
+        *_ran_though_refused(started, told),
+        *_answered_wrongly(started, told),
+    )
+    return Verdict(len(started), len(told), violations)
+
+
+def check_versions(
+    observed: Iterable[tuple[str, int]],
+) -> tuple[str, ...]:
+    """Checks that no node went back to an older version.
+
+    Args:
+        observed: Pairs of host and version in force, in order of time.
+
+    Returns:
+        One readable line for each step back.
+    """
+    newest: dict[str, int] = defaultdict(int)
+    violations = []
+    for host, version in observed:
+        if version < newest[host]:
+            violations.append(
+                f'{host} went back from version {newest[host]} to {version}',
+            )
+        newest[host] = max(newest[host], version)
+    return tuple(violations)
+
+
+def _repeated(started: list[dict[str, Any]]) -> Iterator[str]:
+    runs = Counter(line['key'] for line in started if line['key'])
+    yield from (
+        f'key {key} ran {times} times'
+        for key, times in runs.items()
+        if times > 1
+    )
+
+
+def _ran_though_refused(
+    started: list[dict[str, Any]],
+    told: list[dict[str, Any]],
+) -> Iterator[str]:
+    ran = {line['call_id'] for line in started}
+    last_outcomes = {line['call_id']: line for line in told}
+    yield from (
+        f'call {call_id} was answered not-run ({line["reason"]}) but ran'
+        for call_id, line in last_outcomes.items()
+        if line['outcome'] == 'not-run' and call_id in ran
+    )
+
+
+def _answered_wrongly(
+    started: list[dict[str, Any]],
+    told: list[dict[str, Any]],
+) -> Iterator[str]:
+    ran = {line['call_id'] for line in started}
+    for line in told:
+        if (
+            line['outcome'] != 'ran'
+            or line['status'] >= HTTPStatus.MULTIPLE_CHOICES
+        ):
+            continue
+        if not line['is_whole']:
+            yield f'call {line["call_id"]} got an answer that is not whole'
+        if line['call_id'] not in ran:
+            yield f'call {line["call_id"]} was answered but never ran'
--- /dev/null
+++ b/waxwingsaddle/faults.py
@@ -0,0 +1,307 @@
+"""Fault-injecting TCP proxy: delay, loss, one-way cuts and freezes.
+
+Lost segments appear as TCP shows them: the bytes arrive after a
+retransmission, and later bytes wait behind them. A cut direction holds its
+bytes until it is healed, as a silent partition does.
+"""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Annotated, Literal
+
+import msgspec
+from eventlet import convenience, event, greenthread, queue, sleep
+from eventlet.green import socket
+
+from waxwingsaddle import web
+from waxwingsaddle.addresses import Address, HostName
+from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
+
+READ_BYTES = 65_536
+SEGMENT_BYTES = 1448
+# Smallest retransmission timeout of common TCP stacks.
+RETRANSMISSION_S = 0.2
+HELD_CHUNKS = 256
+CUT_POLL_S = 0.02
+
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class Condition(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """Condition of a link.
+
+    Attributes:
+        delay_ms: One-way delay.
+        jitter_ms: Largest addition to the delay, drawn for each read.
+        loss_percent: Segments that need a retransmission.
+        is_forward_cut: Whether bytes from client to server are held.
+        is_backward_cut: Whether bytes from server to client are held.
+        is_refusing: Whether connections are closed at once.
+    """
+
+    delay_ms: NotNegative = 0
+    jitter_ms: NotNegative = 0
+    loss_percent: Annotated[float, msgspec.Meta(ge=0, le=100)] = 0
+    is_forward_cut: bool = False
+    is_backward_cut: bool = False
+    is_refusing: bool = False
+
+
+class LinkSettings(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """One proxied address."""
+
+    name: HostName
+    listen_address: Address
+    target_address: Address
+    condition: Condition = Condition()
+
+
+class FaultsSettings(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """Settings of the proxy.
+
+    Attributes:
+        host: Name for logs.
+        http_address: Where conditions are changed and bytes counted.
+        seed: Seed of delays and losses.
+        links: The proxied addresses.
+        log_level: Least level of log lines.
+        log_form: `json` or `text`.
+    """
+
+    host: HostName
+    http_address: Address
+    seed: int
+    links: tuple[LinkSettings, ...]
+    log_level: Literal['debug', 'info', 'warning', 'error']
+    log_form: Literal['json', 'text']
+
+
+@dataclass(slots=True)
+class Link:
+    """State of one proxied address.
+
+    Attributes:
+        settings: What it proxies.
+        condition: Its condition now.
+        rng: Source of delays and losses.
+        forward_bytes: Bytes from client to server so far.
+        backward_bytes: Bytes from server to client so far.
+        connections: Connections so far.
+    """
+
+    settings: LinkSettings
+    condition: Condition
+    rng: random.Random
+    forward_bytes: int = 0
+    backward_bytes: int = 0
+    connections: int = 0
+
+    def is_cut(self, is_forward: bool) -> bool:
+        """Says whether a direction is cut."""
+        if is_forward:
+            return self.condition.is_forward_cut
+        return self.condition.is_backward_cut
+
+    def count(self, is_forward: bool, size_bytes: int) -> None:
+        """Counts bytes of a direction."""
+        if is_forward:
+            self.forward_bytes += size_bytes
+        else:
+            self.backward_bytes += size_bytes
+
+    def delay_s(self, size_bytes: int) -> float:
+        """Draws the delay of one read, retransmissions included."""
+        condition = self.condition
+        delay_ms = condition.delay_ms + self.rng.uniform(0, condition.jitter_ms)
+        segments = size_bytes // SEGMENT_BYTES + 1
+        loss = condition.loss_percent / 100
+        is_lost = any(self.rng.random() < loss for _ in range(segments))
+        retransmission_s = RETRANSMISSION_S if is_lost else 0
+        return delay_ms / MS_PER_S + retransmission_s
+
+
+@dataclass(slots=True)
+class _Direction:
+    """One direction of one connection."""
+
+    link: Link
+    source: socket.socket
+    sink: socket.socket
+    is_forward: bool
+    chunks: queue.Queue = field(
+        default_factory=lambda: queue.Queue(HELD_CHUNKS),
+    )
+
+    def read(self) -> None:
+        """Reads until the end and gives each chunk its time of arrival."""
+        due_s = 0.0
+        while True:
+            chunk = _receive(self.source)
+            due_s = max(due_s, monotonic_s() + self.link.delay_s(len(chunk)))
+            self.link.count(self.is_forward, len(chunk))
+            self.chunks.put((due_s, chunk))
+            if not chunk:
+                return
+
+    def write(self) -> None:
+        """Writes each chunk at its time, not while the direction is cut."""
+        while True:
+            due_s, chunk = self.chunks.get()
+            sleep(max(0, due_s - monotonic_s()))
+            while self.link.is_cut(self.is_forward):
+                sleep(CUT_POLL_S)
+            if not chunk or not _send(self.sink, chunk):
+                return
+
+
+class Proxy:
+    """All links of the proxy."""
+
+    def __init__(self, settings: FaultsSettings) -> None:
+        rng = random.Random(settings.seed)
+        self.links = {
+            link.name: Link(link, link.condition, random.Random(rng.random()))
+            for link in settings.links
+        }
+        self._threads: list[greenthread.GreenThread] = []
+
+    def start(self) -> None:
+        """Listens on every link."""
+        for link in self.links.values():
+            listener = convenience.listen(
+                web.split_address(link.settings.listen_address),
+            )
+            self._threads.append(greenthread.spawn(_accept, link, listener))
+
+    def stop(self) -> None:
+        """Stops listening."""
+        for thread in self._threads:
+            thread.kill()
+
+    def __call__(
+        self,
+        environ: web.Environ,
+        start_response: web.StartResponse,
+    ) -> Iterable[bytes]:
+        """Serves `GET /links` and `PUT /links/NAME` with a condition."""
+        name = environ['PATH_INFO'].removeprefix('/links').strip('/')
+        if environ['REQUEST_METHOD'] == 'PUT':
+            if name not in self.links:
+                return web.reply_json(
+                    start_response,
+                    '404 Not Found',
+                    {'error': f'no link {name!r}'},
+                )
+            raw = environ['wsgi.input'].read()
+            try:
+                condition = msgspec.json.decode(raw, type=Condition)
+            except msgspec.MsgspecError as error:
+                return web.reply_json(
+                    start_response,
+                    '400 Bad Request',
+                    {'error': str(error)},
+                )
+            self.links[name].condition = condition
+        return web.reply_json(
+            start_response,
+            '200 OK',
+            {
+                link.settings.name: {
+                    'condition': link.condition,
+                    'forward_bytes': link.forward_bytes,
+                    'backward_bytes': link.backward_bytes,
+                    'connections': link.connections,
+                }
+                for link in self.links.values()
+            },
+        )
+
+
+def build(settings: FaultsSettings) -> Kernel:
+    """Wires the proxy."""
+    kernel = Kernel()
+    proxy = Proxy(settings)
+    probes = web.Probes(proxy, is_ready=lambda: True)
+    kernel.provide('proxy', proxy)
+    kernel.provide('http', web.Server(settings.http_address, probes))
+    return kernel
+
+
+def _accept(link: Link, listener: socket.socket) -> None:
+    while True:
+        client, _ = listener.accept()
+        greenthread.spawn(_connect, link, client)
+
+
+def _connect(link: Link, client: socket.socket) -> None:
+    link.connections += 1
+    if link.condition.is_refusing:
+        client.close()
+        return
+    try:
+        server = convenience.connect(
+            web.split_address(link.settings.target_address),
+        )
+    except OSError:
+        client.close()
+        return
+    for connection in (client, server):
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    _pump(link, client, server)
+    for ended in (client, server):
+        ended.close()
+
+
+def _pump(link: Link, client: socket.socket, server: socket.socket) -> None:
+    """Moves bytes both ways until one direction has ended."""
+    ended = event.Event()
+    threads = []
+    for direction in (
+        _Direction(link, client, server, is_forward=True),
+        _Direction(link, server, client, is_forward=False),
+    ):
+        threads.append(greenthread.spawn(direction.read))
+        threads.append(greenthread.spawn(direction.write))
+        threads[-1].link(_end_once, ended)
+    ended.wait()
+    # The sockets are closed only after nobody waits for them: eventlet may
+    # wake another green thread when a descriptor is closed under a reader.
+    for thread in threads:
+        thread.kill()
+
+
+def _end_once(_thread: greenthread.GreenThread, ended: event.Event) -> None:
+    if not ended.ready():
+        ended.send()
+
+
+def _receive(connection: socket.socket) -> bytes:
+    try:
+        return connection.recv(READ_BYTES)
+    except OSError:
+        return b''
+
+
+def _send(connection: socket.socket, chunk: bytes) -> bool:
+    try:
+        connection.sendall(chunk)
+    except OSError:
+        return False
+    return True
--- a/waxwingsaddle/green.py
+++ b/waxwingsaddle/green.py
@@ -1,13 +1,20 @@
-"""Patches the standard library for eventlet.
-
-Every program imports this module first. Addresses are IP numbers, so the
-eventlet DNS resolver, which costs about 6 MB, is switched off.
-"""
+"""Patches the standard library for eventlet."""
 
 import os
+import warnings
+
+
+def patch() -> None:
+    """Makes blocking calls of the standard library yield to the event loop.
 
-os.environ.setdefault('EVENTLET_NO_GREENDNS', 'yes')
+    Addresses are IP numbers, so the DNS resolver of eventlet, which costs
+    about 6 MB, is switched off.
+    """
+    os.environ.setdefault('EVENTLET_NO_GREENDNS', 'yes')
+    import eventlet
 
-import eventlet
+    # The notice of eventlet would repeat at every start of every program. The
+    # filter stands after the import, which sets one of its own.
+    warnings.filterwarnings('ignore', message=r'\s*Eventlet is deprecated')
 
-eventlet.monkey_patch()
+    eventlet.monkey_patch()
--- /dev/null
+++ b/waxwingsaddle/report.py
@@ -0,0 +1,129 @@
+"""Reports of the load tool, from HdrHistogram."""
+
+from collections import Counter
+from collections.abc import Iterator
+from typing import Protocol
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 3
+US_PER_MS = 1000
+PERCENTILES = (50, 90, 99, 99.9, 100)
+
+
+class _Flow(Protocol):
+    name: str
+
+
+class RecordedCall(Protocol):
+    """A call as the recorder needs it."""
+
+    at_s: float
+    flow: _Flow
+
+
+class RecordedAnswer(Protocol):
+    """An answer as the recorder needs it."""
+
+    outcome: str
+    status: int
+    is_success: bool
+
+
+class FlowReport(msgspec.Struct, frozen=True):
+    """Figures of one flow.
+
+    Attributes:
+        calls: Calls sent.
+        success_percent: Calls that ran and were answered whole.
+        outcomes: Calls by outcome.
+        percentiles_ms: Latency of successful calls, from the scheduled start.
+        successes_by_second: Successful calls by second of their start.
+    """
+
+    calls: int
+    success_percent: float
+    outcomes: dict[str, int]
+    percentiles_ms: dict[str, float]
+    successes_by_second: dict[int, int]
+
+
+class Recorder:
+    """Counts the answers of one run."""
+
+    def __init__(self) -> None:
+        self._histograms: dict[str, HdrHistogram] = {}
+        self._outcomes: dict[str, Counter[str]] = {}
+        self._seconds: dict[str, Counter[int]] = {}
+
+    def record(
+        self,
+        call: RecordedCall,
+        answer: RecordedAnswer,
+        took_ms: float,
+    ) -> None:
+        """Counts one answer."""
+        name = call.flow.name
+        self._outcomes.setdefault(name, Counter())[_label(answer)] += 1
+        if not answer.is_success:
+            return
+        self._seconds.setdefault(name, Counter())[int(call.at_s)] += 1
+        histogram = self._histograms.setdefault(name, _histogram())
+        histogram.record_value(max(LOWEST_US, int(took_ms * US_PER_MS)))
+
+    def report(self) -> dict[str, FlowReport]:
+        """Returns the figures by flow name."""
+        return {
+            name: self._flow_report(name, outcomes)
+            for name, outcomes in sorted(self._outcomes.items())
+        }
+
+    def _flow_report(self, name: str, outcomes: Counter[str]) -> FlowReport:
+        histogram = self._histograms.get(name, _histogram())
+        calls = sum(outcomes.values())
+        return FlowReport(
+            calls=calls,
+            success_percent=round(100 * outcomes['success'] / calls, 3),
+            outcomes=dict(outcomes),
+            percentiles_ms={
+                str(share): _ms(histogram.get_value_at_percentile(share))
+                for share in PERCENTILES
+            },
+            successes_by_second=dict(
+                sorted(self._seconds.get(name, Counter()).items()),
+            ),
+        )
+
+
+def lines(title: str, flows: dict[str, FlowReport]) -> Iterator[str]:
+    """Yields a report as text lines."""
+    yield title
+    for name, flow in flows.items():
+        percentiles = '  '.join(
+            f'p{share} {value_ms:.2f} ms'
+            for share, value_ms in flow.percentiles_ms.items()
+        )
+        yield (
+            f'  {name}: {flow.calls} calls, '
+            f'{flow.success_percent:.3f}% success  {percentiles}'
+        )
+        yield f'    outcomes: {flow.outcomes}'
+
+
+def _label(answer: RecordedAnswer) -> str:
+    if answer.is_success:
+        return 'success'
+    if answer.outcome == 'ran':
+        return f'ran-{answer.status}'
+    return answer.outcome
+
+
+def _ms(value_us: int) -> float:
+    return round(value_us / US_PER_MS, 3)
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
--- /dev/null
+++ b/waxwingsaddle/standin.py
@@ -0,0 +1,383 @@
+"""Stand-in upstream: slots, cold start, shedding, slowdowns and drain.
+
+It is the instrument of the measurements and of the failure tests. A call says
+in its query what it wants: `work_ms` of run time and `size_bytes` of answer.
+The answer is a function of the call id, so that the caller can check that it
+received the whole answer to its own call.
+"""
+
+import hashlib
+import json
+import socket
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Annotated, Literal
+from urllib.parse import parse_qsl
+
+import msgspec
+import urllib3
+from eventlet import greenthread, semaphore, sleep
+
+from waxwingsaddle import logs, metrics, web
+from waxwingsaddle.addresses import Address, HostName
+from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.util.clock import MS_PER_S, monotonic_s, wall_ms
+from waxwingsaddle.util.jsonlines import JsonLinesWriter
+
+CALL_ID_HEADER = 'X-Call-Id'
+PEEK_INTERVAL_S = 0.02
+MAX_ANSWER_BYTES = 268_435_456
+CHUNK_BYTES = 65_536
+DIGEST_BYTES = 32
+ANNOUNCE_TIMEOUT_S = 1
+REPORTS_KEPT = 4096
+
+_executions = metrics.counter(
+    'standin_executions_total',
+    'Calls that the stand-in upstream ran, by end.',
+    ('end',),
+)
+
+
+class StandinSettings(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """Settings of a stand-in upstream.
+
+    Attributes:
+        host: Unique name of the upstream.
+        service: Service it announces.
+        http_address: Where it serves calls.
+        node_http_address: HTTP address of the node on its host.
+        journal_file: File with one JSON line an execution; empty for none.
+        slots: Calls it runs at a time.
+        queue: Calls it holds beyond its slots before it sheds.
+        cold_start_s: How long it is slow after its start, in seconds.
+        cold_factor: How many times longer a call takes while it is cold.
+        report_lag_s: Age of the load that `/standin/load` reports.
+        announce_interval_s: Interval of announcements, in seconds.
+        log_level: Least level of log lines.
+        log_form: `json` or `text`.
+    """
+
+    host: HostName
+    service: str
+    http_address: Address
+    node_http_address: Address
+    journal_file: str
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    queue: Annotated[int, msgspec.Meta(ge=0)]
+    cold_start_s: Annotated[float, msgspec.Meta(ge=0)]
+    cold_factor: Annotated[float, msgspec.Meta(ge=1)]
+    report_lag_s: Annotated[float, msgspec.Meta(ge=0)]
+    announce_interval_s: Annotated[float, msgspec.Meta(gt=0)]
+    log_level: Literal['debug', 'info', 'warning', 'error']
+    log_form: Literal['json', 'text']
+
+
+class Slowdown(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Order to run slower for a while."""
+
+    factor: Annotated[float, msgspec.Meta(ge=1)]
+    duration_s: Annotated[float, msgspec.Meta(ge=0)]
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """What one call asks of the upstream."""
+
+    call_id: str
+    key: str
+    path: str
+    work_s: float
+    size_bytes: int
+
+
+def answer_block(call_id: str) -> bytes:
+    """Returns the block whose repetition is the answer to a call."""
+    digest = hashlib.sha256(call_id.encode()).digest()
+    return digest * (CHUNK_BYTES // DIGEST_BYTES)
+
+
+def is_whole_answer(call_id: str, size_bytes: int, body: bytes) -> bool:
+    """Says whether a body is the whole answer to the call with this id."""
+    block = answer_block(call_id)
+    repeats = size_bytes // len(block) + 1
+    return len(body) == size_bytes and body == (block * repeats)[:size_bytes]
+
+
+class Journal:
+    """Executions of one upstream, a JSON line each."""
+
+    def __init__(self, settings: StandinSettings) -> None:
+        self._upstream = settings.host
+        self._lines = JsonLinesWriter(settings.journal_file)
+
+    def write(self, event: str, work: Work) -> None:
+        """Appends one event of a call: `start`, `end` or `cancelled`."""
+        self._lines.write(
+            {
+                'event': event,
+                'upstream': self._upstream,
+                'call_id': work.call_id,
+                'key': work.key,
+                'path': work.path,
+                'wall_ms': wall_ms(),
+            },
+        )
+
+
+class Speed:
+    """How many times longer a call takes now."""
+
+    def __init__(self, settings: StandinSettings) -> None:
+        self._cold_until_s = monotonic_s() + settings.cold_start_s
+        self._cold_factor = settings.cold_factor
+        self._slow_until_s = 0.0
+        self._slow_factor = 1.0
+
+    def slow_down(self, slowdown: Slowdown) -> None:
+        """Makes calls slower for a while."""
+        self._slow_factor = slowdown.factor
+        self._slow_until_s = monotonic_s() + slowdown.duration_s
+
+    @property
+    def factor(self) -> float:
+        """The product of cold start and slowdown."""
+        now_s = monotonic_s()
+        cold = self._cold_factor if now_s < self._cold_until_s else 1
+        slow = self._slow_factor if now_s < self._slow_until_s else 1
+        return cold * slow
+
+
+class Standin:
+    """The stand-in upstream as a WSGI application."""
+
+    def __init__(self, settings: StandinSettings) -> None:
+        self._settings = settings
+        self._slots = semaphore.Semaphore(settings.slots)
+        self._journal = Journal(settings)
+        self._in_flight = 0
+        self._reports: deque[tuple[float, int]] = deque(maxlen=REPORTS_KEPT)
+        self.speed = Speed(settings)
+        self.state = 'ready'
+
+    @property
+    def in_flight(self) -> int:
+        """Calls running or waiting for a slot."""
+        return self._in_flight
+
+    def __call__(
+        self,
+        environ: web.Environ,
+        start_response: web.StartResponse,
+    ) -> Iterable[bytes]:
+        """Answers one request."""
+        if environ['PATH_INFO'].startswith('/standin/'):
+            return self._administer(environ, start_response)
+        _drop_body(environ)
+        settings = self._settings
+        if self._in_flight >= settings.slots + settings.queue:
+            _executions.labels('shed').inc()
+            return web.reply_json(
+                start_response,
+                '503 Service Unavailable',
+                {'error': 'upstream sheds load'},
+                (('Waxwing-Outcome', 'not-run'),),
+            )
+        self._change_in_flight(1)
+        try:
+            return self._run(environ, start_response, _work_of(environ))
+        finally:
+            self._change_in_flight(-1)
+
+    def _run(
+        self,
+        environ: web.Environ,
+        start_response: web.StartResponse,
+        work: Work,
+    ) -> Iterable[bytes]:
+        with self._slots:
+            self._journal.write('start', work)
+            is_wanted = _wait(
+                work.work_s * self.speed.factor,
+                _socket_of(environ),
+            )
+            end = 'end' if is_wanted else 'cancelled'
+            self._journal.write(end, work)
+            _executions.labels(end).inc()
+        start_response(
+            '200 OK',
+            [
+                ('Content-Type', 'application/octet-stream'),
+                ('Content-Length', str(work.size_bytes)),
+                (CALL_ID_HEADER, work.call_id),
+                ('X-Upstream', self._settings.host),
+            ],
+        )
+        return _answer_chunks(work)
+
+    def _administer(
+        self,
+        environ: web.Environ,
+        start_response: web.StartResponse,
+    ) -> Iterable[bytes]:
+        action = environ['PATH_INFO'].removeprefix('/standin/')
+        raw = environ['wsgi.input'].read()
+        if action == 'slow':
+            try:
+                slowdown = msgspec.json.decode(raw, type=Slowdown)
+            except msgspec.MsgspecError as error:
+                return web.reply_json(
+                    start_response,
+                    '400 Bad Request',
+                    {'error': str(error)},
+                )
+            self.speed.slow_down(slowdown)
+        elif action == 'drain':
+            self.state = 'draining'
+        elif action != 'load':
+            return web.reply_json(
+                start_response,
+                '404 Not Found',
+                {'error': f'no action {action!r}: slow, drain or load'},
+            )
+        return web.reply_json(start_response, '200 OK', self._late_report())
+
+    def _change_in_flight(self, change: int) -> None:
+        self._in_flight += change
+        self._reports.append((monotonic_s(), self._in_flight))
+
+    def _late_report(self) -> dict[str, object]:
+        horizon_s = monotonic_s() - self._settings.report_lag_s
+        late = [count for at_s, count in self._reports if at_s <= horizon_s]
+        return {'state': self.state, 'in_flight': late[-1] if late else 0}
+
+
+class Announcer:
+    """Announces the upstream to the node on its host, again and again."""
+
+    def __init__(self, settings: StandinSettings, standin: Standin) -> None:
+        self._settings = settings
+        self._standin = standin
+        self._pool = urllib3.PoolManager(retries=False)
+        self._thread: greenthread.GreenThread | None = None
+        self._url = (
+            f'http://{settings.node_http_address}/v1/upstreams/{settings.host}'
+        )
+        self._announced_state = ''
+
+    def start(self) -> None:
+        """Begins to announce."""
+        self._thread = greenthread.spawn(self._loop)
+
+    def stop(self) -> None:
+        """Drains: announces it, finishes the calls in flight, then leaves."""
+        self._standin.state = 'draining'
+        self._announce()
+        while self._standin.in_flight:
+            sleep(PEEK_INTERVAL_S)
+        if self._thread is not None:
+            self._thread.kill()
+        self._request('DELETE')
+
+    def _loop(self) -> None:
+        due_s = 0.0
+        while True:
+            has_changed = self._announced_state != self._standin.state
+            if has_changed or monotonic_s() >= due_s:
+                self._announce()
+                due_s = monotonic_s() + self._settings.announce_interval_s
+            sleep(PEEK_INTERVAL_S)
+
+    def _announce(self) -> None:
+        state = self._standin.state
+        announcement = {
+            'service': self._settings.service,
+            'address': self._settings.http_address,
+            'slots': self._settings.slots,
+            'state': state,
+        }
+        if self._request('PUT', json.dumps(announcement).encode()):
+            self._announced_state = state
+
+    def _request(self, method: str, body: bytes | None = None) -> bool:
+        try:
+            response = self._pool.request(
+                method,
+                self._url,
+                body=body,
+                timeout=ANNOUNCE_TIMEOUT_S,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            logs.logger().debug('announcement failed', error=str(error))
+            return False
+        return response.status < HTTPStatus.MULTIPLE_CHOICES
+
+
+def build(settings: StandinSettings) -> Kernel:
+    """Wires a stand-in upstream."""
+    kernel = Kernel()
+    standin = Standin(settings)
+    probes = web.Probes(standin, is_ready=lambda: True)
+    kernel.provide('http', web.Server(settings.http_address, probes))
+    kernel.provide('announcer', Announcer(settings, standin))
+    return kernel
+
+
+def _work_of(environ: web.Environ) -> Work:
+    query = dict(parse_qsl(environ.get('QUERY_STRING', '')))
+    return Work(
+        call_id=environ.get('HTTP_X_CALL_ID', ''),
+        key=environ.get('HTTP_IDEMPOTENCY_KEY', ''),
+        path=environ['PATH_INFO'],
+        work_s=float(query.get('work_ms', 0)) / MS_PER_S,
+        size_bytes=min(int(query.get('size_bytes', 0)), MAX_ANSWER_BYTES),
+    )
+
+
+def _drop_body(environ: web.Environ) -> None:
+    stream = environ['wsgi.input']
+    is_open = True
+    while is_open:
+        is_open = bool(stream.read(CHUNK_BYTES))
+
+
+def _answer_chunks(work: Work) -> Iterable[bytes]:
+    block = answer_block(work.call_id)
+    whole, rest = divmod(work.size_bytes, len(block))
+    yield from (block for _ in range(whole))
+    if rest:
+        yield block[:rest]
+
+
+def _socket_of(environ: web.Environ) -> socket.socket:
+    return environ['wsgi.input'].get_socket()
+
+
+def _wait(duration_s: float, connection: socket.socket) -> bool:
+    """Waits as long as a call runs, and says whether it is still wanted.
+
+    A caller cancels a call by closing the connection.
+    """
+    end_s = monotonic_s() + duration_s
+    while (left_s := end_s - monotonic_s()) > 0:
+        sleep(min(left_s, PEEK_INTERVAL_S))
+        if _is_closed(connection):
+            return False
+    return True
+
+
+def _is_closed(connection: socket.socket) -> bool:
+    try:
+        peeked = connection.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return not peeked
--- /dev/null
+++ b/waxwingsaddle/ui/load.py
@@ -0,0 +1,129 @@
+"""`waxwing-load`: stand-in upstream, fault proxy, experiments and checker."""
+
+import sys
+from pathlib import Path
+
+import msgspec
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from waxwingsaddle import __version__, checker, experiment, program, report
+from waxwingsaddle.callers import Callers
+from waxwingsaddle.faults import FaultsSettings
+from waxwingsaddle.faults import build as build_faults
+from waxwingsaddle.settings import SettingsError
+from waxwingsaddle.standin import StandinSettings
+from waxwingsaddle.standin import build as build_standin
+
+EXIT_VIOLATION = 1
+EXIT_INPUT = 2
+_settings_option = option('settings', None, 'Settings file', flag=False)
+
+
+class UpstreamCommand(Command):
+    """Runs a stand-in upstream until it is stopped."""
+
+    name = 'upstream'
+    description = 'Runs a stand-in upstream'
+    options = [_settings_option]
+
+    def handle(self) -> int:
+        """Runs the command."""
+        return program.run(
+            'upstream',
+            StandinSettings,
+            build_standin,
+            ['--settings', self.option('settings') or ''],
+        )
+
+
+class FaultsCommand(Command):
+    """Runs the fault-injecting proxy until it is stopped."""
+
+    name = 'faults'
+    description = 'Runs a fault-injecting TCP proxy'
+    options = [_settings_option]
+
+    def handle(self) -> int:
+        """Runs the command."""
+        return program.run(
+            'faults',
+            FaultsSettings,
+            build_faults,
+            ['--settings', self.option('settings') or ''],
+        )
+
+
+class RunCommand(Command):
+    """Sends the load of an experiment and prints the figures."""
+
+    name = 'run'
+    description = 'Runs an experiment'
+    arguments = [argument('experiment', 'Experiment file (TOML)')]
+    options = [
+        option('json', None, 'Also writes the figures here', flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Runs the command."""
+        loaded = experiment.load(Path(self.argument('experiment')))
+        if isinstance(loaded, SettingsError):
+            self.line_error(f'waxwing-load: {loaded}')
+            return EXIT_INPUT
+        figures = {'nodes': _measure(loaded, is_direct=False)}
+        if loaded.is_direct_measured:
+            figures['direct'] = _measure(loaded, is_direct=True)
+        for way, flows in figures.items():
+            for line in report.lines(f'{loaded.name}, {way}:', flows):
+                self.line(line)
+        if self.option('json'):
+            Path(self.option('json')).write_bytes(msgspec.json.encode(figures))
+        return 0
+
+
+class CheckCommand(Command):
+    """Checks the journals of a run."""
+
+    name = 'check'
+    description = 'Checks journals: at most once, exact outcomes'
+    arguments = [argument('journals', 'Journal files', multiple=True)]
+    options = [
+        option('answers', None, 'Answer file', flag=False, multiple=True),
+    ]
+
+    def handle(self) -> int:
+        """Runs the command."""
+        verdict = checker.check_calls(
+            map(Path, self.argument('journals')),
+            map(Path, self.option('answers')),
+        )
+        self.line(
+            f'{verdict.executions} executions, {verdict.answers} answers, '
+            f'{len(verdict.violations)} violations',
+        )
+        for violation in verdict.violations:
+            self.line(f'  {violation}')
+        return EXIT_VIOLATION if verdict.violations else 0
+
+
+def main() -> int:
+    """Runs `waxwing-load`."""
+    application = Application('waxwing-load', __version__)
+    for command in (UpstreamCommand, FaultsCommand, RunCommand, CheckCommand):
+        application.add(command())
+    return application.run()
+
+
+def _measure(
+    loaded: experiment.Experiment,
+    *,
+    is_direct: bool,
+) -> dict[str, report.FlowReport]:
+    recorder = report.Recorder()
+    Callers(loaded, recorder, is_direct=is_direct).run()
+    return recorder.report()
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/waxwingsaddle/web.py
+++ b/waxwingsaddle/web.py
@@ -1,8 +1,10 @@
 """HTTP server of every program: eventlet's WSGI server with probes."""
 
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from typing import Any
 
+import greenlet
 from eventlet import convenience, greenthread, wsgi
 
 from waxwingsaddle import metrics
@@ -16,7 +18,7 @@
 JSON_TYPE = 'application/json'
 
 
-class StopServing(Exception):
+class StopServing(greenlet.GreenletExit):
     """Ends the accept loop; calls in flight are served to their end."""
 
 
@@ -132,4 +134,6 @@
         if self._thread is None:
             return
         self._thread.kill(StopServing)
+        with suppress(StopServing):
+            self._thread.wait()
         self._thread = None
