Add typed messages between control hosts

Cause: replication, the directory exchange and status need to reach the other control hosts over the same sockets. Change: service peers with send, broadcast and subscribe by message type; one receiving ROUTER and one sending DEALER per peer, all bounded, with probes that close dead connections. control_bytes counts bytes with framing by direction, peer and kind. Conclusion: 4 tests pass, with an absent host, a failing handler and a host outside the settings.

--- /dev/null
+++ b/test/test_peers.py
@@ -0,0 +1,126 @@
+"""Messages between control hosts."""
+
+from contextlib import contextmanager
+from functools import partial
+
+import eventlet
+import msgspec
+
+from test.processes import free_address
+from waxwingsaddle import peers
+from waxwingsaddle.addresses import ControlHost
+
+LIMITS = peers.PeerLimits(
+    queue_messages=100,
+    message_bytes=1_000_000,
+    reconnect_ms=20,
+    reconnect_limit_ms=100,
+    keepalive_ms=1000,
+    keepalive_timeout_ms=3000,
+)
+
+
+class Greeting(msgspec.Struct):
+    """A message of this test."""
+
+    text: str
+
+
+class Farewell(msgspec.Struct):
+    """A message without a handler."""
+
+
+@contextmanager
+def _connected(count=3):
+    hosts = [
+        ControlHost(
+            host=f'c{number}',
+            availability_zone='z1',
+            peer_address=free_address(),
+            node_address=free_address(),
+            http_address=free_address(),
+        )
+        for number in range(count)
+    ]
+    started = [peers.Peers(host, hosts, LIMITS) for host in hosts]
+    for one in started:
+        one.start()
+    try:
+        yield started
+    finally:
+        for one in started:
+            one.stop()
+
+
+def _until(condition, limit_s=10):
+    with eventlet.Timeout(limit_s):
+        while not condition():
+            eventlet.sleep(0.01)
+
+
+def _collect(peer):
+    got = []
+    peer.subscribe(Greeting, lambda sender, note: got.append((sender, note)))
+    return got
+
+
+def _fail_once(got, _sender, note):
+    got.append(note)
+    if len(got) == 1:
+        raise ValueError('handler at fault')
+
+
+def test_send_and_broadcast_reach_their_hosts():
+    """Guards against lost or misdirected messages between hosts."""
+    with _connected() as (first, second, third):
+        got_second, got_third = _collect(second), _collect(third)
+        _until(lambda: first.send('c1', Greeting('one')))
+        _until(lambda: got_second)
+        assert got_second == [('c0', Greeting('one'))]
+        _until(lambda: first.send('c2', Greeting('ready')))
+        assert first.broadcast(Greeting('all')) == 2
+        _until(lambda: Greeting('all') in dict(got_third).values())
+        _until(lambda: len(got_second) == 2)
+
+
+def test_absent_host_drops_messages_at_once():
+    """Guards against senders that block on a host that is down."""
+    with _connected(2) as (first, second):
+        second.stop()
+        with eventlet.Timeout(10):
+            _until(lambda: not first.send('c1', Greeting('lost')))
+        assert not first.send('nobody', Greeting('lost'))
+
+
+def test_failing_handler_does_not_end_the_receiver():
+    """Guards against one bad message that silences all services."""
+    with _connected(2) as (first, second):
+        got = []
+        second.subscribe(Greeting, partial(_fail_once, got))
+        _until(lambda: first.send('c1', Farewell()))
+        first.send('c1', Greeting('bad'))
+        first.send('c1', Greeting('good'))
+        _until(lambda: len(got) == 2)
+        sent = peers.CONTROL_BYTES.labels('sent', 'c1', 'Greeting')
+        received = peers.CONTROL_BYTES.labels('received', 'c0', 'Greeting')
+        assert sent._value.get() > 0
+        assert received._value.get() > 0
+
+
+def test_host_outside_the_settings_can_be_added():
+    """Guards against new control hosts that need a restart of the others."""
+    with _connected(2) as (first, _second):
+        added_host = ControlHost(
+            host='c9',
+            availability_zone='z1',
+            peer_address=free_address(),
+            node_address=free_address(),
+            http_address=free_address(),
+        )
+        added = peers.Peers(added_host, (), LIMITS)
+        got = _collect(added)
+        added.start()
+        first.connect('c9', added_host.peer_address)
+        _until(lambda: first.send('c9', Greeting('new')))
+        _until(lambda: got)
+        added.stop()
--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from waxwingsaddle.addresses import ControlHost, HostName
+from waxwingsaddle.peers import PeerLimits
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 
@@ -24,6 +25,12 @@
         log_level: Least level of log lines.
         log_form: `json` or `text`.
         events_kept: Events kept for the time line.
+        peer_queue_messages: Messages queued for or from one control host.
+        peer_message_bytes: Largest message taken from a control host.
+        peer_reconnect_ms: First delay before connecting again.
+        peer_reconnect_limit_ms: Largest such delay.
+        peer_keepalive_ms: Interval of probes on idle connections.
+        peer_keepalive_timeout_ms: Silence that closes a connection.
     """
 
     host: HostName
@@ -35,6 +42,24 @@
     log_level: Literal['debug', 'info', 'warning', 'error']
     log_form: Literal['json', 'text']
     events_kept: Positive
+    peer_queue_messages: Positive
+    peer_message_bytes: Positive
+    peer_reconnect_ms: Positive
+    peer_reconnect_limit_ms: Positive
+    peer_keepalive_ms: Positive
+    peer_keepalive_timeout_ms: Positive
+
+    @property
+    def peer_limits(self) -> PeerLimits:
+        """Limits of the sockets between control hosts."""
+        return PeerLimits(
+            queue_messages=self.peer_queue_messages,
+            message_bytes=self.peer_message_bytes,
+            reconnect_ms=self.peer_reconnect_ms,
+            reconnect_limit_ms=self.peer_reconnect_limit_ms,
+            keepalive_ms=self.peer_keepalive_ms,
+            keepalive_timeout_ms=self.peer_keepalive_timeout_ms,
+        )
 
     @property
     def this_host(self) -> ControlHost:
