Add consensus on a log as pure code, with a fault simulation

Cause: the control hosts need one order of accepted configurations. Change: Raft with pre-vote, check-quorum, learners, single-step membership changes (an ended identity is replaced by a caught-up learner in one entry),

Time stamps in messages bound the age of the last contact with a majority, so that delayed heartbeats prove nothing.

--- /dev/null
+++ b/test/simulation.py
@@ -0,0 +1,381 @@
+"""Deterministic simulation of replicas with faults, and the safety laws."""
+
+import heapq
+import random
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field, replace
+from itertools import combinations, count
+
+import msgspec
+
+from waxwingsaddle import membership
+from waxwingsaddle.raft import Output, Raft, Stored
+from waxwingsaddle.raft_messages import (
+    Command,
+    Entry,
+    Members,
+    Replica,
+    Snapshot,
+)
+from waxwingsaddle.raft_state import Timing
+
+STEP_S = 0.05
+SNAPSHOT_EVERY = 12
+KEPT_ENTRIES = 3
+TIMING = Timing(
+    append_bytes=30,
+    chunk_bytes=150,
+    inflight_entries=6,
+    caught_up_entries=3,
+)
+
+
+@dataclass
+class Faults:
+    """Probabilities of faults: of messages, and of events a step."""
+
+    loss: float = 0.05
+    duplicate: float = 0.05
+    slow: float = 0.05
+    crash: float = 0.004
+    crash_in_sync: float = 0.001
+    cut: float = 0.01
+    wipe: float = 0.004
+    change: float = 0.02
+    hand_over: float = 0.002
+
+
+CALM = Faults(0, 0, 0, 0, 0, 0, 0, 0, 0)
+
+
+@dataclass(eq=False)
+class Host:
+    """A control host: its disk, and a replica while it is up."""
+
+    name: str
+    identity: str
+    disk: Stored = field(default_factory=Stored)
+    raft: Raft | None = None
+    applied: list[str] = field(default_factory=list)
+    applied_index: int = 0
+    up_at_s: float = 0
+
+
+class Network:
+    """Messages on their way, with loss, duplicates, delay and partitions."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.cut: set[frozenset[str]] = set()
+        self._rng = rng
+        self._wire: list = []
+        self._order = count()
+
+    def send(self, source: str, message, now_s: float, faults: Faults) -> None:
+        """Puts a message on its way, or loses it."""
+        chance = self._rng.random
+        target = message.target.split('.')[0]
+        is_cut = frozenset((source, target)) in self.cut
+        if is_cut or chance() < faults.loss:
+            return
+        for _ in range(2 if chance() < faults.duplicate else 1):
+            limit_s = 3 if chance() < faults.slow else 0.02
+            due_s = now_s + self._rng.uniform(0.001, limit_s)
+            heapq.heappush(self._wire, (due_s, next(self._order), message))
+
+    def arrived(self, now_s: float) -> Iterator:
+        """Yields the messages that have arrived by now."""
+        while self._wire and self._wire[0][0] <= now_s:
+            yield heapq.heappop(self._wire)[2]
+
+
+class Simulation:
+    """Replicas over a faulty network; a seed fixes the whole run."""
+
+    def __init__(
+        self,
+        seed: int,
+        voters: int = 3,
+        spares: int = 2,
+        timing: Timing = TIMING,
+        ends_identity: bool = True,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now_s = 100.0
+        self.timing = timing
+        self.faults = CALM
+        self.hosts = {
+            f'c{number}': Host(f'c{number}', f'c{number}.0')
+            for number in range(voters + spares)
+        }
+        self.first = tuple(self.hosts)[:voters]
+        self.ledger: dict[int, Entry] = {}
+        self.leaders: dict[int, str] = {}
+        self.network = Network(self.rng)
+        self._ends_identity = ends_identity
+        self._numbers = count()
+        for host in self.hosts.values():
+            self.start(host)
+
+    @property
+    def up(self) -> list[Host]:
+        """Hosts that run."""
+        return [host for host in self.hosts.values() if host.raft]
+
+    @property
+    def leader(self) -> Host | None:
+        """The leader of the newest term, if it is up."""
+        leaders = [host for host in self.up if host.raft.is_leader]
+        return max(leaders, key=lambda one: one.raft.term, default=None)
+
+    @property
+    def members(self) -> Members:
+        """The newest committed members."""
+        changes = [
+            entry.payload
+            for _, entry in sorted(self.ledger.items())
+            if isinstance(entry.payload, Members)
+        ]
+        return changes[-1] if changes else Members()
+
+    def start(self, host: Host) -> None:
+        """Starts a replica from its disk."""
+        host.raft = Raft(
+            host.identity,
+            host.disk,
+            self.timing,
+            self.rng,
+            self.now_s,
+        )
+        self._install(host, host.disk.snapshot)
+
+    def crash(self, host: Host, down_s: float = 0) -> None:
+        """Ends a replica; what was not synced is gone."""
+        host.raft = None
+        host.up_at_s = self.now_s + down_s
+
+    def wipe(self, host: Host) -> None:
+        """Loses the disk of a host."""
+        self.crash(host, self.rng.uniform(0, 3))
+        host.disk = Stored()
+        if self._ends_identity:
+            host.identity = f'{host.name}.{next(self._numbers) + 1}'
+
+    def run(self, for_s: float, faults: Faults = CALM) -> None:
+        """Runs with faults, checking the laws at every step."""
+        self.faults = faults
+        end_s = self.now_s + for_s
+        while self.now_s < end_s:
+            self.step()
+
+    def until(self, condition, limit_s: float = 60) -> float:
+        """Runs until a condition holds; returns the simulated seconds."""
+        start_s = self.now_s
+        while not condition():
+            assert self.now_s < start_s + limit_s, 'no progress'
+            self.step()
+        return self.now_s - start_s
+
+    def step(self) -> None:
+        """Moves the time by one step."""
+        self.now_s += STEP_S
+        self._break_things()
+        for message in self.network.arrived(self.now_s):
+            self._deliver(message)
+        self._bootstrap()
+        for host in self.up:
+            host.raft.tick(self.now_s)
+            self._handle(host)
+        self._drive_leader()
+        self._check()
+
+    def propose(self) -> str | None:
+        """Proposes a new command at some host that leads."""
+        leaders = [host for host in self.up if host.raft.is_leader]
+        if not leaders:
+            return None
+        host = self.rng.choice(leaders)
+        command = f'command-{next(self._numbers)}'
+        host.raft.propose(command.encode())
+        self._handle(host)
+        return command
+
+    def committed_commands(self) -> list[str]:
+        """Returns every command ever applied anywhere, in log order."""
+        return [
+            entry.payload.body.decode()
+            for _, entry in sorted(self.ledger.items())
+            if isinstance(entry.payload, Command)
+        ]
+
+    def heal(self) -> None:
+        """Ends all faults and restarts all hosts."""
+        self.faults = CALM
+        self.network.cut.clear()
+        for host in self.hosts.values():
+            host.up_at_s = self.now_s
+
+    def _break_things(self) -> None:
+        chance, faults = self.rng.random, self.faults
+        for host in self.hosts.values():
+            if host.raft is None and self.now_s >= host.up_at_s:
+                self.start(host)
+            elif host.raft and chance() < faults.crash:
+                self.crash(host, self.rng.uniform(0, 4))
+        if chance() < faults.cut:
+            pairs = map(frozenset, combinations(self.hosts, 2))
+            share = self.rng.choice((0, 0, 0.3, 0.6))
+            self.network.cut = {pair for pair in pairs if chance() < share}
+        if chance() < faults.wipe and _is_whole(self):
+            self.wipe(self.rng.choice(list(self.hosts.values())))
+        if self.leader and chance() < faults.hand_over:
+            self.leader.raft.hand_over()
+
+    def _bootstrap(self) -> None:
+        chosen = [self.hosts[name] for name in self.first]
+        is_new = all(
+            host.raft and host.raft.log.last_index == 0 for host in chosen
+        )
+        coordinator = chosen[0].raft
+        if is_new and not coordinator.members.voters and not self.ledger:
+            members = Members(tuple(map(_replica, chosen)))
+            coordinator.bootstrap(members)
+
+    def _deliver(self, message) -> None:
+        host = next(
+            (one for one in self.up if one.identity == message.target),
+            None,
+        )
+        if host:
+            host.raft.receive(message)
+            self._handle(host)
+
+    def _handle(self, host: Host) -> None:
+        output = host.raft.take_output()
+        if self.rng.random() < self.faults.crash_in_sync:
+            kept = self.rng.choice((replace(output, entries=()), output, None))
+            if kept:
+                _sync(host, kept)
+            self.crash(host, self.rng.uniform(0, 2))
+            return
+        _sync(host, output)
+        for message in output.messages:
+            self.network.send(host.name, message, self.now_s, self.faults)
+        if output.snapshot:
+            self._install(host, output.snapshot)
+        for entry in output.committed:
+            self._apply(host, entry)
+
+    def _install(self, host: Host, snapshot: Snapshot) -> None:
+        body = snapshot.body
+        host.applied = msgspec.msgpack.decode(body) if body else []
+        host.applied_index = snapshot.index
+
+    def _apply(self, host: Host, entry: Entry) -> None:
+        assert entry.index == host.applied_index + 1, 'gap in applied entries'
+        host.applied_index = entry.index
+        known = self.ledger.setdefault(entry.index, entry)
+        assert known == entry, f'committed entry changed: {known} {entry}'
+        if isinstance(entry.payload, Command):
+            host.applied.append(entry.payload.body.decode())
+        if entry.index % SNAPSHOT_EVERY == 0:
+            self._compact(host, entry)
+
+    def _compact(self, host: Host, entry: Entry) -> None:
+        snapshot = Snapshot(
+            entry.index,
+            entry.term,
+            host.raft.log.members_at(entry.index),
+            msgspec.msgpack.encode(host.applied),
+        )
+        host.disk = replace(
+            host.disk,
+            snapshot=snapshot,
+            entries=tuple(
+                one for one in host.disk.entries if one.index > entry.index
+            ),
+        )
+        host.raft.compact(snapshot, KEPT_ENTRIES)
+
+    def _drive_leader(self) -> None:
+        leader = self.leader
+        if leader is None:
+            return
+        for change in _changes(self, leader):
+            try:
+                leader.raft.change_members(change)
+            except membership.MembershipError:
+                continue
+        self._handle(leader)
+
+    def _check(self) -> None:
+        for host in self.up:
+            if host.raft.is_leader:
+                first = self.leaders.setdefault(host.raft.term, host.identity)
+                assert first == host.identity, 'two leaders in one term'
+        for one, other in combinations(self.up, 2):
+            _check_matching(one.raft.log, other.raft.log)
+
+
+def _check_matching(one, other) -> None:
+    is_agreed = False
+    for index in range(min(one.last_index, other.last_index), 0, -1):
+        terms = one.term_at(index), other.term_at(index)
+        if None in terms:
+            return
+        assert not is_agreed or terms[0] == terms[1], 'logs do not match'
+        is_agreed = terms[0] == terms[1]
+
+
+def _is_whole(simulation: Simulation) -> bool:
+    """Whether no change of members and no repair is under way."""
+    newest = max(simulation.ledger, default=0)
+    voters = simulation.members.voters
+    return (
+        len(voters) > 2
+        and all(one.raft.log.members_index <= newest for one in simulation.up)
+        and len(simulation.up) == len(simulation.hosts)
+        and all(
+            simulation.hosts[voter.host].identity == voter.identity
+            for voter in voters
+        )
+    )
+
+
+def _sync(host: Host, output: Output) -> None:
+    disk = host.disk
+    entries = disk.entries
+    if output.snapshot:
+        entries = ()
+    if output.entries:
+        first = output.entries[0].index
+        entries = (
+            *(one for one in entries if one.index < first),
+            *output.entries,
+        )
+    host.disk = Stored(
+        output.vote or disk.vote,
+        output.snapshot or disk.snapshot,
+        entries,
+    )
+
+
+def _changes(
+    simulation: Simulation, leader: Host
+) -> Iterable[membership.Change]:
+    members = leader.raft.members
+    for ended in members.voters:
+        host = simulation.hosts[ended.host]
+        if host.identity != ended.identity:
+            if members.find(host.identity) is None:
+                yield membership.AddLearner(_replica(host))
+            yield membership.Replace(ended.identity, host.identity)
+    if simulation.rng.random() < simulation.faults.change:
+        host = simulation.rng.choice(list(simulation.hosts.values()))
+        yield membership.AddLearner(_replica(host))
+        yield membership.Promote(host.identity)
+        if len(members.voters) > 3:
+            yield membership.Remove(host.identity)
+
+
+def _replica(host: Host) -> Replica:
+    return Replica(host.identity, host.name)
--- /dev/null
+++ b/waxwingsaddle/ballots.py
@@ -0,0 +1,130 @@
+"""Elections: pre-vote, vote and the answers to both."""
+
+from collections.abc import Callable
+
+from waxwingsaddle.progress import majority_of
+from waxwingsaddle.raft_messages import Vote, VoteReply, VoteRequest
+from waxwingsaddle.raft_state import RaftState, Role
+
+
+class Ballots:
+    """Runs elections of one replica.
+
+    Args:
+        state: Shared state.
+        on_won: Called when a majority has voted for this replica.
+    """
+
+    def __init__(self, state: RaftState, on_won: Callable[[], None]) -> None:
+        self._state = state
+        self._on_won = on_won
+        self._granted: set[str] = set()
+
+    def tick(self) -> None:
+        """Starts a pre-vote when no leader was heard in time."""
+        state = self._state
+        if state.now_s < state.deadline_s:
+            return
+        state.postpone_election()
+        if state.is_voter:
+            self._ask(Role.pre_candidate, is_forced=False)
+
+    def campaign(self, *, is_forced: bool) -> None:
+        """Starts an election in a new term."""
+        state = self._state
+        if not state.is_voter:
+            return
+        state.cast(Vote(state.term + 1, state.identity))
+        state.leader = None
+        state.postpone_election()
+        self._ask(Role.candidate, is_forced=is_forced)
+
+    def answer(self, request: VoteRequest) -> None:
+        """Answers a request for a vote.
+
+        A replica that hears a leader ignores requests, so that a replica cut
+        off from the leader can not end a term that works.
+        """
+        state = self._state
+        is_newer = request.term > state.term
+        if is_newer and state.has_live_leader and not request.is_forced:
+            return
+        if request.is_pre:
+            self._reply(request, is_newer and self._is_up_to_date(request))
+            return
+        if is_newer:
+            state.follow(request.term, leader=None)
+        can_vote = state.vote.voted_for in {None, request.source}
+        is_granted = (
+            request.term == state.term
+            and can_vote
+            and self._is_up_to_date(request)
+        )
+        if is_granted:
+            state.cast(Vote(state.term, request.source))
+            state.postpone_election()
+        self._reply(request, is_granted)
+
+    def count(self, reply: VoteReply) -> None:
+        """Counts an answer; a majority leads to the next stage."""
+        state = self._state
+        if not reply.is_granted:
+            if reply.term > state.term:
+                state.follow(reply.term, leader=None)
+            return
+        asked_role = Role.pre_candidate if reply.is_pre else Role.candidate
+        asked_term = state.term + 1 if reply.is_pre else state.term
+        if state.role is asked_role and reply.term == asked_term:
+            self._granted.add(reply.source)
+            self._conclude()
+
+    def _ask(self, role: Role, *, is_forced: bool) -> None:
+        state = self._state
+        state.role = role
+        self._granted = {state.identity}
+        is_pre = role is Role.pre_candidate
+        state.outbox.extend(
+            VoteRequest(
+                source=state.identity,
+                target=voter.identity,
+                term=state.term + 1 if is_pre else state.term,
+                last_index=state.log.last_index,
+                last_term=state.log.last_term,
+                is_pre=is_pre,
+                is_forced=is_forced,
+            )
+            for voter in state.log.members.voters
+            if voter.identity != state.identity
+        )
+        self._conclude()
+
+    def _conclude(self) -> None:
+        state = self._state
+        voters = state.log.members.voters
+        votes = sum(voter.identity in self._granted for voter in voters)
+        if votes < majority_of(len(voters)):
+            return
+        if state.role is Role.pre_candidate:
+            self.campaign(is_forced=False)
+        elif state.role is Role.candidate:
+            self._on_won()
+
+    def _is_up_to_date(self, request: VoteRequest) -> bool:
+        log = self._state.log
+        return (request.last_term, request.last_index) >= (
+            log.last_term,
+            log.last_index,
+        )
+
+    def _reply(self, request: VoteRequest, is_granted: bool) -> None:
+        state = self._state
+        is_granted_pre = request.is_pre and is_granted
+        state.outbox.append(
+            VoteReply(
+                source=state.identity,
+                target=request.source,
+                term=request.term if is_granted_pre else state.term,
+                is_pre=request.is_pre,
+                is_granted=is_granted,
+            ),
+        )
--- /dev/null
+++ b/waxwingsaddle/raft.py
@@ -0,0 +1,252 @@
+"""Consensus on a log of entries: one replica, without sockets or clocks.
+
+The caller passes the time and received messages in, and after each batch of
+inputs takes an `Output`. It must sync the vote, the installed snapshot and
+the entries before it sends the messages or applies committed entries.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from waxwingsaddle import membership
+from waxwingsaddle.ballots import Ballots
+from waxwingsaddle.following import Following
+from waxwingsaddle.leading import Leading
+from waxwingsaddle.raft_log import RaftLog
+from waxwingsaddle.raft_messages import (
+    Append,
+    AppendReply,
+    Command,
+    Entry,
+    Members,
+    Message,
+    Snapshot,
+    SnapshotChunk,
+    SnapshotReply,
+    TimeoutNow,
+    Vote,
+    VoteReply,
+    VoteRequest,
+)
+from waxwingsaddle.raft_state import RaftState, Role, Timing
+
+
+@dataclass(frozen=True, slots=True)
+class Stored:
+    """What a replica finds on its disk at the start.
+
+    Attributes:
+        vote: Term and vote.
+        snapshot: Newest snapshot.
+        entries: Entries after the snapshot.
+        commit: Index up to which entries are known as committed.
+    """
+
+    vote: Vote = field(default_factory=Vote)
+    snapshot: Snapshot = field(default_factory=Snapshot)
+    entries: tuple[Entry, ...] = ()
+    commit: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Output:
+    """What the caller has to do, in the order of the fields.
+
+    Attributes:
+        vote: To be synced, when changed.
+        snapshot: Leader's snapshot to be synced; it replaces log and state.
+        entries: To be synced; the first replaces its index and all after.
+        messages: To be sent after the syncs.
+        committed: To be applied after the syncs.
+    """
+
+    vote: Vote | None
+    snapshot: Snapshot | None
+    entries: tuple[Entry, ...]
+    messages: tuple[Message, ...]
+    committed: tuple[Entry, ...]
+
+
+class Raft:
+    """One replica.
+
+    Args:
+        identity: Identity of the replica.
+        stored: What its disk holds.
+        timing: Times and limits.
+        rng: Source of random numbers.
+        now_s: Clock at the start.
+    """
+
+    def __init__(
+        self,
+        identity: str,
+        stored: Stored,
+        timing: Timing,
+        rng: random.Random,
+        now_s: float,
+    ) -> None:
+        self._state = RaftState(
+            identity=identity,
+            timing=timing,
+            rng=rng,
+            log=RaftLog(stored.snapshot, stored.entries, stored.commit),
+            vote=stored.vote,
+            now_s=now_s,
+        )
+        self._leading = Leading(self._state)
+        self._following = Following(self._state)
+        self._ballots = Ballots(self._state, self._leading.begin)
+        self._takers: dict[type[Message], Callable[[Any], None]] = {
+            Append: self._following.take_entries,
+            SnapshotChunk: self._following.take_chunk,
+            TimeoutNow: self._take_hand_over,
+        }
+        self._leader_takers: dict[type[Message], Callable[[Any], None]] = {
+            AppendReply: self._leading.on_append_reply,
+            SnapshotReply: self._leading.on_snapshot_reply,
+        }
+
+    @property
+    def identity(self) -> str:
+        """Identity of this replica."""
+        return self._state.identity
+
+    @property
+    def term(self) -> int:
+        """Newest term seen."""
+        return self._state.term
+
+    @property
+    def leader(self) -> str | None:
+        """Identity of the leader of the term, when known."""
+        return self._state.leader
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads its term."""
+        return self._state.role is Role.leader
+
+    @property
+    def is_settled_leader(self) -> bool:
+        """Whether it leads and has committed an entry of its term."""
+        return self.is_leader and self._leading.has_committed
+
+    @property
+    def members(self) -> Members:
+        """The newest members in the log."""
+        return self._state.log.members
+
+    @property
+    def log(self) -> RaftLog:
+        """The log; callers only read it."""
+        return self._state.log
+
+    @property
+    def majority_s(self) -> float | None:
+        """Clock at the last proven contact with a majority."""
+        return self._state.majority_s
+
+    def tick(self, now_s: float) -> None:
+        """Moves the clock and does what is due."""
+        self._state.now_s = max(now_s, self._state.now_s)
+        if self.is_leader:
+            self._leading.tick()
+        else:
+            self._ballots.tick()
+
+    def receive(self, message: Message) -> None:
+        """Takes a message; one for another identity is dropped."""
+        state = self._state
+        if message.target != state.identity:
+            return
+        if isinstance(message, VoteRequest):
+            self._ballots.answer(message)
+        elif isinstance(message, VoteReply):
+            self._ballots.count(message)
+        elif message.term < state.term:
+            if isinstance(message, Append | SnapshotChunk):
+                self._following.refuse(message)
+        else:
+            self._receive_current(message)
+
+    def bootstrap(self, members: Members) -> None:
+        """Begins a new log with these members and stands for election."""
+        self._state.log.assume_members(members)
+        self._ballots.campaign(is_forced=False)
+
+    def propose(self, command: bytes) -> Entry | None:
+        """Adds a command to the log; None when it can not.
+
+        The command is in doubt until an entry with its index is committed:
+        the same term means that it is accepted.
+        """
+        if not self.is_leader or self._leading.is_handing_over:
+            return None
+        return self._leading.append(Command(command))
+
+    def change_members(self, change: membership.Change) -> Entry | None:
+        """Adds a change of members to the log; None when it can not now.
+
+        Raises:
+            MembershipError: The change does not fit the members, or the
+                replica that would get a vote is not caught up.
+        """
+        log = self._state.log
+        is_pending = log.members_index > log.commit
+        if not self.is_settled_leader or is_pending:
+            return None
+        members = membership.changed(change, log.members)
+        gaining = membership.gains_vote(change)
+        if gaining is not None and not self._leading.is_caught_up(gaining):
+            raise membership.MembershipError(f'{gaining} is not caught up')
+        return self._leading.append(members)
+
+    def is_caught_up(self, identity: str) -> bool:
+        """Says whether a replica lacks few enough entries for a vote."""
+        return self.is_leader and self._leading.is_caught_up(identity)
+
+    def match_index(self, identity: str) -> int | None:
+        """Returns the last entry a replica is known to hold."""
+        progress = self._leading.progress_of(identity)
+        return progress.match_index if self.is_leader and progress else None
+
+    def hand_over(self, identity: str | None = None) -> bool:
+        """Starts to hand leadership to a voter; the best one by default."""
+        return self.is_leader and self._leading.hand_over(identity)
+
+    def compact(self, snapshot: Snapshot, kept_entries: int) -> None:
+        """Drops entries covered by a synced snapshot of this replica."""
+        self._state.log.compact(snapshot, kept_entries)
+
+    def take_output(self) -> Output:
+        """Returns what is to be done for the inputs so far."""
+        state = self._state
+        vote = None if state.is_vote_synced else state.vote
+        snapshot = state.installed
+        messages = tuple(state.outbox)
+        state.installed = None
+        state.outbox.clear()
+        state.is_vote_synced = True
+        return Output(
+            vote=vote,
+            snapshot=snapshot,
+            entries=state.log.take_unsynced(),
+            messages=messages,
+            committed=state.log.take_committed(),
+        )
+
+    def _receive_current(self, message: Message) -> None:
+        state = self._state
+        if message.term > state.term:
+            state.follow(message.term, leader=None)
+        take = self._takers.get(type(message))
+        if take is None and self.is_leader:
+            take = self._leader_takers[type(message)]
+        if take is not None:
+            take(message)
+
+    def _take_hand_over(self, _message: TimeoutNow) -> None:
+        self._ballots.campaign(is_forced=True)
--- /dev/null
+++ b/waxwingsaddle/sending.py
@@ -0,0 +1,97 @@
+"""Messages of a leader to one replica: entries, heartbeats, snapshots."""
+
+from waxwingsaddle.progress import Progress, Transfer
+from waxwingsaddle.raft_messages import Append, Entry, Pulse, SnapshotChunk
+from waxwingsaddle.raft_state import RaftState
+from waxwingsaddle.util.codec import pack
+
+
+class Sending:
+    """Puts messages to replicas into the outbox.
+
+    Args:
+        state: Shared state.
+    """
+
+    def __init__(self, state: RaftState) -> None:
+        self._state = state
+
+    def fill(self, identity: str, progress: Progress) -> None:
+        """Sends the entries that a replica lacks, up to the limits."""
+        state, log = self._state, self._state.log
+        if progress.is_probing or progress.transfer:
+            return
+        room_until = progress.match_index + state.timing.inflight_entries
+        while progress.next_index <= min(log.last_index, room_until):
+            if log.term_at(progress.next_index - 1) is None:
+                break
+            entries = log.entries_from(
+                progress.next_index,
+                state.timing.append_bytes,
+            )
+            self.entries(identity, progress, entries)
+            progress.next_index += len(entries)
+
+    def entries(
+        self,
+        identity: str,
+        progress: Progress,
+        entries: tuple[Entry, ...] = (),
+    ) -> None:
+        """Sends entries or a heartbeat, or begins a snapshot in their place."""
+        state, log = self._state, self._state.log
+        prev_index = progress.next_index - 1
+        prev_term = log.term_at(prev_index)
+        if prev_term is None:
+            progress.transfer = Transfer(log.snapshot, pack(log.snapshot))
+            self.chunk(identity, progress)
+            return
+        state.outbox.append(
+            Append(
+                source=state.identity,
+                target=identity,
+                term=state.term,
+                prev_index=prev_index,
+                prev_term=prev_term,
+                entries=entries,
+                commit=log.commit,
+                pulse=self._pulse(progress),
+            ),
+        )
+
+    def beat(self, identity: str, progress: Progress) -> None:
+        """Sends what is due at a heartbeat."""
+        state, transfer = self._state, progress.transfer
+        if transfer is None:
+            self.entries(identity, progress)
+        elif state.now_s - transfer.sent_s > state.timing.election_min_s / 2:
+            # A chunk may take longer than a heartbeat on a slow link, where
+            # sending it again at each one would add to the load.
+            self.chunk(identity, progress)
+
+    def chunk(self, identity: str, progress: Progress) -> None:
+        """Sends the next part of the snapshot on its way."""
+        state, transfer = self._state, progress.transfer
+        transfer.sent_s = state.now_s
+        end = transfer.offset + state.timing.chunk_bytes
+        state.outbox.append(
+            SnapshotChunk(
+                source=state.identity,
+                target=identity,
+                term=state.term,
+                index=transfer.snapshot.index,
+                index_term=transfer.snapshot.term,
+                offset=transfer.offset,
+                total_bytes=len(transfer.encoded),
+                chunk=transfer.encoded[transfer.offset : end],
+                pulse=self._pulse(progress),
+            ),
+        )
+
+    def _pulse(self, progress: Progress) -> Pulse:
+        state = self._state
+        return Pulse(
+            stamp_s=state.now_s,
+            echo_s=progress.peer_stamp_s,
+            majority_age_s=state.majority_age_s,
+        )
