Add durable state of a replica, and rules seldom exercised at random

Cause: accepted configurations must survive crashes, power loss and damage. A torn tail is cut; damage of acknowledged state sets the files aside and ends the identity; a full disk is an error and leaves the log as it was.

--- /dev/null
+++ b/test/test_raft_rules.py
@@ -0,0 +1,138 @@
+"""Rules of the protocol that random runs seldom exercise."""
+
+import random
+
+from waxwingsaddle.membership import AddLearner
+from waxwingsaddle.raft import Raft, Stored
+from waxwingsaddle.raft_messages import (
+    Append,
+    AppendReply,
+    Entry,
+    Members,
+    Noop,
+    Pulse,
+    Replica,
+    Snapshot,
+    SnapshotChunk,
+    Vote,
+    VoteReply,
+)
+from waxwingsaddle.raft_state import Timing
+from waxwingsaddle.util.codec import pack
+
+FIRST, SECOND, THIRD, FOURTH = (
+    Replica(f'c{number}.0', f'c{number}') for number in range(4)
+)
+THREE = Members((FIRST, SECOND, THIRD))
+NOW_S = 50
+PULSE = Pulse(NOW_S, None, 0)
+
+
+def _raft(*entries, members=THREE, term=1):
+    stored = Stored(Vote(term), Snapshot(members=members), entries)
+    return Raft(FIRST.identity, stored, Timing(), random.Random(1), NOW_S)
+
+
+def _from_second(message_type, **fields):
+    return message_type(source=SECOND.identity, target=FIRST.identity, **fields)
+
+
+def _elected(*entries):
+    raft = _raft(*entries)
+    raft.tick(NOW_S + 3)
+    for is_pre in (True, False):
+        reply = {'term': 2, 'is_pre': is_pre, 'is_granted': True}
+        raft.receive(_from_second(VoteReply, **reply))
+    assert raft.is_leader
+    return raft
+
+
+def _acknowledge(raft, index):
+    reply = _from_second(
+        AppendReply,
+        term=raft.term,
+        is_match=True,
+        prev_index=index,
+        match_index=index,
+        stamp_s=NOW_S,
+        echo_s=NOW_S,
+    )
+    raft.receive(reply)
+
+
+def _append(prev, *entries, term=2):
+    return _from_second(
+        Append,
+        term=term,
+        prev_index=prev[0],
+        prev_term=prev[1],
+        entries=entries,
+        commit=0,
+        pulse=PULSE,
+    )
+
+
+def test_entry_of_an_earlier_term_is_not_committed_by_counting():
+    """Guards against a committed entry that a newer leader replaces."""
+    raft = _elected(Entry(1, 1, Noop()))
+    _acknowledge(raft, 1)
+    assert raft.log.commit == 0
+    _acknowledge(raft, 2)
+    assert raft.log.commit == 2
+
+
+def test_members_change_one_at_a_time():
+    """Guards against two majorities that do not meet."""
+    raft = _elected(Entry(1, 1, Noop()))
+    assert raft.change_members(AddLearner(FOURTH)) is None
+    _acknowledge(raft, 2)
+    assert raft.change_members(AddLearner(FOURTH)).index == 3
+    other = Replica('c5.0', 'c5')
+    assert raft.change_members(AddLearner(other)) is None
+    _acknowledge(raft, 3)
+    assert raft.change_members(AddLearner(other)).index == 4
+
+
+def test_replaced_change_of_members_has_no_effect():
+    """Guards against members of an entry that was never committed."""
+    changed = Members((FIRST, SECOND, THIRD), (FOURTH,))
+    raft = _raft(Entry(1, 1, Noop()), Entry(2, 1, changed))
+    assert raft.members == changed
+    raft.receive(_append((1, 1), Entry(2, 2, Noop())))
+    assert raft.members == THREE
+
+
+def test_snapshot_leaves_acknowledged_entries_after_it():
+    """Guards against a late snapshot that drops acknowledged entries."""
+    raft = _raft(*(Entry(index, 1, Noop()) for index in range(1, 6)))
+    encoded = pack(Snapshot(3, 1, THREE, b'state'))
+    part = _from_second(
+        SnapshotChunk,
+        term=2,
+        index=3,
+        index_term=1,
+        offset=0,
+        total_bytes=len(encoded),
+        chunk=encoded,
+        pulse=PULSE,
+    )
+    raft.receive(part)
+    assert raft.log.last_index == 5
+    assert raft.log.commit == 3
+    assert raft.take_output().snapshot is None
+
+
+def test_message_for_an_ended_identity_is_dropped():
+    """Guards against a repaired host that answers for its old identity."""
+    raft = _raft()
+    append = _append((0, 0), Entry(1, 2, Noop()))
+    ended = Append(
+        **{
+            **{
+                name: getattr(append, name) for name in append.__struct_fields__
+            },
+            'target': 'c0.ended',
+        }
+    )
+    raft.receive(ended)
+    assert raft.log.last_index == 0
--- /dev/null
+++ b/waxwingsaddle/frames.py
@@ -0,0 +1,113 @@
+"""Checksummed frames of files that hold durable state."""
+
+import struct
+import zlib
+from dataclasses import dataclass
+
+# Marks the start of a frame, so that whole frames after a damaged one can be
+# found even if the length of the damaged one is wrong.
+MAGIC = b'\xabWX\x01'
+_HEADER = struct.Struct('>4sII')
+HEADER_BYTES = _HEADER.size
+
+
+class DamagedError(Exception):
+    """Durable state that was acknowledged can't be read back."""
+
+
+@dataclass(frozen=True, slots=True)
+class Scan:
+    """Frames read from a file.
+
+    Attributes:
+        bodies: Bodies of the whole frames from the start.
+        good_bytes: Where they end.
+        is_torn: Whether an unfinished write follows them.
+    """
+
+    bodies: tuple[bytes, ...]
+    good_bytes: int
+    is_torn: bool
+
+
+def frame(body: bytes) -> bytes:
+    """Returns a frame around a body."""
+    return _HEADER.pack(MAGIC, len(body), _checksum(body)) + body
+
+
+def first_body(raw: bytes, name: str) -> bytes:
+    """Returns the body of the first frame of a file.
+
+    Raises:
+        DamagedError: There is none.
+    """
+    body = _body_at(raw, 0)
+    if body is None:
+        raise DamagedError(f'{name}: checksum does not match')
+    return body
+
+
+def scan(raw: bytes, name: str, synced_bytes: int = 0) -> Scan:
+    """Reads frames up to the end or an unfinished write.
+
+    Args:
+        raw: Content of the file.
+        name: Name of the file, for messages.
+        synced_bytes: Bytes known to have been synced.
+
+    Raises:
+        DamagedError: The damage is not what an interrupted write leaves: it
+            lies in bytes known as synced, whole frames follow it, or the
+            frame has all its bytes but another content.
+    """
+    bodies: list[bytes] = []
+    offset = 0
+    body = _body_at(raw, offset)
+    while body is not None:
+        bodies.append(body)
+        offset += HEADER_BYTES + len(body)
+        body = _body_at(raw, offset)
+    is_torn = offset < len(raw)
+    if offset < synced_bytes:
+        raise DamagedError(f'{name}: damaged or cut at byte {offset}')
+    if is_torn and _is_damage(raw, offset):
+        raise DamagedError(f'{name}: damaged at byte {offset}')
+    return Scan(tuple(bodies), offset, is_torn)
+
+
+def _is_damage(raw: bytes, offset: int) -> bool:
+    return _has_whole_frame(raw, offset + 1) or _has_all_bytes(raw, offset)
+
+
+def _has_whole_frame(raw: bytes, start: int) -> bool:
+    found = raw.find(MAGIC, start)
+    while found >= 0:
+        if _body_at(raw, found) is not None:
+            return True
+        found = raw.find(MAGIC, found + 1)
+    return False
+
+
+def _has_all_bytes(raw: bytes, offset: int) -> bool:
+    # An interrupted write leaves a short file or, where the size was written
+    # before the data, zeros at the end.
+    if len(raw) < offset + HEADER_BYTES:
+        return False
+    magic, length, _ = _HEADER.unpack_from(raw, offset)
+    end = offset + HEADER_BYTES + length
+    return magic == MAGIC and end <= len(raw) and raw[end - 1] != 0
+
+
+def _body_at(raw: bytes, offset: int) -> bytes | None:
+    start = offset + HEADER_BYTES
+    if len(raw) < start:
+        return None
+    magic, length, checksum = _HEADER.unpack_from(raw, offset)
+    body = raw[start : start + length]
+    if magic != MAGIC or len(body) != length or _checksum(body) != checksum:
+        return None
+    return body
+
+
+def _checksum(body: bytes) -> int:
+    return zlib.crc32(body, len(body))
--- /dev/null
+++ b/waxwingsaddle/segments.py
@@ -0,0 +1,211 @@
+"""The log on disk: segment files that are only appended to.
+
+An entry replaces the one with its index and all after it, so that a changed
+end of the log needs no truncation. Each append is one frame, synced before
+the call returns.
+"""
+
+import os
+from collections.abc import Iterable
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from waxwingsaddle.frames import DamagedError, Scan, frame, scan
+from waxwingsaddle.raft_messages import Entry
+from waxwingsaddle.util.codec import pack
+from waxwingsaddle.util.files import sync_folder
+
+PATTERN = 'log-*.seg'
+
+
+class SegmentStart(msgspec.Struct, frozen=True, array_like=True):
+    """First frame of a segment: the last entry before it."""
+
+    prev_index: int
+    prev_term: int
+
+
+class Synced(msgspec.Struct, frozen=True, array_like=True):
+    """How much is known to be synced; itself not synced.
+
+    It tells damage of acknowledged entries from an interrupted write, and a
+    restarted host its commit index. After a power loss it may be old.
+
+    Attributes:
+        segment: Number of the last segment.
+        size_bytes: Synced bytes of that segment.
+        commit: Index up to which entries are known as committed.
+    """
+
+    segment: int = 0
+    size_bytes: int = 0
+    commit: int = 0
+
+
+@dataclass(slots=True)
+class _Segment:
+    number: int
+    path: Path
+    size_bytes: int
+    max_index: int
+
+
+_starts = msgspec.msgpack.Decoder(SegmentStart)
+_batches = msgspec.msgpack.Decoder(tuple[Entry, ...])
+
+
+class SegmentLog:
+    """Entries in numbered segment files of a folder.
+
+    Args:
+        folder: The folder.
+        synced: How much is known to be synced.
+
+    Raises:
+        DamagedError: Acknowledged entries can't be read back.
+    """
+
+    def __init__(self, folder: Path, synced: Synced) -> None:
+        self._folder = folder
+        self._segments: list[_Segment] = []
+        self._descriptor = -1
+        self.base = SegmentStart(0, 0)
+        self.entries: list[Entry] = []
+        paths = sorted(folder.glob(PATTERN))
+        for path in paths:
+            self._load(path, synced, is_last=path == paths[-1])
+        last_number = self._segments[-1].number if self._segments else 0
+        if last_number < synced.segment:
+            raise DamagedError(f'log segment {synced.segment} is missing')
+        if self._segments:
+            self._descriptor = os.open(self._segments[-1].path, os.O_WRONLY)
+
+    @property
+    def size_bytes(self) -> int:
+        """Bytes of all segments."""
+        return sum(segment.size_bytes for segment in self._segments)
+
+    @property
+    def place(self) -> tuple[int, int]:
+        """Number of the last segment and its synced bytes."""
+        last = self._segments[-1]
+        return last.number, last.size_bytes
+
+    def append(self, entries: tuple[Entry, ...]) -> None:
+        """Adds entries; they are synced when this returns.
+
+        Raises:
+            OSError: They could not be written; the log is as before.
+        """
+        last = self._segments[-1]
+        self._write(last, frame(pack(entries)))
+        last.max_index = max(last.max_index, entries[-1].index)
+
+    def begin_segment(self, prev_index: int, prev_term: int) -> None:
+        """Starts a new segment after an entry."""
+        number = self._segments[-1].number + 1 if self._segments else 1
+        path = self._folder / f'log-{number:012d}.seg'
+        descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
+        self.close()
+        self._descriptor = descriptor
+        segment = _Segment(number, path, 0, prev_index)
+        try:
+            self._write(
+                segment, frame(pack(SegmentStart(prev_index, prev_term)))
+            )
+        except OSError:
+            self._reopen(path)
+            raise
+        self._segments.append(segment)
+        sync_folder(self._folder)
+
+    def drop_through(self, index: int) -> None:
+        """Deletes the oldest segments that hold nothing after an entry."""
+        while len(self._segments) > 1 and self._segments[0].max_index <= index:
+            self._segments.pop(0).path.unlink()
+
+    def reset(self, prev_index: int, prev_term: int) -> None:
+        """Deletes all entries; the next one follows the one given."""
+        self.begin_segment(prev_index, prev_term)
+        while len(self._segments) > 1:
+            self._segments.pop(0).path.unlink()
+
+    def close(self) -> None:
+        """Closes the file that is written to."""
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+        self._descriptor = -1
+
+    def _reopen(self, failed: Path) -> None:
+        # The log goes on in the segment before the one that failed.
+        self.close()
+        failed.unlink()
+        if self._segments:
+            self._descriptor = os.open(self._segments[-1].path, os.O_WRONLY)
+
+    def _write(self, segment: _Segment, framed: bytes) -> None:
+        offset = segment.size_bytes
+        try:
+            _write_all(self._descriptor, framed, offset)
+        except OSError:
+            with suppress(OSError):
+                os.ftruncate(self._descriptor, offset)
+            raise
+        segment.size_bytes = offset + len(framed)
+
+    def _load(self, path: Path, synced: Synced, *, is_last: bool) -> None:
+        number = int(path.stem.removeprefix('log-'))
+        is_noted = number == synced.segment
+        read = scan(
+            path.read_bytes(),
+            path.name,
+            synced.size_bytes if is_noted else 0,
+        )
+        if read.is_torn:
+            if not is_last:
+                raise DamagedError(f'{path.name}: cut before the last segment')
+            _cut(path, read.good_bytes)
+        if not read.bodies:
+            # The creation of the segment was interrupted.
+            path.unlink()
+            return
+        self._replay(path, number, read)
+
+    def _replay(self, path: Path, number: int, read: Scan) -> None:
+        start = _starts.decode(read.bodies[0])
+        if self._segments:
+            if number != self._segments[-1].number + 1:
+                raise DamagedError(f'log segment {number - 1} is missing')
+        else:
+            self.base = start
+        segment = _Segment(number, path, read.good_bytes, start.prev_index)
+        for body in read.bodies[1:]:
+            batch = _batches.decode(body)
+            self._put(batch, path)
+            segment.max_index = max(segment.max_index, batch[-1].index)
+        self._segments.append(segment)
+
+    def _put(self, batch: Iterable[Entry], path: Path) -> None:
+        for entry in batch:
+            offset = entry.index - self.base.prev_index - 1
+            if not 0 <= offset <= len(self.entries):
+                raise DamagedError(f'{path.name}: gap before {entry.index}')
+            del self.entries[offset:]
+            self.entries.append(entry)
+
+
+def _write_all(descriptor: int, framed: bytes, offset: int) -> None:
+    written = 0
+    while written < len(framed):
+        rest = memoryview(framed)[written:]
+        written += os.pwrite(descriptor, rest, offset + written)
+    os.fsync(descriptor)
+
+
+def _cut(path: Path, size_bytes: int) -> None:
+    with path.open('r+b') as stream:
+        stream.truncate(size_bytes)
+        os.fsync(stream.fileno())
--- /dev/null
+++ b/waxwingsaddle/storage.py
@@ -0,0 +1,229 @@
+"""Durable state of a replica: identity, vote, log, snapshot.
+
+Everything is synced before the calls return, except the note of what is
+synced. State that was acknowledged and can't be read back ends the identity:
+the files are set aside and the host starts again with a new one.
+"""
+
+import errno
+import fcntl
+import os
+import secrets
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import TypeVar
+
+import msgspec
+
+from waxwingsaddle.frames import DamagedError, first_body, frame
+from waxwingsaddle.raft import Stored
+from waxwingsaddle.raft_messages import Entry, Snapshot, Vote
+from waxwingsaddle.segments import PATTERN, SegmentLog, Synced
+from waxwingsaddle.util.codec import pack
+from waxwingsaddle.util.files import replace_file, sync_folder
+
+FULL_DISK = frozenset((errno.ENOSPC, errno.EDQUOT, errno.EFBIG))
+IDENTITY_BYTES = 6
+IDENTITY_FILE = 'identity'
+VOTE_FILE = 'vote'
+SNAPSHOT_FILE = 'snapshot'
+SYNCED_FILE = 'synced'
+LOCK_FILE = 'lock'
+DAMAGED_PREFIX = 'damaged-'
+
+_Struct = TypeVar('_Struct', bound=msgspec.Struct)
+
+
+class DiskFullError(Exception):
+    """The disk has no room; what was asked for is not stored."""
+
+
+class FolderInUseError(Exception):
+    """Another process or host uses the data folder."""
+
+
+class Identity(msgspec.Struct, frozen=True, array_like=True):
+    """Content of the identity file."""
+
+    host: str
+    identity: str
+
+
+class Storage:
+    """Durable state in one data folder.
+
+    Args:
+        folder: The data folder; created when missing.
+        host: Name of the control host.
+
+    Attributes:
+        identity: Identity of the replica.
+        damage: Why the identity before was ended at this start, if it was.
+        stored: What the disk held at the start.
+
+    Raises:
+        FolderInUseError: Another process or host uses the folder.
+        DiskFullError: The disk is full and the folder is new.
+        OSError: The disk fails.
+    """
+
+    def __init__(self, folder: Path, host: str) -> None:
+        self._folder = folder
+        self._host = host
+        folder.mkdir(parents=True, exist_ok=True)
+        self._lock = _lock(folder / LOCK_FILE)
+        self.damage: str | None = None
+        self.identity = ''
+        self._appended_bytes = 0
+        try:
+            self._open()
+        except (DamagedError, msgspec.DecodeError) as error:
+            self.damage = str(error)
+            self._set_aside()
+            self._create()
+            self._open()
+
+    @property
+    def log_bytes(self) -> int:
+        """Bytes of log since the last snapshot."""
+        return self._appended_bytes
+
+    def save_vote(self, vote: Vote) -> None:
+        """Stores term and vote."""
+        with _full_disk():
+            self._replace(VOTE_FILE, vote)
+
+    def append(self, entries: tuple[Entry, ...]) -> None:
+        """Stores entries; the first replaces its index and all after."""
+        before = self._log.size_bytes
+        with _full_disk():
+            self._log.append(entries)
+        self._appended_bytes += self._log.size_bytes - before
+        self._last = (entries[-1].index, entries[-1].term)
+        self._note(self._synced.commit)
+
+    def note_commit(self, index: int) -> None:
+        """Notes the commit index, without a sync."""
+        if index > self._synced.commit:
+            self._note(index)
+
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Stores a snapshot of this replica and drops the log before it."""
+        with _full_disk():
+            self._replace(SNAPSHOT_FILE, snapshot)
+            self._log.begin_segment(*self._last)
+        self._appended_bytes = 0
+        self._log.drop_through(snapshot.index)
+        self._note(self._synced.commit)
+
+    def install_snapshot(self, snapshot: Snapshot) -> None:
+        """Stores a snapshot of the leader in place of the whole log."""
+        with _full_disk():
+            self._replace(SNAPSHOT_FILE, snapshot)
+            self._log.reset(snapshot.index, snapshot.term)
+        self._appended_bytes = 0
+        self._last = (snapshot.index, snapshot.term)
+        self._note(snapshot.index)
+
+    def close(self) -> None:
+        """Closes the files."""
+        self._log.close()
+        os.close(self._note_descriptor)
+        os.close(self._lock)
+
+    def _open(self) -> None:
+        if not (self._folder / IDENTITY_FILE).exists():
+            if any(self._folder.glob(PATTERN)):
+                raise DamagedError('the identity file is missing')
+            self._create()
+        named = self._read(IDENTITY_FILE, Identity)
+        if named.host != self._host:
+            raise FolderInUseError(
+                f'{self._folder} belongs to host {named.host}',
+            )
+        self.identity = named.identity
+        vote = self._read(VOTE_FILE, Vote)
+        snapshot = self._read(SNAPSHOT_FILE, Snapshot)
+        self._synced = self._read_note()
+        self._log = SegmentLog(self._folder, self._synced)
+        entries = self._entries_after(snapshot)
+        last = entries[-1] if entries else snapshot
+        self._last = (last.index, last.term)
+        self._appended_bytes = self._log.size_bytes
+        self.stored = Stored(vote, snapshot, entries, self._synced.commit)
+        self._note_descriptor = os.open(
+            self._folder / SYNCED_FILE,
+            os.O_WRONLY | os.O_CREAT,
+        )
+        self._note(self._synced.commit)
+
+    def _create(self) -> None:
+        # The identity comes last: without it the folder counts as new.
+        identity = f'{self._host}.{secrets.token_hex(IDENTITY_BYTES)}'
+        with _full_disk():
+            self._replace(VOTE_FILE, Vote())
+            self._replace(SNAPSHOT_FILE, Snapshot())
+            self._replace(IDENTITY_FILE, Identity(self._host, identity))
+
+    def _entries_after(self, snapshot: Snapshot) -> tuple[Entry, ...]:
+        log = self._log
+        offset = snapshot.index - log.base.prev_index
+        if offset < 0:
+            raise DamagedError('log entries after the snapshot are missing')
+        terms = [log.base.prev_term, *(entry.term for entry in log.entries)]
+        if offset < len(terms) and terms[offset] == snapshot.term:
+            if log.size_bytes == 0:
+                log.begin_segment(snapshot.index, snapshot.term)
+            return tuple(log.entries[offset:])
+        # A leader's snapshot was stored and the log not yet replaced.
+        log.reset(snapshot.index, snapshot.term)
+        return ()
+
+    def _set_aside(self) -> None:
+        aside = self._folder / f'{DAMAGED_PREFIX}{secrets.token_hex(4)}'
+        aside.mkdir()
+        for path in self._folder.iterdir():
+            if path.is_file() and path.name != LOCK_FILE:
+                path.rename(aside / path.name)
+        sync_folder(self._folder)
+
+    def _replace(self, name: str, struct: msgspec.Struct) -> None:
+        replace_file(self._folder / name, frame(pack(struct)))
+
+    def _read(self, name: str, model: type[_Struct]) -> _Struct:
+        try:
+            raw = (self._folder / name).read_bytes()
+        except FileNotFoundError:
+            raise DamagedError(f'the {name} file is missing') from None
+        return msgspec.msgpack.decode(first_body(raw, name), type=model)
+
+    def _read_note(self) -> Synced:
+        try:
+            return self._read(SYNCED_FILE, Synced)
+        except (DamagedError, msgspec.DecodeError):
+            return Synced()
+
+    def _note(self, commit: int) -> None:
+        self._synced = Synced(*self._log.place, commit)
+        os.pwrite(self._note_descriptor, frame(pack(self._synced)), 0)
+
+
+def _lock(path: Path) -> int:
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT)
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        os.close(descriptor)
+        raise FolderInUseError(f'{path.parent} is in use') from None
+    return descriptor
+
+
+@contextmanager
+def _full_disk() -> Iterator[None]:
+    try:
+        yield
+    except OSError as error:
+        if error.errno not in FULL_DISK:
+            raise
+        raise DiskFullError(f'disk full: {error.strerror}') from error
