Take equal values of other types as different in a patch

Cause: Python compares 1, 1.0 and True as equal, so a change of timeout_ms from 1500 to 1500.0 gave an empty patch while the digests differ; a node would have asked for the whole configuration, and a log entry would not have led to its digest. Change: leaves are compared by their canonical encoding. Conclusion: the new test fails without the change.

--- a/test/test_patch.py
+++ b/test/test_patch.py
@@ -21,6 +21,13 @@
     assert repr(old) == before
 
 
+def test_equal_values_of_other_types_are_differences():
+    """Guards against a delta whose result has another digest."""
+    for old, new in ((1, True), (0, 0.0), ([1], [True])):
+        operations = patch.difference({'a': old}, {'a': new})
+        assert repr(operations[0].content) == repr(new)
+
+
 def test_misfit_is_an_error():
     """Guards against a delta applied to the wrong base."""
     operation = patch.Operation(('a', 'b'), is_delete=True)
--- a/waxwingsaddle/patch.py
+++ b/waxwingsaddle/patch.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from waxwingsaddle.util.codec import Tree
+from waxwingsaddle.util.codec import Tree, canonical
 
 Path = tuple[str, ...]
 
@@ -54,7 +54,9 @@
         before, after = old.get(key), new[key]
         if isinstance(before, dict) and isinstance(after, dict):
             yield from _walk(before, after, (*path, key))
-        elif key not in old or before != after:
+        elif key not in old or canonical(before) != canonical(after):
+            # Equal encodings, because Python takes 1, 1.0 and True as equal
+            # while the digests of the trees differ.
             yield Operation((*path, key), content=after)
 
 
