Add the state machine of accepted configurations

Cause: racing, repeated and late edits need one exact answer. Change: an entry is accepted only as the next version; a resend gets the first answer, another edit of the version a conflict with the winner's digest and author.

--- /dev/null
+++ b/waxwingsaddle/edits.py
@@ -0,0 +1,213 @@
+"""State machine of the accepted configurations.
+
+The same entries in the same order give the same state on every control host.
+An entry carries the structural difference of the merged sites and the
+differences of the source files; a snapshot carries the oldest version kept as
+a whole and the entries since.
+"""
+
+from collections import deque
+from collections.abc import Mapping
+from itertools import islice
+
+import msgspec
+
+from waxwingsaddle.config import CheckedSources, SourceSet
+from waxwingsaddle.outcomes import Accepted, Conflict, Edit, Outcome, Refused
+from waxwingsaddle.util.codec import Tree, compress, decompress, digest, pack
+from waxwingsaddle.versions import EMPTY, EditEntry, StoredVersion, follow, step
+
+# Bounds what damaged compressed data can inflate to; edits are far smaller.
+MAX_ENTRY_BYTES = 268_435_456
+
+
+class HistoryEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One accepted version, as the history keeps it."""
+
+    version: int
+    digest: str
+    author: str
+    accepted_ms: int
+
+
+class _Image(msgspec.Struct, frozen=True, array_like=True):
+    """Content of a snapshot."""
+
+    version: int
+    sites: dict[str, Tree]
+    texts: dict[str, str]
+    history: tuple[HistoryEntry, ...]
+    entries: tuple[EditEntry, ...]
+
+
+_entries = msgspec.msgpack.Decoder(EditEntry)
+_images = msgspec.msgpack.Decoder(_Image)
+
+
+class EditState:
+    """Accepted configurations, their history and some older versions.
+
+    Args:
+        versions_kept: Versions that can be had as a whole.
+        history_kept: Versions whose digest and author are remembered.
+    """
+
+    def __init__(self, versions_kept: int, history_kept: int) -> None:
+        self._versions: deque[StoredVersion] = deque(maxlen=versions_kept)
+        self._entries: deque[EditEntry] = deque(maxlen=versions_kept - 1)
+        self._history: deque[HistoryEntry] = deque(maxlen=history_kept)
+        self._versions.append(EMPTY)
+
+    @property
+    def current(self) -> StoredVersion:
+        """The newest accepted version."""
+        return self._versions[-1]
+
+    @property
+    def version(self) -> int:
+        """Number of the newest accepted version; 0 before any edit."""
+        return self.current.version
+
+    @property
+    def digest(self) -> str:
+        """Digest of all merged sites of the newest version."""
+        return self.current.digest
+
+    @property
+    def sites(self) -> Mapping[str, Tree]:
+        """Merged tree by site name of the newest version."""
+        return self.current.sites
+
+    @property
+    def sources(self) -> SourceSet | None:
+        """Source files of the newest version."""
+        return self.current.sources
+
+    def history(self) -> tuple[HistoryEntry, ...]:
+        """Returns the accepted versions, oldest first."""
+        return tuple(self._history)
+
+    def at(self, version: int) -> StoredVersion | None:
+        """Returns a version as a whole, None when it is no longer kept."""
+        offset = version - self._versions[0].version
+        if 0 <= offset < len(self._versions):
+            return self._versions[offset]
+        return None
+
+    def verdict(self, version: int, edit_digest: str) -> Outcome | None:
+        """Returns the outcome that the version wanted alone decides.
+
+        Args:
+            version: Version that an edit wants.
+            edit_digest: Digest of its merged sites.
+
+        Returns:
+            None when the edit wants the next version.
+        """
+        expected = self.version + 1
+        if version > expected:
+            return Refused(
+                problems=(f'version {version}: expected {expected}',),
+                expected_version=expected,
+            )
+        if version == expected:
+            return None
+        known = self._known(version)
+        if known is None:
+            return Refused(
+                problems=(f'version {version} is older than the history',),
+                expected_version=expected,
+            )
+        if known.digest == edit_digest:
+            return _accepted(known)
+        return Conflict(
+            version=version,
+            winner_digest=known.digest,
+            winner_author=known.author,
+            current_version=self.version,
+        )
+
+    def entry(
+        self,
+        edit: Edit,
+        checked: CheckedSources,
+        taken_ms: int,
+    ) -> bytes:
+        """Encodes an edit of the next version as an input."""
+        return _encode(step(self.current, edit, checked, taken_ms))
+
+    def apply(self, command: bytes) -> Outcome:
+        """Takes an input and returns its outcome."""
+        entry = _entries.decode(decompress(command, MAX_ENTRY_BYTES))
+        verdict = self.verdict(entry.version, entry.digest)
+        return self._accept(entry) if verdict is None else verdict
+
+    def dump(self) -> bytes:
+        """Encodes the state."""
+        oldest = self._versions[0]
+        return _encode(
+            _Image(
+                version=oldest.version,
+                sites=dict(oldest.sites),
+                texts=dict(oldest.texts),
+                history=self.history(),
+                entries=tuple(self._entries),
+            ),
+        )
+
+    def load(self, body: bytes) -> None:
+        """Replaces the state by a dumped one; empty for the first state."""
+        self._versions.clear()
+        self._entries.clear()
+        self._history.clear()
+        if not body:
+            self._versions.append(EMPTY)
+            return
+        image = _images.decode(decompress(body, MAX_ENTRY_BYTES))
+        self._versions.append(
+            StoredVersion(
+                image.version,
+                digest(image.sites),
+                image.sites,
+                image.texts,
+            ),
+        )
+        for entry in image.entries:
+            self._add_version(entry)
+        self._history.extend(image.history)
+
+    def _accept(self, entry: EditEntry) -> Accepted:
+        self._add_version(entry)
+        known = HistoryEntry(
+            entry.version,
+            entry.digest,
+            entry.author,
+            entry.taken_ms,
+        )
+        self._history.append(known)
+        return _accepted(known)
+
+    def _add_version(self, entry: EditEntry) -> None:
+        self._versions.append(follow(self.current, entry))
+        self._entries.append(entry)
+
+    def _known(self, version: int) -> HistoryEntry | None:
+        if not self._history:
+            return None
+        offset = version - self._history[0].version
+        if offset < 0:
+            return None
+        return next(islice(self._history, offset, None), None)
+
+
+def _encode(struct: msgspec.Struct) -> bytes:
+    return compress(pack(struct))
+
+
+def _accepted(known: HistoryEntry) -> Accepted:
+    return Accepted(
+        version=known.version,
+        digest=known.digest,
+        author=known.author,
+        accepted_ms=known.accepted_ms,
+    )
--- /dev/null
+++ b/waxwingsaddle/versions.py
@@ -0,0 +1,154 @@
+"""Versions of the configuration as a whole, and the steps between them."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from waxwingsaddle import patch
+from waxwingsaddle.config import CheckedSources, SourceSet
+from waxwingsaddle.outcomes import Edit
+from waxwingsaddle.util import texts
+from waxwingsaddle.util.codec import Tree, digest
+
+BASE_KEY = ''
+
+
+class BadStepError(RuntimeError):
+    """A step would not lead to the digest it names."""
+
+
+class FileChange(msgspec.Struct, frozen=True, array_like=True):
+    """Change of one source file.
+
+    Attributes:
+        site: Site of the overlay; empty for the base file.
+        splices: Differences to the old text; None when the file is removed.
+    """
+
+    site: str
+    splices: tuple[texts.Splice, ...] | None
+
+
+class EditEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Input of the state machine.
+
+    Attributes:
+        version: Version wanted.
+        digest: Digest of all merged sites.
+        author: Who submitted it.
+        taken_ms: When the leader took it, in milliseconds since the epoch.
+        operations: Difference of the merged sites to the version before.
+        files: Differences of the source files to the version before.
+    """
+
+    version: int
+    digest: str
+    author: str
+    taken_ms: int
+    operations: tuple[patch.Operation, ...]
+    files: tuple[FileChange, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StoredVersion:
+    """One accepted version as a whole.
+
+    Attributes:
+        version: The version; 0 before any edit.
+        digest: Digest of all merged sites.
+        sites: Merged tree by site name; unchanged parts are shared between
+            versions, so nobody may change them.
+        texts: Text of the source files by site; the base under `BASE_KEY`.
+    """
+
+    version: int
+    digest: str
+    sites: Mapping[str, Tree]
+    texts: Mapping[str, str]
+
+    @property
+    def sources(self) -> SourceSet | None:
+        """The source files; None before any edit."""
+        if not self.texts:
+            return None
+        overlays = {
+            site: text for site, text in self.texts.items() if site != BASE_KEY
+        }
+        return SourceSet(base=self.texts[BASE_KEY], overlays=overlays)
+
+
+EMPTY = StoredVersion(0, digest({}), {}, {})
+
+
+def step(
+    current: StoredVersion,
+    edit: Edit,
+    checked: CheckedSources,
+    taken_ms: int,
+) -> EditEntry:
+    """Returns the step from a version to an edit of it.
+
+    Args:
+        current: The newest version.
+        edit: The edit.
+        checked: Its checked sources.
+        taken_ms: Milliseconds since the epoch.
+
+    Raises:
+        BadStepError: The differences do not give back the edit.
+    """
+    new_texts = {BASE_KEY: edit.sources.base, **edit.sources.overlays}
+    entry = EditEntry(
+        version=checked.version,
+        digest=checked.digest,
+        author=edit.author,
+        taken_ms=taken_ms,
+        operations=patch.difference(
+            dict(current.sites),
+            dict(checked.sites),
+        ),
+        files=_file_changes(current.texts, new_texts),
+    )
+    # An entry that does not apply would stop every control host.
+    reached = follow(current, entry)
+    if digest(reached.sites) != checked.digest or reached.texts != new_texts:
+        raise BadStepError(f'version {checked.version}: differences do not fit')
+    return entry
+
+
+def follow(current: StoredVersion, entry: EditEntry) -> StoredVersion:
+    """Returns the version that a step leads to."""
+    return StoredVersion(
+        entry.version,
+        entry.digest,
+        patch.apply(dict(current.sites), entry.operations),
+        _changed_texts(current.texts, entry.files),
+    )
+
+
+def _file_changes(
+    old: Mapping[str, str],
+    new: Mapping[str, str],
+) -> tuple[FileChange, ...]:
+    removed = (FileChange(site, None) for site in sorted(old.keys() - new))
+    changed = (
+        FileChange(site, texts.difference(old.get(site, ''), text))
+        for site, text in sorted(new.items())
+        if old.get(site) != text
+    )
+    return (*removed, *changed)
+
+
+def _changed_texts(
+    old: Mapping[str, str],
+    changes: tuple[FileChange, ...],
+) -> dict[str, str]:
+    changed = dict(old)
+    for change in changes:
+        if change.splices is None:
+            changed.pop(change.site)
+        else:
+            before = changed.get(change.site, '')
+            changed[change.site] = texts.apply(before, change.splices)
+    return changed
