--- /dev/null
+++ b/waxwingsaddle/choice.py
@@ -0,0 +1,293 @@
+"""Choice of the upstream for each attempt of a call."""
+
+import random
+from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Set as AbstractSet
+from dataclasses import dataclass
+from itertools import count
+from typing import Protocol
+
+from waxwingsaddle import config
+from waxwingsaddle.ejection import Evidence, Standing
+from waxwingsaddle.estimate import Estimate, Running
+from waxwingsaddle.guard import Load
+from waxwingsaddle.util.clock import MS_PER_S
+from waxwingsaddle.util.quantile import Quantile
+from waxwingsaddle.work import Call
+
+_PERCENT = 100
+_CHOICES = 2
+_NONE_TRIED: AbstractSet[tuple[str, str]] = frozenset()
+# Keeps ratios finite on a loopback.
+_LEAST_TRIP_S = 0.0001
+
+Key = tuple[str, str]
+
+
+class Upstream(Protocol):
+    """The fields of a directory entry that matter here."""
+
+    name: str
+    service: str
+    host: str
+    availability_zone: str
+    slots: int
+    state: str
+    started_ms_ago: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """An attempt that was started.
+
+    Attributes:
+        number: Unique number at this node.
+        key: Key of the upstream.
+        route: Name of the route.
+        is_local: Whether the upstream is in the zone of this node.
+    """
+
+    number: int
+    key: Key
+    route: str
+    is_local: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """How an attempt ended.
+
+    Attributes:
+        evidence: What it says about the upstream.
+        took_s: Time from start to end, in seconds.
+        load: Load carried on the answer, if any.
+        retry_after_ms: Hint of a refusal.
+    """
+
+    evidence: Evidence
+    took_s: float
+    load: Load | None = None
+    retry_after_ms: int = 0
+
+
+def key_of(entry: Upstream) -> Key:
+    """Returns what identifies an upstream across directory updates."""
+    return entry.host, entry.name
+
+
+class Choice:
+    """Chooses among the upstreams of one service.
+
+    Args:
+        availability_zone: Zone of this node.
+        crossing_ms: Round trip to another zone, in milliseconds.
+        service: Tunables.
+        clock: Monotonic seconds.
+        rng: Source of random numbers.
+    """
+
+    def __init__(
+        self,
+        availability_zone: str,
+        crossing_ms: float,
+        service: config.Service,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._zone = availability_zone
+        self._crossing_s = crossing_ms / MS_PER_S
+        self._service = service
+        self._clock = clock
+        self._rng = rng
+        self._tickets = count(1)
+        self._entries: Sequence[Upstream] = ()
+        self._estimates: dict[Key, Estimate] = {}
+        self._typical: dict[str, Quantile] = {}
+
+    def configure(self, service: config.Service) -> None:
+        """Adopts new tunables and keeps what was learned."""
+        self._service = service
+
+    def update(self, entries: Sequence[Upstream]) -> None:
+        """Adopts the directory entries of the service; idempotent."""
+        if entries is self._entries:
+            return
+        self._entries = entries
+        now_s = self._clock()
+        known = self._estimates
+        self._estimates = {}
+        for entry in entries:
+            key = key_of(entry)
+            born_s = now_s - entry.started_ms_ago / MS_PER_S
+            estimate = known.get(key) or Estimate(entry.slots, born_s)
+            estimate.slots = entry.slots
+            estimate.born_s = born_s
+            self._estimates[key] = estimate
+
+    def choose(
+        self,
+        call: Call,
+        tried: AbstractSet[Key] = _NONE_TRIED,
+    ) -> Upstream | None:
+        """Returns the upstream for an attempt.
+
+        Args:
+            call: The call.
+            tried: Keys of upstreams that this call was sent to already.
+
+        Returns:
+            An upstream, or None when all are draining or tried.
+        """
+        now_s = self._clock()
+        ready = [
+            entry
+            for entry in self._entries
+            if entry.state == 'ready' and key_of(entry) not in tried
+        ]
+        standings = {key_of(one): self._standing(one, now_s) for one in ready}
+        if call.is_idempotent:
+            probes = [
+                entry
+                for entry in ready
+                if standings[key_of(entry)] is Standing.PROBE
+            ]
+            if probes:
+                return probes[0]
+        is_open = [
+            entry for entry in ready if standings[key_of(entry)] is Standing.IN
+        ]
+        return self._best(call.route, is_open or ready, now_s)
+
+    def started(self, entry: Upstream, call: Call) -> Ticket:
+        """Counts an attempt that is being sent."""
+        ticket = Ticket(
+            number=next(self._tickets),
+            key=key_of(entry),
+            route=call.route,
+            is_local=entry.availability_zone == self._zone,
+        )
+        estimate = self._estimates.get(ticket.key)
+        if estimate is not None:
+            typical_s = self._typical_s(call.route)
+            estimate.running[ticket.number] = Running(self._clock(), typical_s)
+        return ticket
+
+    def finished(self, ticket: Ticket, ended: Ended) -> None:
+        """Takes in how an attempt ended."""
+        estimate = self._estimates.get(ticket.key)
+        if estimate is None:
+            return
+        estimate.running.pop(ticket.number, None)
+        now_s = self._clock()
+        if ended.load is not None:
+            estimate.carry(ended.load, now_s)
+        if ended.evidence is Evidence.REFUSED:
+            estimate.refuse(ended.retry_after_ms, now_s)
+        elif ended.evidence is Evidence.FAILED:
+            self._fail(estimate, now_s)
+        else:
+            self._observe(estimate, ticket, ended, now_s)
+
+    def hint(self, key: Key, is_healthy: bool) -> None:
+        """Takes in a health endpoint; it only makes an upstream dearer."""
+        estimate = self._estimates.get(key)
+        if estimate is not None:
+            estimate.is_healthy = is_healthy
+
+    def ejected(self) -> tuple[Key, ...]:
+        """Returns the upstreams that are ejected or being probed."""
+        return tuple(
+            key
+            for key, estimate in self._estimates.items()
+            if estimate.ejection.until_s
+        )
+
+    def _standing(self, entry: Upstream, now_s: float) -> Standing:
+        estimate = self._estimates[key_of(entry)]
+        standing = estimate.ejection.standing(now_s)
+        if standing is Standing.PROBE and estimate.running:
+            return Standing.OUT
+        return standing
+
+    def _best(
+        self,
+        route: str,
+        entries: Sequence[Upstream],
+        now_s: float,
+    ) -> Upstream | None:
+        own = [
+            entry for entry in entries if entry.availability_zone == self._zone
+        ]
+        others = [
+            entry for entry in entries if entry.availability_zone != self._zone
+        ]
+        candidates = [*self._draw(own, now_s), *self._draw(others, now_s)]
+        typical_s = self._typical_s(route)
+        return min(
+            candidates,
+            key=lambda entry: self._cost_s(entry, typical_s, now_s),
+            default=None,
+        )
+
+    def _draw(
+        self,
+        entries: Sequence[Upstream],
+        now_s: float,
+    ) -> Iterable[Upstream]:
+        """Returns two random entries; cold ones are drawn less often."""
+        warm = [
+            entry
+            for entry in entries
+            if self._rng.random() < self._ramp(entry, now_s)
+        ]
+        drawn = warm or entries
+        return self._rng.sample(drawn, min(_CHOICES, len(drawn)))
+
+    def _ramp(self, entry: Upstream, now_s: float) -> float:
+        slow_start_s = self._service.slow_start_ms / MS_PER_S
+        return self._estimates[key_of(entry)].ramp(slow_start_s, now_s)
+
+    def _cost_s(
+        self,
+        entry: Upstream,
+        typical_s: float,
+        now_s: float,
+    ) -> float:
+        estimate = self._estimates[key_of(entry)]
+        cost_s = estimate.cost_s(typical_s, self._ramp(entry, now_s), now_s)
+        if entry.availability_zone == self._zone:
+            return cost_s
+        return cost_s + self._crossing_s
+
+    def _typical_s(self, route: str) -> float:
+        typical = self._typical.get(route)
+        if typical is None:
+            return self._service.initial_run_ms / MS_PER_S
+        return typical.estimate
+
+    def _observe(
+        self,
+        estimate: Estimate,
+        ticket: Ticket,
+        ended: Ended,
+        now_s: float,
+    ) -> None:
+        crossing_s = 0 if ticket.is_local else self._crossing_s
+        took_s = max(_LEAST_TRIP_S, ended.took_s - crossing_s)
+        ratio = took_s / self._typical_s(ticket.route)
+        is_cancelled = ended.evidence is Evidence.CANCELLED
+        if is_cancelled and ratio < 1:
+            return
+        estimate.observe(ratio, now_s)
+        if not is_cancelled:
+            typical = self._typical.setdefault(ticket.route, Quantile(0.5))
+            typical.observe(took_s)
+        if ratio >= self._service.eject_slow_ratio:
+            self._fail(estimate, now_s)
+        elif not is_cancelled:
+            estimate.ejection.succeed(self._service, now_s)
+
+    def _fail(self, estimate: Estimate, now_s: float) -> None:
+        most = len(self._entries) * self._service.max_ejected_percent
+        may_eject = (len(self.ejected()) + 1) * _PERCENT <= most
+        estimate.ejection.fail(self._service, now_s, may_eject, self._rng)
--- a/waxwingsaddle/config.py
+++ b/waxwingsaddle/config.py
@@ -22,6 +22,8 @@
 Name = Annotated[str, msgspec.Meta(pattern=_NAME_PATTERN)]
 TimeoutMs = Annotated[int, msgspec.Meta(ge=1, le=MAX_TIMEOUT_MS)]
 Percent = Annotated[int, msgspec.Meta(ge=0, le=100)]
+Ratio = Annotated[float, msgspec.Meta(gt=1, le=1000)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=100)]
 
 
 class Service(
@@ -38,6 +40,22 @@
         hedge_percent: Hedged calls allowed, in percent of idempotent calls.
         retry_percent: Retries allowed, in percent of calls.
         long_slots_percent: Most slots of an upstream that long work may hold.
+        long_ratio: Multiple of the median run time from which a route whose
+            work is learned counts as long.
+        initial_run_ms: Run time assumed before the first answer.
+        queue_wait_ms: Longest expected wait in the queue of an upstream.
+        limit_floor_percent: Least slots used of a slow upstream, in percent.
+        slow_ratio: Multiple of the learned run time from which an upstream
+            counts as slow.
+        max_attempts: Most attempts of one call, the first included.
+        hedge_quantile_percent: Share of answers that come before the hedge.
+        slow_start_ms: Time until a new upstream gets its full share.
+        eject_failures: Failures or slow answers in a row that eject.
+        eject_slow_ratio: Multiple of the median round trip from which an
+            answer counts as slow.
+        eject_ms: First ejection time; it doubles with each further one.
+        eject_limit_ms: Longest ejection time.
+        max_ejected_percent: Most upstreams ejected at once, in percent.
     """
 
     timeout_ms: TimeoutMs = 2000
@@ -45,6 +63,19 @@
     hedge_percent: Percent = 5
     retry_percent: Percent = 10
     long_slots_percent: Percent = 50
+    long_ratio: Ratio = 4
+    initial_run_ms: TimeoutMs = 20
+    queue_wait_ms: TimeoutMs = 250
+    limit_floor_percent: Percent = 34
+    slow_ratio: Ratio = 2
+    max_attempts: Count = 3
+    hedge_quantile_percent: Percent = 95
+    slow_start_ms: TimeoutMs = 10_000
+    eject_failures: Count = 3
+    eject_slow_ratio: Ratio = 4
+    eject_ms: TimeoutMs = 1000
+    eject_limit_ms: TimeoutMs = 30_000
+    max_ejected_percent: Percent = 40
 
 
 class Route(
--- /dev/null
+++ b/waxwingsaddle/estimate.py
@@ -0,0 +1,114 @@
+"""What one node knows about one upstream, and its expected cost."""
+
+from dataclasses import dataclass, field
+from math import exp
+
+from waxwingsaddle.ejection import Ejection
+from waxwingsaddle.guard import Load
+from waxwingsaddle.util.clock import MS_PER_S
+
+# Carried load and learned slowness lose weight with this time constant: the
+# swings of section 1.3 last seconds.
+_FADE_S = 1.0
+_RATIO_SMOOTHING = 0.5
+# Weight of load that does not make a call wait: spreads calls when idle.
+_IDLE_WEIGHT = 0.1
+_LEAST_RAMP = 0.1
+_UNHEALTHY_FACTOR = 1.5
+
+
+@dataclass(slots=True)
+class Running:
+    """An attempt in flight.
+
+    Attributes:
+        started_s: When it was sent.
+        typical_s: Median round trip of its route when it was sent.
+    """
+
+    started_s: float
+    typical_s: float
+
+
+@dataclass(slots=True)
+class Estimate:
+    """State of one upstream, as seen by one node.
+
+    Attributes:
+        slots: Slots it announced.
+        born_s: When it started, on the local clock.
+        running: Attempts of this node in flight, by ticket, oldest first.
+        ejection: Whether it may be chosen.
+        is_healthy: Hint of its health endpoint.
+    """
+
+    slots: int
+    born_s: float
+    running: dict[int, Running] = field(default_factory=dict)
+    ejection: Ejection = field(default_factory=Ejection)
+    is_healthy: bool = True
+    _load: Load | None = None
+    _load_s: float = 0
+    _local_then: int = 0
+    _ratio: float = 1
+    _ratio_s: float = 0
+    _full_until_s: float = 0
+
+    def carry(self, load: Load, now_s: float) -> None:
+        """Takes in the load that came with an answer."""
+        self._load = load
+        self._load_s = now_s
+        self._local_then = len(self.running)
+
+    def refuse(self, retry_after_ms: int, now_s: float) -> None:
+        """Takes in a refusal: a new call would wait about so long."""
+        self._full_until_s = now_s + retry_after_ms / MS_PER_S
+
+    def observe(self, ratio: float, now_s: float) -> None:
+        """Takes in a round trip over the median one of its route."""
+        faded = self._faded_ratio(now_s)
+        self._ratio = faded + _RATIO_SMOOTHING * (ratio - faded)
+        self._ratio_s = now_s
+
+    def ramp(self, slow_start_s: float, now_s: float) -> float:
+        """Returns the share of calls it may get while cold, up to 1."""
+        age_s = now_s - self.born_s
+        return min(1.0, max(_LEAST_RAMP, age_s / slow_start_s))
+
+    def cost_s(self, typical_s: float, ramp: float, now_s: float) -> float:
+        """Returns the expected time to an answer, without the crossing.
+
+        Args:
+            typical_s: Median round trip of the route over all upstreams.
+            ramp: Share from slow start.
+            now_s: Monotonic seconds.
+        """
+        run_s = typical_s * self._slowness(now_s)
+        limit = max(1.0, self._limit() * ramp)
+        busy = self._busy(now_s)
+        wait_s = run_s * max(0.0, busy + 1 - limit) / limit
+        wait_s = max(wait_s, self._full_until_s - now_s)
+        idle_s = _IDLE_WEIGHT * typical_s * busy / limit
+        factor = 1 if self.is_healthy else _UNHEALTHY_FACTOR
+        return (run_s + wait_s + idle_s) * factor
+
+    def _limit(self) -> int:
+        return self._load.limit if self._load else self.slots
+
+    def _busy(self, now_s: float) -> float:
+        local = len(self.running)
+        if self._load is None:
+            return local
+        carried = self._load.in_flight + self._load.queued
+        others = max(0, carried - self._local_then)
+        return local + others * exp((self._load_s - now_s) / _FADE_S)
+
+    def _faded_ratio(self, now_s: float) -> float:
+        return 1 + (self._ratio - 1) * exp((self._ratio_s - now_s) / _FADE_S)
+
+    def _slowness(self, now_s: float) -> float:
+        oldest = next(iter(self.running.values()), None)
+        if oldest is None:
+            return self._faded_ratio(now_s)
+        age_ratio = (now_s - oldest.started_s) / oldest.typical_s
+        return max(self._faded_ratio(now_s), age_ratio)
--- /dev/null
+++ b/waxwingsaddle/guard.py
@@ -0,0 +1,330 @@
+"""Guard of one upstream: slots, lanes, a bounded queue and early refusal."""
+
+import random
+from collections import Counter, OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from waxwingsaddle import config
+from waxwingsaddle.lanes import LaneQueue, RunTimes
+from waxwingsaddle.limit import ConcurrencyLimit, LimitPolicy
+from waxwingsaddle.util.clock import MS_PER_S
+from waxwingsaddle.util.outcome import Outcome
+from waxwingsaddle.work import Call, Lane
+
+_LEAST_RETRY_MS = 10
+_MOST_RETRY_MS = 5000
+_LEAST_SPREAD = 0.5
+_MOST_SPREAD = 1.5
+_PERCENT = 100
+# Most finished call identifiers remembered, about 250 bytes each.
+_FINISHED_KEPT = 2000
+
+
+@dataclass(frozen=True, slots=True)
+class GuardPolicy:
+    """Tunables of a guard, taken from the service.
+
+    Attributes:
+        long_slots_percent: Most slots that long work may hold.
+        queue_wait_ms: Longest expected wait of a queued call.
+        long_ratio: Multiple of the median run time that makes work long.
+        limit: Tunables of the adaptive limit.
+        initial_run_ms: Run time assumed before the first answer.
+    """
+
+    long_slots_percent: int = 50
+    queue_wait_ms: int = 250
+    long_ratio: float = 4
+    limit: LimitPolicy = field(default_factory=LimitPolicy)
+    initial_run_ms: int = 20
+
+    @classmethod
+    def of(cls, service: config.Service) -> 'GuardPolicy':
+        """Returns the policy of a service."""
+        return cls(
+            long_slots_percent=service.long_slots_percent,
+            queue_wait_ms=service.queue_wait_ms,
+            long_ratio=service.long_ratio,
+            limit=LimitPolicy(service.limit_floor_percent, service.slow_ratio),
+            initial_run_ms=service.initial_run_ms,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The call holds a slot: hand it to the upstream now.
+
+    Attributes:
+        call: The call.
+        lane: Its lane; long work uses connections of its own.
+    """
+
+    call: Call
+    lane: Lane
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The call was never handed over, and is not queued.
+
+    Attributes:
+        call: The call.
+        reason: `overload`, `deadline`, `displaced` or `draining`.
+        retry_after_ms: When an attempt may succeed.
+    """
+
+    call: Call
+    reason: str
+    retry_after_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Queued:
+    """The call waits for a slot.
+
+    Attributes:
+        call: The call.
+        wait_ms: Expected wait.
+        displaced: Queued calls of lower rank that gave way: answer them.
+    """
+
+    call: Call
+    wait_ms: float
+    displaced: tuple[Refused, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Duplicate:
+    """The call identifier was seen before: drop the message unanswered."""
+
+    call: Call
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Load of an upstream, carried on answers.
+
+    Attributes:
+        in_flight: Calls that hold a slot.
+        queued: Calls that wait for one.
+        limit: Calls that may run at once now.
+        wait_ms: Expected wait of the next short call.
+    """
+
+    in_flight: int
+    queued: int
+    limit: int
+    wait_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class _Running:
+    call: Call
+    lane: Lane
+
+
+class Guard:
+    """Decides which calls an upstream gets, and when.
+
+    Args:
+        slots: Slots that the upstream announced.
+        policy: Tunables.
+        clock: Monotonic seconds.
+        rng: Spreads the retry hints.
+    """
+
+    def __init__(
+        self,
+        slots: int,
+        policy: GuardPolicy,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._policy = policy
+        self._clock = clock
+        self._rng = rng
+        self._limit = ConcurrencyLimit(slots, policy.limit)
+        self._times = RunTimes(
+            policy.initial_run_ms / MS_PER_S,
+            policy.long_ratio,
+        )
+        self._queues = {lane: LaneQueue() for lane in Lane}
+        self._running: dict[str, _Running] = {}
+        self._held: Counter[Lane] = Counter()
+        self._finished: OrderedDict[str, None] = OrderedDict()
+        self._is_draining = False
+
+    def configure(self, slots: int, policy: GuardPolicy) -> None:
+        """Adopts new slots or tunables; running calls are not touched."""
+        self._policy = policy
+        self._limit.resize(slots, policy.limit)
+        self._times.long_ratio = policy.long_ratio
+
+    def drain(self) -> None:
+        """Refuses calls from now on; queued and running ones go on."""
+        self._is_draining = True
+
+    def offer(self, call: Call) -> Admitted | Queued | Refused | Duplicate:
+        """Decides on a call that just arrived."""
+        if self._knows(call.call_id):
+            return Duplicate(call)
+        if self._is_draining:
+            return Refused(call, 'draining', 0)
+        lane = self._times.lane_of(call)
+        left_s = call.deadline_s - self._clock()
+        if left_s <= 0:
+            return Refused(call, 'deadline', 0)
+        if not self._queues[lane] and self._has_room(lane):
+            return self._admit(call, lane)
+        ahead = self._queues[lane].ahead_of(call)
+        wait_s = self._wait_s(lane, ahead)
+        usable_s = left_s - self._times.expected_s(call.route)
+        if wait_s > min(usable_s, self._bound_s(lane)):
+            return self._refused(lane, call, 'overload')
+        return self._queue(call, lane, wait_s)
+
+    def finished(
+        self,
+        call_id: str,
+        outcome: Outcome,
+        took_s: float,
+    ) -> tuple[Admitted, ...]:
+        """Takes back the slot of a call.
+
+        Args:
+            call_id: Identifier of a running call; others are passed over.
+            outcome: How it ended; only run times of `RAN` are learned from.
+            took_s: Time since it was handed over, in seconds.
+
+        Returns:
+            The queued calls to hand over now.
+        """
+        running = self._running.pop(call_id, None)
+        if running is None:
+            return ()
+        self._held[running.lane] -= 1
+        self._remember(running.call)
+        if outcome is Outcome.RAN:
+            route = running.call.route
+            ratio = self._times.observe(route, running.lane, took_s)
+            self._limit.observe(ratio)
+        return self._start_queued()
+
+    def cancel(self, call_id: str) -> bool:
+        """Withdraws a call that nobody waits for.
+
+        Returns:
+            True if it was queued and is gone, so it did not run. False if it
+            runs or has ended: abort the request to the upstream and report
+            `finished` with `CANCELLED`.
+        """
+        return any(
+            queue.remove(call_id) is not None for queue in self._queues.values()
+        )
+
+    def expire(self) -> tuple[Refused, ...]:
+        """Takes out queued calls that can't end by their deadline."""
+        now_s = self._clock()
+        late = [
+            (lane, call)
+            for lane, queue in self._queues.items()
+            for call in queue
+            if call.deadline_s <= now_s
+        ]
+        for lane, call in late:
+            self._queues[lane].remove(call.call_id)
+        return tuple(self._refused(*pair, 'deadline') for pair in late)
+
+    def load(self) -> Load:
+        """Returns the load to carry on answers."""
+        has_room = self._has_room(Lane.SHORT)
+        short_queued = len(self._queues[Lane.SHORT])
+        wait_s = 0 if has_room else self._wait_s(Lane.SHORT, short_queued)
+        return Load(
+            in_flight=len(self._running),
+            queued=sum(len(queue) for queue in self._queues.values()),
+            limit=self._limit.current,
+            wait_ms=round(wait_s * MS_PER_S),
+        )
+
+    def _knows(self, call_id: str) -> bool:
+        if call_id in self._running or call_id in self._finished:
+            return True
+        return any(
+            call.call_id == call_id
+            for queue in self._queues.values()
+            for call in queue
+        )
+
+    def _remember(self, call: Call) -> None:
+        if call.is_idempotent:
+            return
+        self._finished[call.call_id] = None
+        if len(self._finished) > _FINISHED_KEPT:
+            self._finished.popitem(last=False)
+
+    def _capacity(self, lane: Lane) -> int:
+        limit = self._limit.current
+        if lane is Lane.SHORT:
+            return max(1, limit - self._held[Lane.LONG])
+        return max(1, limit * self._policy.long_slots_percent // _PERCENT)
+
+    def _has_room(self, lane: Lane) -> bool:
+        if len(self._running) >= self._limit.current:
+            return False
+        return lane is Lane.SHORT or self._held[lane] < self._capacity(lane)
+
+    def _wait_s(self, lane: Lane, ahead: int) -> float:
+        return (ahead + 1) * self._times.lane_s(lane) / self._capacity(lane)
+
+    def _bound_s(self, lane: Lane) -> float:
+        bound_s = self._policy.queue_wait_ms / MS_PER_S
+        if lane is Lane.LONG:
+            return max(bound_s, 2 * self._times.lane_s(lane))
+        return bound_s
+
+    def _admit(self, call: Call, lane: Lane) -> Admitted:
+        self._running[call.call_id] = _Running(call, lane)
+        self._held[lane] += 1
+        return Admitted(call, lane)
+
+    def _queue(self, call: Call, lane: Lane, wait_s: float) -> Queued:
+        queue = self._queues[lane]
+        queue.push(call)
+        displaced = []
+        while self._wait_s(lane, len(queue) - 1) > self._bound_s(lane):
+            loser = queue.pop_last()
+            displaced.append(self._refused(lane, loser, 'displaced'))
+        return Queued(call, wait_s * MS_PER_S, tuple(displaced))
+
+    def _refused(self, lane: Lane, call: Call, reason: str) -> Refused:
+        wait_ms = self._wait_s(lane, len(self._queues[lane])) * MS_PER_S
+        spread_ms = wait_ms * self._rng.uniform(_LEAST_SPREAD, _MOST_SPREAD)
+        retry_ms = max(_LEAST_RETRY_MS, min(_MOST_RETRY_MS, spread_ms))
+        return Refused(call, reason, round(retry_ms))
+
+    def _start_queued(self) -> tuple[Admitted, ...]:
+        started = []
+        while True:
+            following = self._next()
+            if following is None:
+                return tuple(started)
+            started.append(following)
+
+    def _next(self) -> Admitted | None:
+        now_s = self._clock()
+        heads = {
+            lane: call
+            for lane, queue in self._queues.items()
+            if self._has_room(lane)
+            and (call := queue.first_alive(now_s)) is not None
+        }
+        if not heads:
+            return None
+        # Of equal rank, short work goes first, but long work always gets one
+        # slot so that it is not starved.
+        first = Lane.SHORT if self._held[Lane.LONG] else Lane.LONG
+        lane = max(heads, key=lambda key: (heads[key].rank, key is first))
+        self._queues[lane].remove(heads[lane].call_id)
+        return self._admit(heads[lane], lane)
--- /dev/null
+++ b/waxwingsaddle/hedge.py
@@ -0,0 +1,65 @@
+"""Hedging: a second attempt of an idempotent call that is late."""
+
+from waxwingsaddle import config
+from waxwingsaddle.retry import CallBudget
+from waxwingsaddle.util.quantile import Quantile
+from waxwingsaddle.work import Call
+
+_PERCENT = 100
+_LATE_SMOOTHING = 0.02
+# When so many calls are late, everything is slow, and a second attempt adds
+# load without finding a faster upstream.
+_MOST_LATE_SHARE = 0.4
+
+
+class Hedges:
+    """Decides on hedged attempts of one service at one node.
+
+    Args:
+        service: Tunables.
+    """
+
+    def __init__(self, service: config.Service) -> None:
+        self._share = service.hedge_quantile_percent / _PERCENT
+        self._budget = CallBudget(service.hedge_percent, capacity=10)
+        self._routes: dict[str, Quantile] = {}
+        self._late_share = 0.0
+
+    def configure(self, service: config.Service) -> None:
+        """Adopts new tunables and keeps what was learned."""
+        share = service.hedge_quantile_percent / _PERCENT
+        self._budget.percent = service.hedge_percent
+        if share != self._share:
+            self._share = share
+            self._routes.clear()
+
+    def delay_s(self, call: Call) -> float | None:
+        """Counts a call and returns when to hedge it.
+
+        Returns:
+            Seconds after its start, or None if it must not be hedged.
+        """
+        if not call.is_idempotent:
+            return None
+        self._budget.earn()
+        quantile = self._routes.get(call.route)
+        if quantile is None or not quantile.is_settled:
+            return None
+        return quantile.estimate
+
+    def may_hedge(self) -> bool:
+        """Decides, once the delay has passed, and spends a token if so."""
+        if self._late_share > _MOST_LATE_SHARE:
+            return False
+        return self._budget.spend()
+
+    def observe(self, route: str, took_s: float) -> None:
+        """Takes in the time until the first attempt answered or was dropped."""
+        quantile = self._routes.get(route)
+        if quantile is None:
+            quantile = Quantile(self._share)
+            self._routes[route] = quantile
+        if quantile.is_settled:
+            is_late = took_s > quantile.estimate
+            self._late_share += _LATE_SMOOTHING * (is_late - self._late_share)
+        quantile.observe(took_s)
--- /dev/null
+++ b/waxwingsaddle/lanes.py
@@ -0,0 +1,129 @@
+"""Queues of the short and the long lane, and learned run times."""
+
+from bisect import insort
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from statistics import median
+
+from waxwingsaddle.work import Call, Lane
+
+_RECENT_ANSWERS = 64
+_MEAN_SMOOTHING = 0.1
+# The baseline falls quickly and rises slowly, so that a slowdown of seconds
+# does not become the new normal.
+_BASELINE_FALL = 0.1
+_BASELINE_RISE = 0.005
+# A route leaves the long lane at half the ratio at which it entered.
+_HYSTERESIS = 0.5
+# Keeps ratios finite.
+_LEAST_TIME_S = 0.000001
+
+
+@dataclass(order=True, slots=True)
+class Waiting:
+    """A queued call, ordered by rank and arrival."""
+
+    order: tuple[int, int]
+    call: Call = field(compare=False)
+
+
+class LaneQueue:
+    """Queued calls of one lane, highest rank first."""
+
+    def __init__(self) -> None:
+        self._waiting: list[Waiting] = []
+        self._arrivals = 0
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def __iter__(self) -> Iterator[Call]:
+        return (waiting.call for waiting in self._waiting)
+
+    def ahead_of(self, call: Call) -> int:
+        """Returns how many queued calls would start before this one."""
+        return sum(waiting.call.rank >= call.rank for waiting in self._waiting)
+
+    def push(self, call: Call) -> None:
+        """Queues a call behind all of its rank or higher."""
+        self._arrivals += 1
+        insort(self._waiting, Waiting((-call.rank, self._arrivals), call))
+
+    def pop_last(self) -> Call:
+        """Takes the newest call of the lowest rank."""
+        return self._waiting.pop().call
+
+    def first_alive(self, now_s: float) -> Call | None:
+        """Returns the call to start next, passing over expired ones."""
+        return next((call for call in self if call.deadline_s > now_s), None)
+
+    def remove(self, call_id: str) -> Call | None:
+        """Takes a call out of the queue, or returns None if it is absent."""
+        for index, waiting in enumerate(self._waiting):
+            if waiting.call.call_id == call_id:
+                return self._waiting.pop(index).call
+        return None
+
+
+@dataclass(slots=True)
+class _RouteTimes:
+    mean_s: float
+    baseline_s: float
+    is_long: bool = False
+
+
+class RunTimes:
+    """Learned run times of the routes of one upstream.
+
+    Args:
+        initial_s: Run time assumed before the first answer.
+        long_ratio: Multiple of the median run time from which a route counts
+            as long work. A ratio stays right when everything slows at once.
+    """
+
+    def __init__(self, initial_s: float, long_ratio: float) -> None:
+        self.long_ratio = long_ratio
+        self._initial_s = initial_s
+        self._routes: dict[str, _RouteTimes] = {}
+        self._recent_s: deque[float] = deque(maxlen=_RECENT_ANSWERS)
+        self._lanes_s = dict.fromkeys(Lane, initial_s)
+
+    def lane_of(self, call: Call) -> Lane:
+        """Returns the lane from the route, or from learned run times."""
+        if call.work != 'learned':
+            return Lane(call.work)
+        times = self._routes.get(call.route)
+        return Lane.LONG if times and times.is_long else Lane.SHORT
+
+    def expected_s(self, route: str) -> float:
+        """Returns the expected run time of a route, in seconds."""
+        times = self._routes.get(route)
+        return times.mean_s if times else self._initial_s
+
+    def lane_s(self, lane: Lane) -> float:
+        """Returns the mean run time of a lane, in seconds."""
+        return self._lanes_s[lane]
+
+    def observe(self, route: str, lane: Lane, took_s: float) -> float:
+        """Takes in the run time of one answer.
+
+        Returns:
+            The run time over the learned one of the route.
+        """
+        self._recent_s.append(took_s)
+        gap_s = took_s - self._lanes_s[lane]
+        self._lanes_s[lane] += _MEAN_SMOOTHING * gap_s
+        times = self._routes.setdefault(route, _RouteTimes(took_s, took_s))
+        times.mean_s += _MEAN_SMOOTHING * (took_s - times.mean_s)
+        gap_s = took_s - times.baseline_s
+        speed = _BASELINE_RISE if gap_s > 0 else _BASELINE_FALL
+        times.baseline_s += gap_s * speed
+        self._classify(times)
+        return took_s / max(times.baseline_s, _LEAST_TIME_S)
+
+    def _classify(self, times: _RouteTimes) -> None:
+        threshold_s = self.long_ratio * median(self._recent_s)
+        if times.is_long:
+            threshold_s *= _HYSTERESIS
+        times.is_long = times.mean_s >= threshold_s
--- /dev/null
+++ b/waxwingsaddle/limit.py
@@ -0,0 +1,71 @@
+"""Adaptive concurrency limit of one upstream."""
+
+from dataclasses import dataclass
+
+# The ratio is smoothed over about this many answers.
+_SMOOTHING = 0.2
+_SHRINK_FACTOR = 0.85
+
+
+@dataclass(frozen=True, slots=True)
+class LimitPolicy:
+    """Tunables of the limit.
+
+    Attributes:
+        floor_percent: Least limit, in percent of the slots.
+        slow_ratio: Multiple of the learned run time at which the upstream
+            counts as slow.
+    """
+
+    floor_percent: int = 34
+    slow_ratio: float = 2
+
+
+class ConcurrencyLimit:
+    """Shrinks the slots in use while the upstream is slow, and restores them.
+
+    One decrease or increase is made for each full round of answers, so that a
+    change shows in the run times before the next one.
+
+    Args:
+        slots: Slots that the upstream announced.
+        policy: Tunables.
+    """
+
+    def __init__(self, slots: int, policy: LimitPolicy) -> None:
+        self._slots = slots
+        self._policy = policy
+        self._limit = float(slots)
+        self._ratio = 1.0
+        self._answers = 0
+
+    @property
+    def current(self) -> int:
+        """The number of calls that may run at once."""
+        return max(1, int(self._limit))
+
+    def resize(self, slots: int, policy: LimitPolicy) -> None:
+        """Adopts a new number of slots, keeping the share in use."""
+        self._limit = max(1.0, self._limit * slots / self._slots)
+        self._slots = slots
+        self._policy = policy
+
+    def observe(self, ratio: float) -> None:
+        """Takes in one answer.
+
+        Args:
+            ratio: Run time over the learned run time of its route.
+        """
+        self._ratio += _SMOOTHING * (ratio - self._ratio)
+        self._answers += 1
+        if self._answers < self.current:
+            return
+        self._answers = 0
+        self._adjust()
+
+    def _adjust(self) -> None:
+        if self._ratio >= self._policy.slow_ratio:
+            floor = self._slots * self._policy.floor_percent / 100
+            self._limit = max(1, floor, self._limit * _SHRINK_FACTOR)
+        else:
+            self._limit = min(float(self._slots), self._limit + 1)
--- /dev/null
+++ b/waxwingsaddle/retry.py
@@ -0,0 +1,115 @@
+"""Retry budget of one service, and the rule which attempts are repeated."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Final
+
+from waxwingsaddle import config
+from waxwingsaddle.util.outcome import Outcome
+from waxwingsaddle.work import Call
+
+RETRIED_HEADER = 'Waxwing-Retried'
+
+_PERCENT = 100
+# Tokens that low-priority retries must leave for others, as a share.
+_LEFT_FOR_OTHERS: Final = MappingProxyType(
+    {'high': 0.0, 'normal': 0.25, 'low': 0.5},
+)
+
+
+class CallBudget:
+    """Tokens earned by calls, in percent of them, and spent on extra attempts.
+
+    Args:
+        percent: Extra attempts allowed, in percent of calls.
+        capacity: Most tokens held; bounds a burst of extra attempts.
+    """
+
+    def __init__(self, percent: float, capacity: float) -> None:
+        self.percent = percent
+        self._capacity = capacity
+        self._tokens = capacity / 2
+
+    def earn(self) -> None:
+        """Counts one call."""
+        earned = self._tokens + self.percent / _PERCENT
+        self._tokens = min(self._capacity, earned)
+
+    def spend(self, left_share: float = 0) -> bool:
+        """Takes a token for one extra attempt, and says whether it did.
+
+        Args:
+            left_share: Share of the capacity that must remain.
+        """
+        is_enough = self._tokens - 1 >= left_share * self._capacity
+        if not self.percent or not is_enough:
+            return False
+        self._tokens -= 1
+        return True
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """An attempt that ended without a usable answer.
+
+    Attributes:
+        call: The call.
+        outcome: What is known about it.
+        number: Which attempt of the call it was, from 1.
+        was_retried: Whether a layer below has spent its retries on it: the
+            answer bore `Waxwing-Retried`.
+        retry_after_ms: Hint of the refusal.
+        has_alternative: Whether another upstream can be tried.
+    """
+
+    call: Call
+    outcome: Outcome
+    number: int
+    was_retried: bool = False
+    retry_after_ms: int = 0
+    has_alternative: bool = True
+
+
+class Retries:
+    """Decides on retries of one service at one node.
+
+    Args:
+        service: Tunables.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        service: config.Service,
+        clock: Callable[[], float],
+    ) -> None:
+        self._clock = clock
+        self._max_attempts = service.max_attempts
+        self._budget = CallBudget(service.retry_percent, capacity=10)
+
+    def configure(self, service: config.Service) -> None:
+        """Adopts new tunables and keeps the tokens."""
+        self._max_attempts = service.max_attempts
+        self._budget.percent = service.retry_percent
+
+    def call_started(self) -> None:
+        """Counts the first attempt of a call."""
+        self._budget.earn()
+
+    def may_retry(self, attempt: Attempt) -> bool:
+        """Decides whether to try again now, and spends a token if so."""
+        call = attempt.call
+        if attempt.was_retried or attempt.number >= self._max_attempts:
+            return False
+        if not _is_repeatable(attempt) or not attempt.has_alternative:
+            return False
+        if call.deadline_s <= self._clock():
+            return False
+        return self._budget.spend(_LEFT_FOR_OTHERS[call.priority])
+
+
+def _is_repeatable(attempt: Attempt) -> bool:
+    if attempt.outcome is Outcome.NOT_RUN:
+        return True
+    return attempt.outcome is Outcome.UNKNOWN and attempt.call.is_idempotent
--- /dev/null
+++ b/waxwingsaddle/work.py
@@ -0,0 +1,45 @@
+"""Calls as the policy modules see them: kind of work, priority and rank."""
+
+from dataclasses import dataclass
+from enum import Enum
+from types import MappingProxyType
+from typing import Final, Literal
+
+_PRIORITY_RANKS: Final = MappingProxyType({'low': 0, 'normal': 2, 'high': 4})
+
+
+class Lane(Enum):
+    """Kind of slot that a call takes."""
+
+    SHORT = 'short'
+    LONG = 'long'
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A call offered to the guard of an upstream.
+
+    Attributes:
+        call_id: Unique identifier of this attempt.
+        route: Name of the route; run times are learned by it.
+        work: Expected run time from the route.
+        priority: Order of shedding from the route.
+        is_idempotent: Whether it may run more than once.
+        deadline_s: When the caller gives up, on the clock of the guard.
+    """
+
+    call_id: str
+    route: str
+    work: Literal['short', 'long', 'learned']
+    priority: Literal['high', 'normal', 'low']
+    is_idempotent: bool
+    deadline_s: float
+
+    @property
+    def rank(self) -> int:
+        """Rank in queues: the lowest is shed first.
+
+        At equal priority idempotent calls go first, because they are cheap to
+        send again.
+        """
+        return _PRIORITY_RANKS[self.priority] + (not self.is_idempotent)
