Add data path of a node: entry, dispatch, hop and upstream leg

Small answers come back in one message; large ones are streamed in chunks with credit on a separate connection. Configuration and directory are fixed in tests until subscription lands.

--- /dev/null
+++ b/test/nodes.py
@@ -0,0 +1,214 @@
+"""Nodes with fixed configuration and journaling upstreams, for tests."""
+
+import json
+import subprocess
+import sys
+import tempfile
+from contextlib import contextmanager
+from http.client import HTTPConnection
+from pathlib import Path
+
+from test.processes import Process, free_address, is_ready, wait_until
+
+BASE = """
+version = 1
+[services.orders]
+timeout_ms = 5000
+hedge_percent = 0
+[services.plans]
+timeout_ms = 5000
+hedge_percent = 0
+[routes.order]
+path_prefix = "/orders"
+service = "orders"
+methods = ["POST"]
+work = "short"
+[routes.look]
+path_prefix = "/orders"
+service = "orders"
+methods = ["GET", "HEAD"]
+idempotent = true
+work = "short"
+[routes.plan]
+path_prefix = "/plans"
+service = "orders"
+idempotent = true
+work = "long"
+"""
+
+
+class ModuleProcess(Process):
+    """A program that is a module of the tests."""
+
+    def start(self):
+        """Starts the module with its arguments."""
+        with self.log_file.open('ab') as log:
+            self.popen = subprocess.Popen(
+                [sys.executable, '-m', self.program, *self.arguments],
+                stdout=log,
+                stderr=log,
+            )
+        return self
+
+
+class FakeUpstream:
+    """One journaling upstream."""
+
+    def __init__(self, folder, name, slots=6):
+        self.name = name
+        self.slots = slots
+        self.address = free_address()
+        self.journal = folder / f'{name}.journal'
+        self.process = ModuleProcess(
+            'test.fake_upstream',
+            folder,
+            folder / f'{name}.log',
+            (self.address, str(self.journal)),
+        )
+
+    def start(self):
+        """Starts it and waits until it answers."""
+        self.process.start()
+        wait_until(lambda: call(self.address, 'GET', '/')[0] == 200, self.name)
+        return self
+
+    def lines(self):
+        """Returns the journal."""
+        return self.journal.read_text('utf-8').split('\n')[:-1]
+
+    def count(self, kind, identifier):
+        """Returns how often an identifier stands in the journal."""
+        return self.lines().count(f'{kind} {identifier}')
+
+
+class FixedNode:
+    """One node."""
+
+    def __init__(self, folder, host, **settings):
+        self.host = host
+        self.folder = folder / host
+        self.folder.mkdir()
+        self.http_address = free_address()
+        self.call_address = free_address()
+        self.settings = {
+            'host': host,
+            'availability_zone': 'zone-1',
+            'site': 'north',
+            'http_address': self.http_address,
+            'call_address': self.call_address,
+            'log_form': 'text',
+            'hop_heartbeat_ms': 200,
+            # These upstreams announce themselves once.
+            'upstream_ttl_ms': 600_000,
+            **settings,
+        }
+        settings_file = self.folder / 'node.toml'
+        self.process = ModuleProcess(
+            'test.fixed_node',
+            settings_file,
+            self.folder / 'node.log',
+            ('--settings', str(settings_file)),
+        )
+
+    def entry(self, upstream):
+        """Returns the directory entry of an upstream behind this node."""
+        return {
+            'name': upstream.name,
+            'service': 'orders',
+            'host': self.host,
+            'availability_zone': 'zone-1',
+            'call_address': self.call_address,
+            'slots': upstream.slots,
+            'state': 'ready',
+            'started_ms_ago': 3_600_000,
+        }
+
+    def start(self, others=(), base=BASE):
+        """Writes the files, starts the node and waits until it is ready."""
+        lines = [
+            f'{key} = {json.dumps(value)}'
+            for key, value in self.settings.items()
+        ]
+        text = '\n'.join(['[node]', *lines, 'controls = []'])
+        (self.folder / 'node.toml').write_text(text, 'utf-8')
+        fixed = {'base': base, 'others': list(others)}
+        (self.folder / 'fixed.json').write_text(json.dumps(fixed), 'utf-8')
+        self.process.start()
+        wait_until(lambda: is_ready(self.http_address), self.host)
+        return self
+
+    def announce(self, upstream, state='ready'):
+        """Announces an upstream to this node."""
+        body = {
+            'service': 'orders',
+            'address': upstream.address,
+            'slots': upstream.slots,
+            'state': state,
+        }
+        status, _, answer = call(
+            self.http_address,
+            'PUT',
+            f'/v1/upstreams/{upstream.name}',
+            json.dumps(body),
+        )
+        assert status == 200, answer
+
+    def metric(self, name):
+        """Returns the value of a metric line, 0 when it is absent."""
+        text = call(self.http_address, 'GET', '/metrics')[2].decode()
+        return sum(
+            float(line.rpartition(' ')[2])
+            for line in text.splitlines()
+            if line.startswith(name)
+        )
+
+
+class Setting:
+    """Everything one test started."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.processes = []
+
+    def node(self, host='host-1', others=(), base=BASE, **settings):
+        """Starts a node."""
+        node = FixedNode(self.folder, host, **settings)
+        self.processes.append(node.process)
+        return node.start(others, base)
+
+    def upstream(self, name='up-1', slots=6):
+        """Starts an upstream."""
+        upstream = FakeUpstream(self.folder, name, slots)
+        self.processes.append(upstream.process)
+        return upstream.start()
+
+    def pair(self, **settings):
+        """Starts an entry node and a guarding node with one upstream."""
+        upstream = self.upstream()
+        guard = self.node('guard', **settings)
+        guard.announce(upstream)
+        entry = self.node('entry', [guard.entry(upstream)], **settings)
+        return entry, guard, upstream
+
+
+@contextmanager
+def setting():
+    """Ends all processes of a test when it ends."""
+    with tempfile.TemporaryDirectory() as folder:
+        started = Setting(Path(folder))
+        try:
+            yield started
+        finally:
+            for process in started.processes:
+                process.kill()
+
+
+def call(address, method, target, body=None, headers=None, timeout_s=20):
+    """Makes one HTTP call; returns status, headers and body."""
+    connection = HTTPConnection(address, timeout=timeout_s)
+    try:
+        connection.request(method, target, body, headers or {})
+        got = connection.getresponse()
+        return got.status, got.headers, got.read()
+    finally:
+        connection.close()
--- /dev/null
+++ b/test/test_node.py
@@ -0,0 +1,57 @@
+"""Calls through real node processes to journaling upstreams."""
+
+import hashlib
+
+from test.fake_upstream import pieces
+from test.nodes import call, setting
+
+
+def test_call_through_one_node():
+    """Guards against a call that loses its body, fields or outcome."""
+    with setting() as started:
+        upstream, node = started.upstream(), started.node()
+        node.announce(upstream)
+        status, headers, body = call(
+            node.http_address, 'POST', '/orders?id=a1', b'x' * 1000
+        )
+        assert (status, body) == (200, b'a1'), (status, headers, body)
+        assert headers['Waxwing-Outcome'] == 'ran'
+        digest = hashlib.sha256(b'x' * 1000).hexdigest()
+        assert headers['X-Body-Digest'] == digest
+        assert 0 < int(headers['X-Deadline']) <= 5000
+        assert upstream.count('begin', 'a1') == 1
+
+
+def test_call_through_two_nodes():
+    """Guards against a hop that loses its body, fields or outcome."""
+    with setting() as started:
+        entry, _, upstream = started.pair()
+        for number in range(5):
+            status, headers, body = call(
+                entry.http_address,
+                'POST',
+                f'/orders/x?id=b{number}',
+                b'y' * 200_000,
+                {'Waxwing-Deadline-Ms': '900'},
+            )
+            assert (status, body) == (200, b'b%d' % number), headers.items()
+            digest = hashlib.sha256(b'y' * 200_000).hexdigest()
+            assert headers['X-Body-Digest'] == digest
+            assert 0 < int(headers['X-Deadline']) <= 900
+            assert upstream.count('end', f'b{number}') == 1
+
+
+def test_large_answer_is_whole():
+    """Guards against a streamed answer that loses or reorders pieces."""
+    with setting() as started:
+        entry, guard, _ = started.pair()
+        size = 5_000_001
+        expected = b''.join(pieces(size, 'big'))
+        for node in (entry, guard):
+            status, headers, body = call(
+                node.http_address, 'GET', f'/plans?id=big&bytes={size}'
+            )
+            assert status == 200
+            assert len(body) == size
+            assert body == expected
+            assert headers['Waxwing-Outcome'] == 'ran'
--- /dev/null
+++ b/waxwingsaddle/dispatch.py
@@ -0,0 +1,338 @@
+"""Takes a call of this node to an upstream: choice, retries and hedges."""
+
+import os
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from functools import partial
+from itertools import count
+
+import eventlet
+from eventlet.queue import Empty, LightQueue
+
+from waxwingsaddle import metrics
+from waxwingsaddle.calls import Answer, Request, not_run, unknown
+from waxwingsaddle.choice import Choice, Ended, Key, Upstream, key_of
+from waxwingsaddle.config import Service
+from waxwingsaddle.ejection import Evidence
+from waxwingsaddle.guarding import Guarding
+from waxwingsaddle.hedge import Hedges
+from waxwingsaddle.remote import RemoteCalls
+from waxwingsaddle.retry import Attempt, Retries
+from waxwingsaddle.routing import Match
+from waxwingsaddle.util.outcome import Outcome
+from waxwingsaddle.work import Call
+
+_attempts = metrics.counter(
+    'waxwing_attempts',
+    'Attempts of calls at upstreams, the first of each call included.',
+    ('kind',),
+)
+_first_attempts = _attempts.labels('first')
+_retries = _attempts.labels('retry')
+_hedges = _attempts.labels('hedge')
+
+
+@dataclass(slots=True)
+class Task:
+    """One call of a caller.
+
+    Attributes:
+        match: Its route.
+        request: What to send.
+        deadline_s: When the caller gives up.
+        is_cancelled: Whether the caller is gone.
+        running: Attempts in flight: call identifier and upstream.
+        number: Attempts made so far.
+    """
+
+    match: Match
+    request: Request
+    deadline_s: float
+    is_cancelled: bool = False
+    running: dict[str, Upstream] = field(default_factory=dict)
+    number: int = 0
+
+
+@dataclass(slots=True)
+class _ServicePolicies:
+    """What a node learned about one service."""
+
+    service: Service
+    choice: Choice
+    retries: Retries
+    hedges: Hedges
+
+    def configure(self, service: Service) -> None:
+        if service is not self.service:
+            self.service = service
+            self.choice.configure(service)
+            self.retries.configure(service)
+            self.hedges.configure(service)
+
+
+class Dispatch:
+    """Runs calls at the upstreams of their services.
+
+    Args:
+        host: This host.
+        availability_zone: Its availability zone.
+        crossing_ms: Round trip to another zone, in milliseconds.
+        directory: Service with `upstreams_of`.
+        guarding: Runs calls at upstreams of this node.
+        remote: Runs calls at other nodes.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        availability_zone: str,
+        crossing_ms: float,
+        directory,
+        guarding: Guarding,
+        remote: RemoteCalls,
+        clock: Callable[[], float],
+    ) -> None:
+        self._host = host
+        self._zone = availability_zone
+        self._crossing_ms = crossing_ms
+        self._directory = directory
+        self._guarding = guarding
+        self._remote = remote
+        self._clock = clock
+        self._policies: dict[str, _ServicePolicies] = {}
+        # The random part keeps identifiers of restarted nodes apart.
+        self._id_prefix = f'{host}-{os.urandom(6).hex()}-'
+        self._ids = count(1)
+
+    def run(self, task: Task) -> Answer:
+        """Runs a call; blocks its green thread.
+
+        Returns:
+            How the call ended; its `stream` must be closed.
+        """
+        policies = self._policies_of(task.match)
+        policies.retries.call_started()
+        tried: set[Key] = set()
+        while True:
+            entries = self._directory.upstreams_of(task.match.route.service)
+            policies.choice.update(entries)
+            call = self._call(task)
+            upstream = policies.choice.choose(call, tried)
+            if upstream is None:
+                return not_run('no-upstream')
+            task.number += 1
+            (_first_attempts if task.number == 1 else _retries).inc()
+            answer = self._first_or_hedge(policies, task, call, upstream, tried)
+            if task.is_cancelled or not self._is_failed(answer):
+                return answer
+            if not self._may_retry(policies, task, call, answer, tried):
+                answer.was_retried = answer.was_retried or task.number > 1
+                return answer
+
+    def cancel(self, task: Task) -> None:
+        """Withdraws a call whose caller is gone."""
+        task.is_cancelled = True
+        for call_id, upstream in list(task.running.items()):
+            self._cancel(call_id, upstream)
+
+    def _may_retry(
+        self,
+        policies: _ServicePolicies,
+        task: Task,
+        call: Call,
+        answer: Answer,
+        tried: set[Key],
+    ) -> bool:
+        attempt = Attempt(
+            call=call,
+            outcome=answer.outcome,
+            number=task.number,
+            was_retried=answer.was_retried,
+            retry_after_ms=answer.retry_after_ms,
+            has_alternative=policies.choice.choose(call, tried) is not None,
+        )
+        return policies.retries.may_retry(attempt)
+
+    def _first_or_hedge(
+        self,
+        policies: _ServicePolicies,
+        task: Task,
+        call: Call,
+        upstream: Upstream,
+        tried: set[Key],
+    ) -> Answer:
+        tried.add(key_of(upstream))
+        delay_s = policies.hedges.delay_s(call) if task.number == 1 else None
+        begun_s = self._clock()
+        if delay_s is None:
+            answer = self._attempt(policies, task, call, upstream)
+        else:
+            answer = self._hedged(
+                policies, task, call, upstream, tried, delay_s
+            )
+        if call.is_idempotent and answer.outcome is Outcome.RAN:
+            policies.hedges.observe(call.route, self._clock() - begun_s)
+        return answer
+
+    def _hedged(
+        self,
+        policies: _ServicePolicies,
+        task: Task,
+        call: Call,
+        upstream: Upstream,
+        tried: set[Key],
+        delay_s: float,
+    ) -> Answer:
+        """Runs an attempt, and a second one elsewhere when it is late."""
+        answers: LightQueue = LightQueue()
+        attempt = partial(self._queue_attempt, answers, policies, task)
+        eventlet.spawn_n(attempt, call, upstream)
+        running = [call]
+        try:
+            _, answer = answers.get(timeout=delay_s)
+        except Empty:
+            second = replace(call, call_id=self._next_id())
+            other = policies.choice.choose(second, tried)
+            if other is not None and policies.hedges.may_hedge():
+                tried.add(key_of(other))
+                _hedges.inc()
+                eventlet.spawn_n(attempt, second, other)
+                running.append(second)
+            return self._first_good(task, answers, running)
+        return answer
+
+    def _queue_attempt(
+        self,
+        answers: LightQueue,
+        policies: _ServicePolicies,
+        task: Task,
+        call: Call,
+        upstream: Upstream,
+    ) -> None:
+        answer = self._attempt(policies, task, call, upstream)
+        answers.put((call, answer))
+
+    def _first_good(
+        self,
+        task: Task,
+        answers: LightQueue,
+        running: list[Call],
+    ) -> Answer:
+        while True:
+            done, answer = answers.get()
+            running.remove(done)
+            if not running:
+                return answer
+            if not self._is_failed(answer):
+                eventlet.spawn_n(_close_rest, answers, len(running))
+                for loser in running:
+                    self._cancel(loser.call_id, task.running[loser.call_id])
+                return answer
+
+    def _attempt(
+        self,
+        policies: _ServicePolicies,
+        task: Task,
+        call: Call,
+        upstream: Upstream,
+    ) -> Answer:
+        begun_s = self._clock()
+        ticket = policies.choice.started(upstream, call)
+        task.running[call.call_id] = upstream
+        answer = None
+        try:
+            answer = self._send(call, upstream, task.request)
+        finally:
+            task.running.pop(call.call_id, None)
+            policies.choice.finished(
+                ticket,
+                _ended(answer, self._clock() - begun_s),
+            )
+        return answer
+
+    def _send(self, call: Call, upstream: Upstream, request: Request) -> Answer:
+        if upstream.host != self._host:
+            return self._remote.run(
+                upstream.call_address,
+                upstream.name,
+                call,
+                request,
+            )
+        answer = self._guarding.run(upstream.name, call, request)
+        return answer or unknown('duplicate')
+
+    def _cancel(self, call_id: str, upstream: Upstream) -> None:
+        if upstream.host == self._host:
+            self._guarding.cancel(call_id)
+        else:
+            self._remote.cancel(call_id)
+
+    def _call(self, task: Task) -> Call:
+        route = task.match.route
+        return Call(
+            call_id=self._next_id(),
+            route=task.match.name,
+            work=route.work,
+            priority=route.priority,
+            is_idempotent=route.idempotent,
+            deadline_s=task.deadline_s,
+        )
+
+    def _next_id(self) -> str:
+        return f'{self._id_prefix}{next(self._ids)}'
+
+    def _policies_of(self, match: Match) -> _ServicePolicies:
+        name = match.route.service
+        policies = self._policies.get(name)
+        if policies is None:
+            service = match.service
+            choice = Choice(
+                self._zone,
+                self._crossing_ms,
+                service,
+                self._clock,
+                random.Random(),
+            )
+            policies = _ServicePolicies(
+                service,
+                choice,
+                Retries(service, self._clock),
+                Hedges(service),
+            )
+            self._policies[name] = policies
+        policies.configure(match.service)
+        return policies
+
+    def _is_failed(self, answer: Answer) -> bool:
+        return answer.outcome is not Outcome.RAN
+
+
+def _ended(answer: Answer | None, took_s: float) -> Ended:
+    return Ended(
+        evidence=_evidence(answer),
+        took_s=took_s,
+        load=answer and answer.load,
+        retry_after_ms=answer.retry_after_ms if answer else 0,
+    )
+
+
+def _evidence(answer: Answer | None) -> Evidence:
+    if answer is None or answer.reason == 'cancelled':
+        return Evidence.CANCELLED
+    if answer.outcome is Outcome.RAN:
+        return Evidence.ANSWERED
+    # Only a guard that was reached tells its load.
+    is_refused = answer.outcome is Outcome.NOT_RUN and answer.load is not None
+    if is_refused and answer.reason != 'upstream-refused':
+        return Evidence.REFUSED
+    return Evidence.FAILED
+
+
+def _close_rest(answers: LightQueue, number: int) -> None:
+    # The losers of a hedge may still bring a streamed body.
+    for _ in range(number):
+        answer = answers.get()[1]
+        if answer.stream is not None:
+            answer.stream.close()
--- /dev/null
+++ b/waxwingsaddle/entry.py
@@ -0,0 +1,201 @@
+"""Takes HTTP calls of callers and answers each with its exact outcome."""
+
+from collections.abc import Callable, Iterable, Iterator
+from http.client import responses
+
+from waxwingsaddle import metrics
+from waxwingsaddle.calls import (
+    DEADLINE_HEADER,
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    RETRY_AFTER_HEADER,
+    Answer,
+    Request,
+    not_run,
+    passed_on,
+)
+from waxwingsaddle.config import MAX_TIMEOUT_MS
+from waxwingsaddle.dispatch import Dispatch, Task
+from waxwingsaddle.presence import Presence
+from waxwingsaddle.retry import RETRIED_HEADER
+from waxwingsaddle.routing import Match, Routing
+from waxwingsaddle.util.clock import MS_PER_S
+from waxwingsaddle.util.outcome import Outcome
+from waxwingsaddle.web import Environ, StartResponse
+
+_DEADLINE_KEY = f'HTTP_{DEADLINE_HEADER.upper().replace("-", "_")}'
+_STATUS_BY_REASON = {
+    'no-route': 404,
+    'bad-deadline': 400,
+    'bad-body': 400,
+    'body-too-large': 413,
+    'deadline': 504,
+}
+_NOT_RUN_STATUS = 503
+_UNKNOWN_STATUS = 502
+_OUTCOME_FIELDS = frozenset(
+    name.lower()
+    for name in (
+        OUTCOME_HEADER,
+        REASON_HEADER,
+        RETRY_AFTER_HEADER,
+        RETRIED_HEADER,
+    )
+)
+_STATUS_LINES = {code: f'{code} {text}' for code, text in responses.items()}
+
+_outcomes = metrics.counter(
+    'waxwing_calls',
+    'Calls of callers by outcome.',
+    ('outcome', 'reason'),
+)
+_ran = _outcomes.labels('ran', '')
+
+
+class Entry:
+    """WSGI application for the calls of callers.
+
+    Args:
+        routing: Finds the route of a call.
+        dispatch: Runs calls.
+        presence: Notices callers that go away.
+        body_limit_bytes: Largest request body.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        routing: Routing,
+        dispatch: Dispatch,
+        presence: Presence,
+        body_limit_bytes: int,
+        clock: Callable[[], float],
+    ) -> None:
+        self._routing = routing
+        self._dispatch = dispatch
+        self._presence = presence
+        self._body_limit_bytes = body_limit_bytes
+        self._clock = clock
+
+    def __call__(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answers one call."""
+        answer = self._answer(environ)
+        if answer.outcome is Outcome.RAN:
+            _ran.inc()
+        else:
+            _outcomes.labels(answer.outcome.value, answer.reason).inc()
+        start_response(_status_line(answer), _headers(answer))
+        if answer.stream is not None:
+            return _Streamed(answer)
+        return [answer.body]
+
+    def _answer(self, environ: Environ) -> Answer:
+        arrived_s = self._clock()
+        table = self._routing.table
+        if table is None:
+            return not_run('no-configuration')
+        method = environ['REQUEST_METHOD']
+        match = table.match(method, environ['PATH_INFO'])
+        if match is None:
+            return not_run('no-route')
+        timeout_ms = _timeout_ms(environ, match)
+        if timeout_ms is None:
+            return not_run('bad-deadline')
+        body = self._body(environ)
+        if isinstance(body, Answer):
+            return body
+        target = environ['RAW_PATH_INFO']
+        query = environ.get('QUERY_STRING')
+        if query:
+            target = f'{target}?{query}'
+        request = Request(
+            method,
+            target,
+            passed_on(environ['headers_raw']),
+            body,
+        )
+        deadline_s = arrived_s + timeout_ms / MS_PER_S
+        return self._run(environ, Task(match, request, deadline_s))
+
+    def _run(self, environ: Environ, task: Task) -> Answer:
+        sock = environ['eventlet.input'].get_socket()
+        watched = self._presence.watch(sock, lambda: self._cancel(task))
+        try:
+            return self._dispatch.run(task)
+        finally:
+            self._presence.forget(watched)
+
+    def _cancel(self, task: Task) -> None:
+        self._dispatch.cancel(task)
+
+    def _body(self, environ: Environ) -> bytes | Answer:
+        stream = environ['wsgi.input']
+        length = stream.content_length
+        if length == 0 and not stream.chunked_input:
+            return b''
+        if length is not None and length > self._body_limit_bytes:
+            return not_run('body-too-large')
+        try:
+            body = stream.read(self._body_limit_bytes + 1)
+        except (OSError, ValueError):
+            return not_run('bad-body')
+        if len(body) > self._body_limit_bytes:
+            return not_run('body-too-large')
+        if length is not None and len(body) < length:
+            return not_run('bad-body')
+        return body
+
+
+class _Streamed:
+    """Body of a streamed answer, closed by the server in all cases."""
+
+    def __init__(self, answer: Answer) -> None:
+        self._stream = answer.stream
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._stream)
+
+    def close(self) -> None:
+        """Ends the stream."""
+        self._stream.close()
+
+
+def _timeout_ms(environ: Environ, match: Match) -> float | None:
+    given = environ.get(_DEADLINE_KEY)
+    if given is None:
+        return match.service.timeout_ms
+    if not given.isascii() or not given.isdecimal():
+        return None
+    timeout_ms = int(given) if len(given) < 10 else MAX_TIMEOUT_MS
+    return min(timeout_ms, MAX_TIMEOUT_MS) or None
+
+
+def _status_line(answer: Answer) -> str:
+    status = answer.status
+    if answer.outcome is Outcome.NOT_RUN:
+        status = _STATUS_BY_REASON.get(answer.reason, _NOT_RUN_STATUS)
+    elif answer.outcome is not Outcome.RAN:
+        status = _UNKNOWN_STATUS
+    return _STATUS_LINES.get(status) or f'{status} Status'
+
+
+def _headers(answer: Answer) -> list[tuple[str, str]]:
+    headers = [
+        pair
+        for pair in answer.headers
+        if pair[0].lower() not in _OUTCOME_FIELDS
+    ]
+    headers.append((OUTCOME_HEADER, answer.outcome.value))
+    if answer.reason:
+        headers.append((REASON_HEADER, answer.reason))
+    if answer.retry_after_ms:
+        headers.append((RETRY_AFTER_HEADER, str(answer.retry_after_ms)))
+    if answer.was_retried:
+        headers.append((RETRIED_HEADER, '1'))
+    if answer.stream is None and answer.status not in {204, 304}:
+        headers.append(('Content-Length', str(len(answer.body))))
+    return headers
--- /dev/null
+++ b/waxwingsaddle/guarding.py
@@ -0,0 +1,268 @@
+"""Runs calls at the upstreams of this node, under their guards."""
+
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+import eventlet
+from eventlet.event import Event
+
+from waxwingsaddle import metrics
+from waxwingsaddle.calls import Answer, BodyStream, Request, not_run
+from waxwingsaddle.config import Service
+from waxwingsaddle.guard import (
+    Admitted,
+    Duplicate,
+    Guard,
+    GuardPolicy,
+    Queued,
+    Refused,
+)
+from waxwingsaddle.http_leg import Exchange, LegPolicy, UpstreamLeg
+from waxwingsaddle.upstreams import Announcement, Upstreams
+from waxwingsaddle.util.outcome import Outcome
+from waxwingsaddle.util.recent import RecentSet
+from waxwingsaddle.work import Call
+
+_CANCELLED = 'cancelled'
+
+_sheds = metrics.counter(
+    'waxwing_guard_refused',
+    'Calls that the guards of this node refused.',
+    ('reason',),
+)
+_duplicates = metrics.counter(
+    'waxwing_guard_duplicates',
+    'Calls dropped because their identifier was seen before.',
+)
+
+
+@dataclass(slots=True)
+class _Guarded:
+    """One upstream with its guard and its connections."""
+
+    announcement: Announcement
+    guard: Guard
+    leg: UpstreamLeg
+
+
+@dataclass(slots=True)
+class _Job:
+    """One call at a guard."""
+
+    call: Call
+    guarded: _Guarded
+    exchange: Exchange
+    turn: Event
+
+
+class Guarding:
+    """Admits calls to the upstreams of this node and runs them.
+
+    Args:
+        upstreams: The announced upstreams.
+        configuration: Service with `current`, for the tunables of guards.
+        policy: Tunables of the HTTP legs.
+        call_ids_kept_s: How long call identifiers are remembered.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        upstreams: Upstreams,
+        configuration,
+        policy: LegPolicy,
+        call_ids_kept_s: float,
+        clock: Callable[[], float],
+    ) -> None:
+        self._upstreams = upstreams
+        self._configuration = configuration
+        self._policy = policy
+        self._clock = clock
+        self._guarded: dict[str, _Guarded] = {}
+        self._jobs: dict[str, _Job] = {}
+        self._seen = RecentSet(call_ids_kept_s, clock)
+        metrics.gauge(
+            'waxwing_guard_queued',
+            'Calls that wait for a slot at the upstreams of this node.',
+        ).set_function(self._queued)
+        metrics.gauge(
+            'waxwing_guard_in_flight',
+            'Calls that hold a slot at the upstreams of this node.',
+        ).set_function(self._in_flight)
+
+    @property
+    def pending(self) -> int:
+        """The number of calls that are queued or running."""
+        return len(self._jobs)
+
+    def refresh(self, **_fields: object) -> None:
+        """Adopts the announcements and the configuration in force."""
+        announced = {one.name: one for one in self._upstreams.announced()}
+        for gone in self._guarded.keys() - announced.keys():
+            self._guarded.pop(gone).leg.close()
+        for name, announcement in announced.items():
+            self._adopt(name, announcement)
+
+    def run(self, upstream: str, call: Call, request: Request) -> Answer | None:
+        """Runs a call; blocks its green thread.
+
+        Args:
+            upstream: Name of the upstream.
+            call: The call as the guard sees it.
+            request: What to send.
+
+        Returns:
+            How the call ended; its `stream` must be closed. None if a call
+            with this identifier came before.
+        """
+        if not self._seen.add(call.call_id):
+            _duplicates.inc()
+            return None
+        guarded = self._guarded.get(upstream)
+        if guarded is None:
+            return not_run('no-upstream')
+        job = _Job(call, guarded, Exchange(), Event())
+        self._jobs[call.call_id] = job
+        try:
+            answer = self._admit_and_send(job, request)
+        except BaseException:
+            self._finish(job, Outcome.CANCELLED, 0)
+            raise
+        if answer.stream is None:
+            self._jobs.pop(call.call_id, None)
+        answer.load = guarded.guard.load()
+        return answer
+
+    def cancel(self, call_id: str) -> None:
+        """Withdraws a queued call, or aborts it at the upstream."""
+        job = self._jobs.get(call_id)
+        if job is None:
+            return
+        if job.guarded.guard.cancel(call_id):
+            job.turn.send(Refused(job.call, _CANCELLED, 0))
+        else:
+            job.exchange.abort()
+
+    def _admit_and_send(self, job: _Job, request: Request) -> Answer:
+        decision = job.guarded.guard.offer(job.call)
+        if isinstance(decision, Queued):
+            self._answer_all(decision.displaced)
+            decision = self._wait_turn(job)
+        if isinstance(decision, Admitted):
+            return self._send(job, decision, request)
+        if isinstance(decision, Duplicate):
+            raise AssertionError(f'call {job.call.call_id} was offered twice')
+        _sheds.labels(decision.reason).inc()
+        return not_run(decision.reason, decision.retry_after_ms)
+
+    def _wait_turn(self, job: _Job) -> Admitted | Refused:
+        left_s = max(0, job.call.deadline_s - self._clock())
+        with eventlet.Timeout(left_s, False):
+            return job.turn.wait()
+        # The turn may have come in the same round of the event loop.
+        if job.guarded.guard.cancel(job.call.call_id):
+            return Refused(job.call, 'deadline', 0)
+        return job.turn.wait()
+
+    def _send(
+        self,
+        job: _Job,
+        admitted: Admitted,
+        request: Request,
+    ) -> Answer:
+        begun_s = self._clock()
+        answer = job.guarded.leg.send(
+            request,
+            admitted.lane,
+            job.call.deadline_s,
+            job.exchange,
+        )
+        if answer.stream is None:
+            outcome = answer.outcome
+            if job.exchange.is_aborted:
+                outcome = Outcome.CANCELLED
+            self._finish(job, outcome, self._clock() - begun_s)
+        else:
+            took_s = self._clock() - begun_s
+            answer.stream = _GuardedStream(
+                answer.stream,
+                self._clock,
+                lambda outcome, reading_s: self._finish(
+                    job, outcome, took_s + reading_s
+                ),
+            )
+        return answer
+
+    def _finish(self, job: _Job, outcome: Outcome, took_s: float) -> None:
+        call_id = job.call.call_id
+        self._jobs.pop(call_id, None)
+        guard = job.guarded.guard
+        for admitted in guard.finished(call_id, outcome, took_s):
+            self._jobs[admitted.call.call_id].turn.send(admitted)
+
+    def _answer_all(self, refusals: tuple[Refused, ...]) -> None:
+        for refused in refusals:
+            self._jobs[refused.call.call_id].turn.send(refused)
+
+    def _adopt(self, name: str, announcement: Announcement) -> None:
+        guarded = self._guarded.get(name)
+        policy = GuardPolicy.of(self._service(announcement.service))
+        if guarded is None or guarded.leg.address != announcement.address:
+            if guarded is not None:
+                guarded.leg.close()
+            guarded = _Guarded(
+                announcement,
+                Guard(announcement.slots, policy, self._clock, random.Random()),
+                UpstreamLeg(announcement.address, self._policy, self._clock),
+            )
+            self._guarded[name] = guarded
+        guarded.announcement = announcement
+        guarded.guard.configure(announcement.slots, policy)
+
+    def _service(self, name: str) -> Service:
+        current = self._configuration.current
+        known = {} if current is None else current.document.services
+        return known.get(name) or Service()
+
+    def _queued(self) -> int:
+        return sum(one.guard.load().queued for one in self._guarded.values())
+
+    def _in_flight(self) -> int:
+        return sum(one.guard.load().in_flight for one in self._guarded.values())
+
+
+class _GuardedStream:
+    """Body of a large answer that holds its slot until it ends."""
+
+    def __init__(
+        self,
+        stream: BodyStream,
+        clock: Callable[[], float],
+        on_end: Callable[[Outcome, float], None],
+    ) -> None:
+        self._stream = stream
+        self._clock = clock
+        self._on_end: Callable[[Outcome, float], None] | None = on_end
+        self._reading_s = 0.0
+        self._outcome = Outcome.CANCELLED
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yields the pieces; only time spent reading counts as run time."""
+        pieces = iter(self._stream)
+        while True:
+            begun_s = self._clock()
+            piece = next(pieces, b'')
+            self._reading_s += self._clock() - begun_s
+            if not piece:
+                self._outcome = Outcome.RAN
+                return
+            yield piece
+
+    def close(self) -> None:
+        """Ends the stream and returns the slot."""
+        if self._on_end is not None:
+            on_end = self._on_end
+            self._on_end = None
+            self._stream.close()
+            on_end(self._outcome, self._reading_s)
--- a/waxwingsaddle/hop.py
+++ b/waxwingsaddle/hop.py
@@ -231,6 +231,19 @@
             self._links[call_address, lane] = link
         return link
 
+    def send(
+        self,
+        link: Link,
+        message: msgspec.Struct,
+        frames: Frames = (),
+    ) -> bool:
+        """Sends a message that is answered by messages of other types.
+
+        Returns:
+            False if no byte left.
+        """
+        return link.send([_envelope(message), *frames])
+
     def answer(
         self,
         sender: bytes,
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -29,6 +29,27 @@
         log_level: Least level of log lines.
         log_form: `json` or `text`.
         events_kept: Events kept for the time line.
+        upstream_ttl_ms: Life of an announcement without a heartbeat.
+        upstream_connections: Most open connections to one upstream.
+        upstream_idle_limit_ms: Idle connections to an upstream that are older
+            are not used again.
+        connect_timeout_ms: Longest wait for a connection to an upstream or to
+            another node.
+        crossing_ms: Round trip to another availability zone.
+        request_body_limit_bytes: Largest request body.
+        inline_answer_bytes: Larger answers are streamed in chunks, and larger
+            request bodies use the connection for bulk data.
+        chunk_bytes: Largest piece of a streamed answer.
+        credit_window_bytes: Bytes of a streamed answer on their way at once.
+        stall_timeout_ms: Longest wait for the next piece of an answer.
+        answer_grace_ms: Wait beyond the deadline for the guard to say whether
+            the call ran.
+        caller_check_ms: Interval at which callers that went away are noticed.
+        call_ids_kept_s: How long call identifiers are remembered.
+        hop_heartbeat_ms: Interval of heartbeats between nodes; a peer that
+            misses three is lost.
+        hop_queue_messages: Most messages queued on one socket between nodes.
+        hop_message_bytes: Largest message between nodes.
     """
 
     host: HostName
@@ -41,3 +62,19 @@
     log_level: Literal['debug', 'info', 'warning', 'error']
     log_form: Literal['json', 'text']
     events_kept: Positive
+    upstream_ttl_ms: Positive
+    upstream_connections: Positive
+    upstream_idle_limit_ms: Positive
+    connect_timeout_ms: Positive
+    crossing_ms: Positive
+    request_body_limit_bytes: Positive
+    inline_answer_bytes: Positive
+    chunk_bytes: Positive
+    credit_window_bytes: Positive
+    stall_timeout_ms: Positive
+    answer_grace_ms: Positive
+    caller_check_ms: Positive
+    call_ids_kept_s: Positive
+    hop_heartbeat_ms: Positive
+    hop_queue_messages: Positive
+    hop_message_bytes: Positive
--- /dev/null
+++ b/waxwingsaddle/remote.py
@@ -0,0 +1,273 @@
+"""Calls to the upstreams of other nodes."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+import eventlet
+import msgspec
+from eventlet.event import Event
+from eventlet.queue import Empty, LightQueue
+
+from waxwingsaddle import metrics
+from waxwingsaddle.calls import (
+    Answer,
+    BrokenBodyError,
+    CallAnswer,
+    CallCancel,
+    CallChunk,
+    CallCredit,
+    CallRequest,
+    Request,
+    not_run,
+    unknown,
+)
+from waxwingsaddle.guard import Load
+from waxwingsaddle.hop import Hop, Received
+from waxwingsaddle.link import Link
+from waxwingsaddle.util.clock import MS_PER_S
+from waxwingsaddle.work import Call
+
+_SHORT_LANE = 'short'
+_BULK_LANE = 'bulk'
+
+_stray = metrics.counter(
+    'waxwing_hop_stray_answers',
+    'Answers dropped because nobody waited for them any more.',
+)
+
+_decode_answer = msgspec.msgpack.Decoder(CallAnswer).decode
+_decode_chunk = msgspec.msgpack.Decoder(CallChunk).decode
+
+
+@dataclass(frozen=True, slots=True)
+class RemotePolicy:
+    """Tunables of calls to other nodes.
+
+    Attributes:
+        bulk_bytes: Larger request bodies go on the connection for bulk data.
+        window_bytes: Bytes of a streamed answer on their way at once.
+        stall_timeout_s: Longest wait for the next piece of a streamed answer.
+        answer_grace_s: Wait beyond the deadline for the guard to say whether
+            the call ran.
+    """
+
+    bulk_bytes: int = 65_536
+    window_bytes: int = 262_144
+    stall_timeout_s: float = 10
+    answer_grace_s: float = 0.05
+
+
+@dataclass(slots=True)
+class _Pending:
+    link: Link
+    done: Event = field(default_factory=Event)
+
+
+class RemoteCalls:
+    """Sends calls to guarding nodes and matches their answers.
+
+    Args:
+        hop: Messages between nodes.
+        policy: Tunables.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        hop: Hop,
+        policy: RemotePolicy,
+        clock: Callable[[], float],
+    ) -> None:
+        self._hop = hop
+        self._policy = policy
+        self._clock = clock
+        self._pending: dict[str, _Pending] = {}
+        self._streams: dict[str, _RemoteStream] = {}
+        hop.on_answer(CallAnswer, self._on_answer)
+        hop.on_answer(CallChunk, self._on_chunk)
+        hop.on_link_lost(self._on_lost)
+
+    def run(
+        self,
+        address: str,
+        upstream: str,
+        call: Call,
+        request: Request,
+    ) -> Answer:
+        """Runs a call at another node; blocks its green thread.
+
+        Args:
+            address: Call address of the guarding node.
+            upstream: Name of the upstream there.
+            call: The call.
+            request: What to send.
+
+        Returns:
+            How the call ended; its `stream` must be closed.
+        """
+        is_bulk = len(request.body) > self._policy.bulk_bytes
+        lane = _BULK_LANE if is_bulk else _SHORT_LANE
+        link = self._hop.link(address, lane)
+        if not link.wait_connected(call.deadline_s - self._clock()):
+            return not_run('unreachable')
+        left_s = call.deadline_s - self._clock()
+        if left_s <= 0:
+            return not_run('deadline')
+        message = _message(upstream, call, request, left_s)
+        pending = _Pending(link)
+        self._pending[call.call_id] = pending
+        try:
+            if not self._hop.send(link, message, [request.body]):
+                return not_run('unreachable')
+            return self._wait(call, pending, left_s)
+        finally:
+            self._pending.pop(call.call_id, None)
+
+    def cancel(self, call_id: str) -> None:
+        """Tells the guarding node that nobody waits for a call."""
+        pending = self._pending.get(call_id)
+        if pending is not None and not pending.done.ready():
+            self._hop.send(pending.link, CallCancel(call_id))
+            pending.done.send(unknown('cancelled'))
+
+    def _wait(self, call: Call, pending: _Pending, left_s: float) -> Answer:
+        limit_s = left_s + self._policy.answer_grace_s
+        with eventlet.Timeout(limit_s, False):
+            return pending.done.wait()
+        self.cancel(call.call_id)
+        return unknown('deadline')
+
+    def _on_answer(self, received: Received) -> None:
+        message = _decode_answer(received.body)
+        pending = self._pending.get(message.call_id)
+        if pending is None or pending.done.ready():
+            _stray.inc()
+            return
+        answer = Answer(
+            outcome=message.outcome,
+            status=message.status,
+            headers=message.headers,
+            body=received.frames[0],
+            reason=message.reason,
+            retry_after_ms=message.retry_after_ms,
+            load=message.load and Load(*message.load),
+            was_retried=message.was_retried,
+        )
+        if message.is_streamed:
+            answer.stream = self._open_stream(message.call_id, pending.link)
+        pending.done.send(answer)
+
+    def _open_stream(self, call_id: str, link: Link) -> '_RemoteStream':
+        stream = _RemoteStream(
+            call_id,
+            self._hop,
+            link.address,
+            self._policy,
+            lambda: self._streams.pop(call_id, None),
+        )
+        self._streams[call_id] = stream
+        return stream
+
+    def _on_chunk(self, received: Received) -> None:
+        chunk = _decode_chunk(received.body)
+        stream = self._streams.get(chunk.call_id)
+        if stream is None:
+            _stray.inc()
+        else:
+            stream.take(chunk, received.frames[0])
+
+    def _on_lost(self, link: Link) -> None:
+        for pending in self._pending.values():
+            if pending.link is link and not pending.done.ready():
+                pending.done.send(unknown('connection-lost'))
+        for stream in list(self._streams.values()):
+            if stream.link is link:
+                stream.fail()
+
+
+class _RemoteStream:
+    """Body of a large answer from another node, with credit flow control."""
+
+    def __init__(
+        self,
+        call_id: str,
+        hop: Hop,
+        address: str,
+        policy: RemotePolicy,
+        on_end: Callable[[], None],
+    ) -> None:
+        self.link: Link | None = None
+        self._call_id = call_id
+        self._hop = hop
+        self._address = address
+        self._policy = policy
+        self._on_end = on_end
+        self._expected = 0
+        self._chunks: LightQueue = LightQueue()
+        self._is_over = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yields the pieces of the body."""
+        self.link = self._hop.link(self._address, _BULK_LANE)
+        if not self.link.wait_connected():
+            raise BrokenBodyError('the node can not be reached')
+        self._grant(self._policy.window_bytes)
+        while True:
+            chunk, piece = self._next()
+            if chunk is None or chunk.is_broken:
+                raise BrokenBodyError('the answer broke off')
+            if chunk.is_last:
+                self._is_over = True
+                return
+            yield piece
+            self._grant(len(piece))
+
+    def take(self, chunk: CallChunk, piece: bytes) -> None:
+        """Takes in a piece that arrived."""
+        if chunk.sequence == self._expected:
+            self._expected += 1
+            self._chunks.put((chunk, piece))
+        else:
+            self.fail()
+
+    def fail(self) -> None:
+        """Breaks the body off."""
+        self._chunks.put((None, b''))
+
+    def close(self) -> None:
+        """Ends the stream; the node is told when it was not read to its end."""
+        self._on_end()
+        if not self._is_over:
+            self._is_over = True
+            self._hop.notify(self._address, CallCancel(self._call_id))
+
+    def _next(self) -> tuple[CallChunk | None, bytes]:
+        try:
+            return self._chunks.get(timeout=self._policy.stall_timeout_s)
+        except Empty:
+            raise BrokenBodyError('no piece came in time') from None
+
+    def _grant(self, credit_bytes: int) -> None:
+        credit = CallCredit(self._call_id, credit_bytes)
+        if not self._hop.send(self.link, credit):
+            raise BrokenBodyError('the node can not be reached')
+
+
+def _message(
+    upstream: str,
+    call: Call,
+    request: Request,
+    left_s: float,
+) -> CallRequest:
+    return CallRequest(
+        call_id=call.call_id,
+        upstream=upstream,
+        route=call.route,
+        work=call.work,
+        priority=call.priority,
+        is_idempotent=call.is_idempotent,
+        left_ms=left_s * MS_PER_S,
+        method=request.method,
+        target=request.target,
+        headers=request.headers,
+    )
