--- /dev/null
+++ b/waxwingsaddle/site_encodings.py
@@ -0,0 +1,152 @@
+"""Encoded configuration of each site, shared by all nodes of the site."""
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import msgspec
+
+from waxwingsaddle import patch
+from waxwingsaddle.config import SiteDocument
+from waxwingsaddle.node_messages import (
+    SHORT_DIGEST,
+    ConfigDelta,
+    ConfigStep,
+    ConfigWhole,
+)
+from waxwingsaddle.util.codec import Tree, canonical, compress, digest, pack
+
+
+@dataclass(frozen=True, slots=True)
+class Encoded:
+    """Frames of one message.
+
+    Attributes:
+        kind: Name of the message, for counting.
+        frames: The frames, without routing id.
+    """
+
+    kind: str
+    frames: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Step:
+    base_version: int
+    base_digest: str
+    step: ConfigStep
+
+
+@dataclass(slots=True)
+class SiteEncodings:
+    """Deltas and the whole configuration of one site.
+
+    Attributes:
+        site: Name of the site.
+        steps_kept: Changes kept for nodes that are behind.
+        version: Newest version.
+        digest: Digest of the newest tree.
+        services: Services that the routes of the site reach.
+        tree: Newest tree.
+    """
+
+    site: str
+    steps_kept: int
+    version: int = 0
+    digest: str = ''
+    services: frozenset[str] = frozenset()
+    tree: Tree = field(default_factory=dict)
+    _steps: deque[_Step] = field(default_factory=deque)
+    _whole: Encoded | None = None
+    _deltas: dict[tuple[int, str], Encoded | None] = field(
+        default_factory=dict,
+    )
+
+    def accept(self, version: int, tree: Tree) -> None:
+        """Takes over a newer version of the site."""
+        if version <= self.version:
+            return
+        if self.version:
+            self._remember(version, tree)
+        self.version = version
+        self.digest = digest(tree)
+        self.tree = tree
+        document = msgspec.convert(tree, SiteDocument)
+        self.services = frozenset(
+            route.service for route in document.routes.values()
+        )
+        self._whole = None
+        self._deltas.clear()
+
+    def message_for(self, version: int, known_digest: str) -> Encoded:
+        """Returns the shortest message that brings a node up to date.
+
+        Args:
+            version: Version in force on the node; 0 when it has none.
+            known_digest: Digest of that version, first characters at least.
+        """
+        key = (version, known_digest[:SHORT_DIGEST])
+        if key not in self._deltas:
+            self._deltas[key] = self._delta(*key)
+        return self._deltas[key] or self.whole()
+
+    def whole(self) -> Encoded:
+        """Returns the compressed whole configuration."""
+        if self._whole is None:
+            header = ConfigWhole(self.site, self.version, self.digest)
+            self._whole = Encoded(
+                'ConfigWhole',
+                (pack(header), compress(canonical(self.tree))),
+            )
+        return self._whole
+
+    def _remember(self, version: int, tree: Tree) -> None:
+        operations = patch.difference(self.tree, tree)
+        step = ConfigStep(version, operations)
+        self._steps.append(
+            _Step(self.version, self.digest[:SHORT_DIGEST], step),
+        )
+        if len(self._steps) > self.steps_kept:
+            self._steps.popleft()
+
+    def _delta(self, version: int, known_digest: str) -> Encoded | None:
+        steps = [step for step in self._steps if step.base_version >= version]
+        if not steps or steps[0].base_version != version:
+            return None
+        if steps[0].base_digest != known_digest:
+            return None
+        delta = ConfigDelta(
+            base_version=version,
+            base_digest=known_digest,
+            digest=self.digest,
+            steps=tuple(step.step for step in steps),
+        )
+        packed = pack(delta)
+        if len(steps) > 1 and len(packed) > sum(map(len, self.whole().frames)):
+            return None
+        return Encoded('ConfigDelta', (packed,))
+
+
+class SiteCatalogue:
+    """Encodings of all sites of the accepted configuration."""
+
+    def __init__(self, steps_kept: int) -> None:
+        self._steps_kept = steps_kept
+        self._sites: dict[str, SiteEncodings] = {}
+        self.version = 0
+
+    def accept(self, version: int, sites: Mapping[str, Tree]) -> None:
+        """Takes over a newer accepted version."""
+        if version <= self.version:
+            return
+        self.version = version
+        for site, tree in sites.items():
+            if site not in self._sites:
+                self._sites[site] = SiteEncodings(site, self._steps_kept)
+            self._sites[site].accept(version, tree)
+        for removed in self._sites.keys() - sites.keys():
+            self._sites.pop(removed)
+
+    def find(self, site: str) -> SiteEncodings | None:
+        """Returns the encodings of a site; absent before the first edit."""
+        return self._sites.get(site)
--- a/waxwingsaddle/util/clock.py
+++ b/waxwingsaddle/util/clock.py
@@ -14,6 +14,11 @@
     return time.monotonic()
 
 
+def monotonic_ms() -> int:
+    """Returns monotonic milliseconds."""
+    return int(time.monotonic() * MS_PER_S)
+
+
 def wall_ms() -> int:
     """Returns milliseconds since the epoch."""
     return int(time.time() * MS_PER_S)
