Distribute configuration and directory to nodes over zmq

Cause: accepted versions and announced upstreams had no way to the nodes. Change: control side (leases, deltas and wholes encoded once a site, directory feed and exchange, fleet status), node side (version floor, failover, application as a whole, neighbours) and stand-ins for many nodes and for a control host.

--- /dev/null
+++ b/test/distribution_fakes.py
@@ -0,0 +1,210 @@
+"""Fakes of the services around distribution, and hosts made of them."""
+
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+import msgspec
+
+from test.processes import free_address
+from waxwingsaddle import distribution, settings, subscription
+from waxwingsaddle.addresses import ControlHost, NodeControl
+from waxwingsaddle.config import SourceSet, check_sources
+from waxwingsaddle.control_settings import ControlSettings
+from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.node_settings import NodeSettings
+
+
+class FakeReplication:
+    """Accepted versions of one control host, set by the test."""
+
+    def __init__(self):
+        self.state = SimpleNamespace(version=0, sites={})
+        self.age_ms = 0
+
+    def majority_age_ms(self):
+        return self.age_ms
+
+
+class FakePeers:
+    """Delivers messages between the control hosts of a test at once."""
+
+    def __init__(self, host, network):
+        self.host = host
+        self.network = network
+        self.handlers = {}
+        network[host] = self
+
+    def subscribe(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+    def send(self, host, message):
+        peer = self.network.get(host)
+        if peer is None or self.host not in self.network:
+            return False
+        handler = peer.handlers.get(type(message))
+        if handler:
+            raw = msgspec.msgpack.encode(message)
+            handler(self.host, msgspec.msgpack.decode(raw, type=type(message)))
+        return True
+
+    def broadcast(self, message):
+        for host in tuple(self.network):
+            if host != self.host:
+                self.send(host, message)
+
+
+@dataclass
+class FakeUpstreams:
+    """Announced upstreams of one node, set by the test."""
+
+    parts: tuple = ()
+
+    def announced(self):
+        return self.parts
+
+
+def announcement(name, service='orders', state='ready'):
+    return SimpleNamespace(
+        name=name,
+        service=service,
+        slots=6,
+        state=state,
+        started_ms_ago=1000,
+    )
+
+
+def sources(version, services=3, sites=('north',), timeout_ms=2000):
+    """Returns files with so many services and a route for each."""
+    lines = [f'version = {version}']
+    for number in range(services):
+        name = f's{number}'
+        lines += [
+            f'[services.{name}]',
+            f'timeout_ms = {timeout_ms if number == 0 else 2000}',
+            f'[routes.{name}]',
+            f'path_prefix = "/{name}"',
+            f'service = "{name}"',
+        ]
+    return SourceSet(
+        base='\n'.join(lines),
+        overlays=dict.fromkeys(sites, ''),
+    )
+
+
+def trees(version, **options):
+    return check_sources(sources(version, **options)).sites
+
+
+@dataclass
+class Control:
+    """One control host in the test process."""
+
+    host: ControlHost
+    hosts: tuple
+    network: dict
+    options: dict = field(default_factory=dict)
+
+    def __post_init__(self):
+        self.kernel = Kernel()
+        self.replication = FakeReplication()
+        self.kernel.provide('replication', self.replication)
+        self.kernel.provide('peers', FakePeers(self.host.host, self.network))
+        loaded = settings.check(
+            'test',
+            'control',
+            {
+                'host': self.host.host,
+                'data_folder': '/nonexistent',
+                'hosts': [msgspec.to_builtins(part) for part in self.hosts],
+                **self.options,
+            },
+            ControlSettings,
+        )
+        assert isinstance(loaded, ControlSettings), loaded
+        self.service = distribution.attach(self.kernel, loaded)
+        self.kernel.start()
+
+    def accept(self, version, **tree_options):
+        """Makes a version the accepted one of this control host."""
+        self.replication.state = SimpleNamespace(
+            version=version,
+            sites=trees(version, **tree_options),
+        )
+        self.kernel.publish('configuration-accepted', version=version)
+
+    def versions(self):
+        return {
+            part.host: part.version
+            for part in self.service.fleet_status().nodes
+        }
+
+
+def control_hosts(zones):
+    return tuple(
+        ControlHost(
+            host=f'control-{number}',
+            availability_zone=zone,
+            peer_address=free_address(),
+            node_address=free_address(),
+            http_address=free_address(),
+        )
+        for number, zone in enumerate(zones)
+    )
+
+
+@dataclass
+class Node:
+    """One node in the test process."""
+
+    name: str
+    hosts: tuple
+    zone: str = 'zone-a'
+    options: dict = field(default_factory=dict)
+    upstreams: FakeUpstreams = field(default_factory=FakeUpstreams)
+    hop: object = None
+
+    def __post_init__(self):
+        self.kernel = Kernel()
+        self.kernel.provide('upstreams', self.upstreams)
+        if self.hop:
+            self.kernel.provide('hop', self.hop)
+        self.loaded = settings.check(
+            'test',
+            'node',
+            {
+                'host': self.name,
+                'availability_zone': self.zone,
+                'site': 'north',
+                'http_address': '127.0.0.1:1',
+                'call_address': '127.0.0.1:2',
+                'controls': [
+                    msgspec.to_builtins(
+                        NodeControl(
+                            host=part.host,
+                            availability_zone=part.availability_zone,
+                            node_address=part.node_address,
+                        ),
+                    )
+                    for part in self.hosts
+                ],
+                **self.options,
+            },
+            NodeSettings,
+        )
+        assert isinstance(self.loaded, NodeSettings), self.loaded
+        self.service = subscription.attach(self.kernel, self.loaded)
+        self.seen = []
+        self.kernel.subscribe('configuration-in-force', self._on_in_force)
+        self.kernel.start()
+
+    def _on_in_force(self, version):
+        self.seen.append(version)
+
+    def announce(self, *parts):
+        self.upstreams.parts = parts
+        self.kernel.publish('upstreams-changed')
+
+    @property
+    def version(self):
+        current = self.service.current
+        return current.version if current else 0
--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -5,13 +5,14 @@
 import msgspec
 
 from waxwingsaddle.addresses import ControlHost, HostName
+from waxwingsaddle.distribution_settings import DistributionSettings
 from waxwingsaddle.peers import PeerLimits
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 
 
 class ControlSettings(
-    msgspec.Struct,
+    DistributionSettings,
     frozen=True,
     kw_only=True,
     forbid_unknown_fields=True,
--- a/waxwingsaddle/directory.py
+++ b/waxwingsaddle/directory.py
@@ -141,6 +141,23 @@
     return msgspec.structs.replace(record, is_gone=True, upstreams=())
 
 
+def upstream_entries(record: NodeRecord) -> tuple[UpstreamEntry, ...]:
+    """Returns the upstreams of an entry of a table."""
+    return tuple(
+        UpstreamEntry(
+            name=upstream.name,
+            service=upstream.service,
+            host=record.host,
+            availability_zone=record.availability_zone,
+            call_address=record.call_address,
+            slots=upstream.slots,
+            state=upstream.state,
+            started_at_ms=upstream.started_ms,
+        )
+        for upstream in record.upstreams
+    )
+
+
 class Directory:
     """Table of the newest entry of each host.
 
@@ -208,9 +225,7 @@
 
     def holders(self) -> tuple[str, ...]:
         """Returns the control hosts that hold live entries."""
-        return tuple(
-            holder for holder, hosts in self._groups.items() if hosts
-        )
+        return tuple(holder for holder, hosts in self._groups.items() if hosts)
 
 
 def _content(record: NodeRecord) -> bytes:
--- /dev/null
+++ b/waxwingsaddle/directory_exchange.py
@@ -0,0 +1,231 @@
+"""Exchange of directory changes between control hosts.
+
+Each control host is the only source of the entries whose leases it holds, so
+a change crosses to each other control host once. Digests of those entries
+find lost changes.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from waxwingsaddle import metrics
+from waxwingsaddle.directory import Directory, NodeRecord, gone, shifted
+from waxwingsaddle.directory_feed import DirectoryFeed
+
+REPAIRS = metrics.counter(
+    'directory_repairs',
+    'Digests of a control host that differed and led to a pull.',
+)
+
+
+class DirectoryChanges(msgspec.Struct, frozen=True, array_like=True):
+    """Changed entries whose leases the sender holds.
+
+    Attributes:
+        records: The entries, with ages.
+        is_whole: Whether these are all live entries of the sender, so that
+            its other entries have ended.
+    """
+
+    records: tuple[NodeRecord, ...]
+    is_whole: bool = False
+
+
+class DirectoryDigest(msgspec.Struct, frozen=True, array_like=True):
+    """Digest of the entries whose leases the sender holds.
+
+    Attributes:
+        digest: The digest.
+        is_settled: Whether nodes had time to come back after a start of the
+            sender; before that its entries are no ground to end others.
+    """
+
+    digest: int
+    is_settled: bool
+
+
+class DirectoryPull(msgspec.Struct, frozen=True, array_like=True):
+    """Asks for the entries of the receiver.
+
+    Attributes:
+        is_restarted: Whether the sender lost its own entries in a restart and
+            wants the receiver's copy of them, too.
+    """
+
+    is_restarted: bool = False
+
+
+@dataclass(slots=True)
+class DirectoryExchange:
+    """Keeps the directory of a control host in step with the others.
+
+    Attributes:
+        host: This control host.
+        hosts: All control hosts.
+        peers: Service that sends messages to control hosts.
+        feed: Numbers the changes for the nodes.
+        settings: Settings of the control host.
+        clock_ms: Monotonic milliseconds.
+        is_leased: Whether this host holds the lease of a node.
+        on_change: Takes the hosts whose entries another control host changed.
+    """
+
+    host: str
+    hosts: tuple[str, ...]
+    peers: Any
+    feed: DirectoryFeed
+    settings: Any
+    clock_ms: Callable[[], int]
+    is_leased: Callable[[str], bool]
+    on_change: Callable[[tuple[str, ...]], None]
+    _started_ms: int = 0
+    _is_recovered: bool = False
+    _pending: dict[str, None] = field(default_factory=dict)
+    _contacts_ms: dict[str, int] = field(default_factory=dict)
+    _ended_ms: dict[str, int] = field(default_factory=dict)
+    _differing: set[str] = field(default_factory=set)
+
+    def start(self) -> None:
+        """Listens to the other control hosts."""
+        self._started_ms = self.clock_ms()
+        self.peers.subscribe(DirectoryChanges, self._on_changes)
+        self.peers.subscribe(DirectoryDigest, self._on_digest)
+        self.peers.subscribe(DirectoryPull, self._on_pull)
+
+    @property
+    def directory(self) -> Directory:
+        """The table of entries."""
+        return self.feed.directory
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether nodes had time to come back since the start."""
+        running_ms = self.clock_ms() - self._started_ms
+        return running_ms >= self.settings.directory_settle_ms
+
+    def announce(self, record: NodeRecord) -> None:
+        """Takes over a changed entry of a node leased here."""
+        if not self.directory.merge(record):
+            return
+        self._pending[record.host] = None
+        self.feed.note((record.host,))
+
+    def flush(self) -> None:
+        """Sends the pending changes to all other control hosts."""
+        if not self._pending:
+            return
+        hosts = tuple(self._pending)
+        self._pending.clear()
+        records = filter(None, map(self.directory.find, hosts))
+        self.peers.broadcast(DirectoryChanges(self._aged(records)))
+
+    def tick(self, _late_ms: int = 0) -> None:
+        """Ends, hides and forgets entries, and sends the digest."""
+        self._end_unleased()
+        self._hide_orphans()
+        self._forget_tombstones()
+        self.feed.is_complete = self._is_complete()
+        self.flush()
+        digest = self.directory.digest(self.host)
+        self.peers.broadcast(DirectoryDigest(digest, self.is_settled))
+
+    def _on_changes(self, sender: str, message: DirectoryChanges) -> None:
+        now_ms = self.clock_ms()
+        received = tuple(shifted(part, now_ms) for part in message.records)
+        changed = self.directory.merge_all(received)
+        if message.is_whole:
+            changed += self._end_missing(sender, received)
+        self.feed.note(changed)
+        if changed:
+            self.on_change(changed)
+
+    def _on_digest(self, sender: str, message: DirectoryDigest) -> None:
+        self._contacts_ms[sender] = self.clock_ms()
+        if not self._is_recovered and not self.is_settled:
+            self._is_recovered = True
+            self.peers.send(sender, DirectoryPull(is_restarted=True))
+            return
+        if message.digest == self.directory.digest(sender):
+            self._differing.discard(sender)
+        elif sender in self._differing:
+            REPAIRS.inc()
+            self.peers.send(sender, DirectoryPull())
+        else:
+            # A node that moves makes digests differ while the changes of its
+            # old and its new control host are under way.
+            self._differing.add(sender)
+
+    def _on_pull(self, sender: str, message: DirectoryPull) -> None:
+        # Until this host has settled, nodes that it does not list may be on
+        # their way back, so its list ends no entry elsewhere.
+        own = DirectoryChanges(
+            self._aged(self.directory.group(self.host)),
+            is_whole=self.is_settled,
+        )
+        self.peers.send(sender, own)
+        if message.is_restarted:
+            copies = self._aged(self.directory.group(sender))
+            self.peers.send(sender, DirectoryChanges(copies))
+
+    def _end_missing(
+        self,
+        holder: str,
+        received: Iterable[NodeRecord],
+    ) -> tuple[str, ...]:
+        listed = {record.host for record in received}
+        return self.directory.merge_all(
+            gone(record)
+            for record in self.directory.group(holder)
+            if record.host not in listed
+        )
+
+    def _end_unleased(self) -> None:
+        if not self.is_settled:
+            return
+        for record in self.directory.group(self.host):
+            if not self.is_leased(record.host):
+                self.announce(gone(record))
+
+    def _hide_orphans(self) -> None:
+        hidden = frozenset(
+            holder
+            for holder in self.directory.holders()
+            if self._is_orphaned(holder)
+        )
+        changed = hidden ^ self.feed.hidden_holders
+        self.feed.hidden_holders = hidden
+        for holder in changed:
+            group = self.directory.group(holder)
+            self.feed.note(tuple(record.host for record in group))
+
+    def _is_orphaned(self, holder: str) -> bool:
+        if holder == self.host:
+            return False
+        contact_ms = self._contacts_ms.get(holder, self._started_ms)
+        return self.clock_ms() - contact_ms > self.settings.orphan_limit_ms
+
+    def _is_complete(self) -> bool:
+        others = set(self.hosts) - {self.host}
+        waited_ms = self.clock_ms() - self._started_ms
+        has_waited = waited_ms >= self.settings.orphan_limit_ms
+        return self.is_settled and (
+            has_waited or others <= self._contacts_ms.keys()
+        )
+
+    def _forget_tombstones(self) -> None:
+        now_ms = self.clock_ms()
+        hosts = {record.host for record in self.directory.tombstones()}
+        self._ended_ms = {
+            host: self._ended_ms.get(host, now_ms) for host in hosts
+        }
+        oldest_ms = now_ms - self.settings.tombstone_ms
+        for host, ended_ms in self._ended_ms.items():
+            if ended_ms < oldest_ms:
+                self.directory.forget(host)
+
+    def _aged(self, records: Iterable[NodeRecord]) -> tuple[NodeRecord, ...]:
+        now_ms = self.clock_ms()
+        return tuple(shifted(record, now_ms) for record in records)
--- /dev/null
+++ b/waxwingsaddle/fleet.py
@@ -0,0 +1,252 @@
+"""Stand-in for many nodes: their subscriptions only, in one process."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import Annotated, Literal
+
+import msgspec
+from eventlet.green import zmq
+
+from waxwingsaddle.addresses import Address, HostName, NodeControl
+from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.node_settings import NodeSettings
+from waxwingsaddle.subscription import Subscription
+from waxwingsaddle.subscription_settings import SubscriptionSettings
+from waxwingsaddle.util.clock import monotonic_ms, monotonic_s
+from waxwingsaddle.util.codec import unpack_json
+from waxwingsaddle.web import (
+    Environ,
+    Probes,
+    Server,
+    StartResponse,
+    reply_json,
+)
+
+# Each link has one socket and questions open a few more for a moment.
+SOCKETS_PER_NODE = 5
+SLOTS = 6
+
+Positive = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class FleetSettings(
+    SubscriptionSettings,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """Settings of the stand-in fleet.
+
+    Attributes:
+        host: Prefix of the host names of the nodes.
+        availability_zones: Zones that the nodes are spread over.
+        site: Site of all nodes.
+        nodes: Number of nodes.
+        services: Services; each node has one upstream of `s0`, `s1`, ...
+        http_address: Where it reports.
+        controls: Control hosts.
+        log_level: Least level of log lines.
+        log_form: `json` or `text`.
+    """
+
+    host: HostName
+    availability_zones: Annotated[
+        tuple[HostName, ...],
+        msgspec.Meta(min_length=1),
+    ]
+    site: str
+    nodes: Positive
+    services: Positive
+    http_address: Address
+    controls: tuple[NodeControl, ...]
+    log_level: Literal['debug', 'info', 'warning', 'error']
+    log_form: Literal['json', 'text']
+
+
+class StandInUpstream(msgspec.Struct, frozen=True):
+    """One announced upstream of a stand-in node.
+
+    Attributes:
+        name: Name of the upstream.
+        service: Service it serves.
+        slots: Calls it runs at once.
+        state: `ready` or `draining`.
+        started_at_ms: Local monotonic time of its start.
+    """
+
+    name: str
+    service: str
+    slots: int
+    state: str
+    started_at_ms: int
+
+    @property
+    def started_ms_ago(self) -> int:
+        """Milliseconds since its start."""
+        return monotonic_ms() - self.started_at_ms
+
+
+class StandInUpstreams:
+    """Service `upstreams` of a stand-in node, with one upstream.
+
+    Args:
+        service: Service of the upstream.
+    """
+
+    def __init__(self, service: str) -> None:
+        self._upstream = StandInUpstream(
+            'upstream',
+            service,
+            SLOTS,
+            'ready',
+            monotonic_ms(),
+        )
+
+    def announced(self) -> tuple[StandInUpstream, ...]:
+        """Returns the upstream."""
+        return (self._upstream,)
+
+    def set_state(self, state: str) -> None:
+        """Changes the state of the upstream."""
+        self._upstream = msgspec.structs.replace(self._upstream, state=state)
+
+
+class StandInNode:
+    """Subscription of one node with what it needs.
+
+    Args:
+        settings: Settings of the node.
+        service: Service of its upstream.
+        in_force: Takes up the times of versions.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        service: str,
+        in_force: dict[int, list[float]],
+    ) -> None:
+        self._in_force = in_force
+        self.kernel = Kernel()
+        self.upstreams = StandInUpstreams(service)
+        self.kernel.provide('upstreams', self.upstreams)
+        self.subscription = Subscription(self.kernel, settings)
+        self.kernel.provide('configuration', self.subscription)
+        self.kernel.subscribe('configuration-in-force', self._on_in_force)
+
+    def _on_in_force(self, version: int) -> None:
+        self._in_force[version].append(monotonic_s())
+
+
+class Fleet:
+    """Stand-in nodes and their report over HTTP.
+
+    Args:
+        settings: Settings of the fleet.
+    """
+
+    def __init__(self, settings: FleetSettings) -> None:
+        self._settings = settings
+        self._in_force: dict[int, list[float]] = defaultdict(list)
+        context = zmq.Context.instance()
+        context.max_sockets = SOCKETS_PER_NODE * settings.nodes
+        self._nodes = [
+            StandInNode(
+                self._node_settings(number),
+                f's{number % settings.services}',
+                self._in_force,
+            )
+            for number in range(settings.nodes)
+        ]
+        self._server = Server(
+            settings.http_address,
+            Probes(self._answer, self._is_ready),
+        )
+
+    def start(self) -> None:
+        """Starts all nodes at once."""
+        self._server.start()
+        for node in self._nodes:
+            node.kernel.start()
+
+    def stop(self) -> None:
+        """Stops the nodes without leaving, as a herd that is killed."""
+        self._server.stop()
+
+    def _is_ready(self) -> bool:
+        return all(node.subscription.is_ready for node in self._nodes)
+
+    def _node_settings(self, number: int) -> NodeSettings:
+        fleet = self._settings
+        zones = fleet.availability_zones
+        shared = {
+            field: getattr(fleet, field)
+            for field in SubscriptionSettings.__struct_fields__
+        }
+        return NodeSettings(
+            host=f'{fleet.host}-{number}',
+            availability_zone=zones[number % len(zones)],
+            site=fleet.site,
+            http_address=fleet.http_address,
+            call_address=fleet.http_address,
+            controls=fleet.controls,
+            log_level=fleet.log_level,
+            log_form=fleet.log_form,
+            events_kept=1,
+            **shared,
+        )
+
+    def _answer(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        report = {
+            '/v1/in-force': self._times,
+            '/v1/versions': self._versions,
+            '/v1/upstreams': self._upstreams,
+            '/v1/state': self._set_state,
+        }.get(environ['PATH_INFO'])
+        if report is None:
+            return reply_json(start_response, '404 Not Found', {})
+        body = environ['wsgi.input'].read()
+        asked = unpack_json(body) if body else {}
+        return reply_json(start_response, '200 OK', report(asked))
+
+    def _times(self, asked: dict[str, int]) -> list[float]:
+        """Returns when each node had a version in force."""
+        return self._in_force.get(asked['version'], [])
+
+    def _versions(self, _asked: object) -> list[int]:
+        """Returns the version in force on each node."""
+        return [
+            node.subscription.current.version
+            if node.subscription.current
+            else 0
+            for node in self._nodes
+        ]
+
+    def _upstreams(self, asked: dict[str, str]) -> list[list[str]]:
+        """Returns the states of the upstreams of a service on each node."""
+        return [
+            [
+                entry.state
+                for entry in node.subscription.directory.upstreams_of(
+                    asked['service'],
+                )
+            ]
+            for node in self._nodes
+        ]
+
+    def _set_state(self, asked: dict[str, str]) -> None:
+        """Changes the state of the upstream of one node."""
+        node = self._nodes[int(asked['node'])]
+        node.upstreams.set_state(asked['state'])
+        node.kernel.publish('upstreams-changed')
+
+
+def build(settings: FleetSettings) -> Kernel:
+    """Returns the kernel of the stand-in fleet."""
+    kernel = Kernel()
+    kernel.provide('fleet', Fleet(settings))
+    return kernel
--- a/waxwingsaddle/leases.py
+++ b/waxwingsaddle/leases.py
@@ -23,6 +23,7 @@
         renewed_at_s: Local monotonic time of the last renewal.
         sent_version: Version last sent to it.
         sent_revision: Directory revision last sent to it.
+        is_complete: Whether the directory it got was complete.
         due_version: Version sent before the last renewal, so that a node that
             still lacks it has lost the message.
         due_revision: Directory revision sent before the last renewal.
@@ -39,6 +40,7 @@
     renewed_at_s: float
     sent_version: int = 0
     sent_revision: int = -1
+    is_complete: bool = False
     due_version: int = 0
     due_revision: int = -1
 
@@ -99,9 +101,7 @@
     def expire(self) -> tuple[Lease, ...]:
         """Removes and returns the leases that were not renewed in time."""
         oldest_s = self.clock() - self.ttl_s
-        ended = tuple(
-            lease for lease in self if lease.renewed_at_s < oldest_s
-        )
+        ended = tuple(lease for lease in self if lease.renewed_at_s < oldest_s)
         for lease in ended:
             self.end(lease.host)
         return ended
--- a/waxwingsaddle/node_messages.py
+++ b/waxwingsaddle/node_messages.py
@@ -12,7 +12,7 @@
 MAX_WHOLE_BYTES = 16_777_216
 
 
-class Hello(msgspec.Struct, frozen=True, array_like=True, tag=1):
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag='hello'):
     """A node asks for a lease.
 
     Attributes:
@@ -38,7 +38,7 @@
     upstreams: tuple[UpstreamRecord, ...] = ()
 
 
-class Renew(msgspec.Struct, frozen=True, array_like=True, tag=2):
+class Renew(msgspec.Struct, frozen=True, array_like=True, tag='renew'):
     """A node renews its lease.
 
     Attributes:
@@ -60,7 +60,7 @@
     upstreams: tuple[UpstreamRecord, ...] | None = None
 
 
-class InForce(msgspec.Struct, frozen=True, array_like=True, tag=3):
+class InForce(msgspec.Struct, frozen=True, array_like=True, tag='in-force'):
     """A node acknowledges a version.
 
     Attributes:
@@ -70,7 +70,7 @@
     version: int
 
 
-class Leave(msgspec.Struct, frozen=True, array_like=True, tag=4):
+class Leave(msgspec.Struct, frozen=True, array_like=True, tag='leave'):
     """A node stops and gives up its lease.
 
     Attributes:
@@ -80,7 +80,9 @@
     incarnation: int
 
 
-class FloorQuery(msgspec.Struct, frozen=True, array_like=True, tag=5):
+class FloorQuery(
+    msgspec.Struct, frozen=True, array_like=True, tag='floor-query'
+):
     """A node asks a control host or a neighbour for its version.
 
     Attributes:
@@ -90,7 +92,7 @@
     site: str
 
 
-class Welcome(msgspec.Struct, frozen=True, array_like=True, tag=6):
+class Welcome(msgspec.Struct, frozen=True, array_like=True, tag='welcome'):
     """A control host grants a new lease.
 
     Attributes:
@@ -108,7 +110,7 @@
     known_incarnation: int
 
 
-class LeaseGranted(msgspec.Struct, frozen=True, array_like=True, tag=7):
+class LeaseGranted(msgspec.Struct, frozen=True, array_like=True, tag='granted'):
     """A control host renews a lease, or tells of its own isolation.
 
     Attributes:
@@ -136,7 +138,7 @@
     operations: tuple[Operation, ...] = ()
 
 
-class ConfigDelta(msgspec.Struct, frozen=True, array_like=True, tag=8):
+class ConfigDelta(msgspec.Struct, frozen=True, array_like=True, tag='delta'):
     """Changes of the configuration of a site.
 
     Attributes:
@@ -152,7 +154,7 @@
     steps: tuple[ConfigStep, ...]
 
 
-class ConfigWhole(msgspec.Struct, frozen=True, array_like=True, tag=9):
+class ConfigWhole(msgspec.Struct, frozen=True, array_like=True, tag='whole'):
     """The configuration of a site; the second frame has the compressed tree.
 
     Attributes:
@@ -166,7 +168,9 @@
     digest: str
 
 
-class DirectoryUpdate(msgspec.Struct, frozen=True, array_like=True, tag=10):
+class DirectoryUpdate(
+    msgspec.Struct, frozen=True, array_like=True, tag='directory'
+):
     """Directory entries; the second frame has them, compressed or not.
 
     Attributes:
@@ -182,7 +186,7 @@
     is_compressed: bool
 
 
-class Busy(msgspec.Struct, frozen=True, array_like=True, tag=11):
+class Busy(msgspec.Struct, frozen=True, array_like=True, tag='busy'):
     """A control host admits no new lease now.
 
     Attributes:
@@ -192,7 +196,7 @@
     retry_after_ms: int
 
 
-class FloorReply(msgspec.Struct, frozen=True, array_like=True, tag=12):
+class FloorReply(msgspec.Struct, frozen=True, array_like=True, tag='floor'):
     """Version known to a control host or a neighbour.
 
     Attributes:
@@ -205,7 +209,9 @@
     majority_age_ms: int = -1
 
 
-class WholeQuery(msgspec.Struct, frozen=True, array_like=True, tag=13):
+class WholeQuery(
+    msgspec.Struct, frozen=True, array_like=True, tag='whole-query'
+):
     """A node asks a neighbour for the whole configuration.
 
     Attributes:
@@ -215,7 +221,9 @@
     site: str
 
 
-class WholeReply(msgspec.Struct, frozen=True, array_like=True, tag=14):
+class WholeReply(
+    msgspec.Struct, frozen=True, array_like=True, tag='whole-reply'
+):
     """The whole configuration of a neighbour.
 
     Attributes:
--- /dev/null
+++ b/waxwingsaddle/node_server.py
@@ -0,0 +1,130 @@
+"""Socket of a control host for its nodes."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+from eventlet import greenthread
+from eventlet.green import zmq
+
+from waxwingsaddle import logs, metrics
+from waxwingsaddle.node_messages import FromNode, decode_from_node
+from waxwingsaddle.peers import CONTROL_BYTES, framed_bytes
+from waxwingsaddle.site_encodings import Encoded
+from waxwingsaddle.util.codec import pack
+
+# Messages handled before other green threads run.
+MESSAGES_PER_TURN = 64
+
+BAD_MESSAGES = metrics.counter(
+    'node_messages_bad',
+    'Messages from nodes that could not be decoded or handled.',
+)
+
+Receiver = Callable[[bytes, FromNode, int], None]
+
+
+def encoded(message: msgspec.Struct) -> Encoded:
+    """Returns the frames of a message without a second frame."""
+    return Encoded(type(message).__name__, (pack(message),))
+
+
+def count(direction: str, zone: str, kind: str, size_bytes: int) -> None:
+    """Counts the bytes of a message between this host and a zone's nodes."""
+    CONTROL_BYTES.labels(direction, f'nodes of {zone}', kind).inc(size_bytes)
+
+
+class NodeServer:
+    """Receives messages of nodes and sends to them without waiting.
+
+    Args:
+        address: IP number and port to bind.
+        queue_messages: Messages queued for one node; more are dropped.
+        message_bytes: Largest message taken from a node.
+        receiver: Takes routing id, message and size in bytes.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        queue_messages: int,
+        message_bytes: int,
+        receiver: Receiver,
+    ) -> None:
+        self._address = address
+        self._queue_messages = queue_messages
+        self._message_bytes = message_bytes
+        self._receiver = receiver
+        self._socket: Any = None
+        self._thread: greenthread.GreenThread | None = None
+
+    def start(self) -> None:
+        """Binds and receives in a green thread."""
+        context = zmq.Context.instance()
+        self._socket = context.socket(zmq.ROUTER)
+        for option, number in (
+            (zmq.LINGER, 0),
+            (zmq.IMMEDIATE, 1),
+            (zmq.SNDHWM, self._queue_messages),
+            (zmq.RCVHWM, self._queue_messages),
+            (zmq.MAXMSGSIZE, self._message_bytes),
+            # A node that connects again keeps its routing id.
+            (zmq.ROUTER_HANDOVER, 1),
+            (zmq.BACKLOG, self._queue_messages),
+        ):
+            self._socket.setsockopt(option, number)
+        self._socket.bind(f'tcp://{self._address}')
+        self._thread = greenthread.spawn(self._receive_all)
+
+    def stop(self) -> None:
+        """Closes the socket."""
+        if self._thread is None:
+            return
+        self._thread.kill()
+        self._thread = None
+        self._socket.close()
+
+    def send(self, identity: bytes, zone: str, message: Encoded) -> None:
+        """Queues a message for a node; a full queue drops it."""
+        self.send_all(((identity, zone),), message)
+
+    def send_all(
+        self,
+        targets: Iterable[tuple[bytes, str]],
+        message: Encoded,
+    ) -> None:
+        """Queues one message for several nodes.
+
+        Args:
+            targets: Routing id and availability zone of each node.
+            message: The message, encoded once.
+        """
+        size_bytes = sum(map(framed_bytes, message.frames))
+        for identity, zone in targets:
+            self._socket.send_multipart(
+                (identity, *message.frames),
+                zmq.NOBLOCK,
+            )
+            count('sent', zone, message.kind, size_bytes)
+
+    def _receive_all(self) -> None:
+        handled = 0
+        while True:
+            frames = self._socket.recv_multipart()
+            self._handle(frames)
+            handled += 1
+            if handled % MESSAGES_PER_TURN == 0:
+                greenthread.sleep(0)
+
+    def _handle(self, frames: list[bytes]) -> None:
+        try:
+            message = decode_from_node(frames[1])
+        except (msgspec.DecodeError, IndexError):
+            BAD_MESSAGES.inc()
+            return
+        try:
+            self._receiver(frames[0], message, framed_bytes(frames[1]))
+        except Exception:
+            # One message at fault must not end the service of all nodes.
+            BAD_MESSAGES.inc()
+            logs.logger().exception('message of a node failed')
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -5,12 +5,13 @@
 import msgspec
 
 from waxwingsaddle.addresses import Address, HostName, NodeControl
+from waxwingsaddle.subscription_settings import SubscriptionSettings
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 
 
 class NodeSettings(
-    msgspec.Struct,
+    SubscriptionSettings,
     frozen=True,
     kw_only=True,
     forbid_unknown_fields=True,
--- a/waxwingsaddle/site_encodings.py
+++ b/waxwingsaddle/site_encodings.py
@@ -90,6 +90,19 @@
             self._deltas[key] = self._delta(*key)
         return self._deltas[key] or self.whole()
 
+    def digest_of(self, version: int) -> str:
+        """Returns the first characters of the digest of a recent version."""
+        if version == self.version:
+            return self.digest[:SHORT_DIGEST]
+        return next(
+            (
+                step.base_digest
+                for step in reversed(self._steps)
+                if step.base_version == version
+            ),
+            '',
+        )
+
     def whole(self) -> Encoded:
         """Returns the compressed whole configuration."""
         if self._whole is None:
@@ -147,6 +160,10 @@
         for removed in self._sites.keys() - sites.keys():
             self._sites.pop(removed)
 
+    def services(self) -> dict[str, frozenset[str]]:
+        """Returns the services that each site reaches."""
+        return {name: site.services for name, site in self._sites.items()}
+
     def find(self, site: str) -> SiteEncodings | None:
         """Returns the encodings of a site; absent before the first edit."""
         return self._sites.get(site)
--- /dev/null
+++ b/waxwingsaddle/standin_control.py
@@ -0,0 +1,140 @@
+"""Stand-in for a control host: distribution with versions set over HTTP."""
+
+import resource
+from collections.abc import Iterable
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import msgspec
+
+from waxwingsaddle import distribution, metrics
+from waxwingsaddle.config import Refused, SourceSet, check_sources
+from waxwingsaddle.control_settings import ControlSettings
+from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.peers import Peers
+from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
+from waxwingsaddle.util.codec import unpack_json
+from waxwingsaddle.web import (
+    Environ,
+    Probes,
+    Server,
+    StartResponse,
+    reply_json,
+)
+
+PAGE_BYTES = resource.getpagesize()
+
+
+class StandInReplication:
+    """Service `replication` without consensus: versions come from outside."""
+
+    def __init__(self) -> None:
+        self.state: Any = SimpleNamespace(version=0, sites={})
+        self.isolated_at_s: float | None = None
+
+    def majority_age_ms(self) -> float:
+        """Returns the time since the isolation, or 0."""
+        if self.isolated_at_s is None:
+            return 0
+        return (monotonic_s() - self.isolated_at_s) * MS_PER_S
+
+
+class StandInApi:
+    """HTTP calls that set versions and isolation, and report the usage.
+
+    Args:
+        kernel: Kernel of the control host.
+        settings: Settings of the control host.
+        replication: The stand-in that is controlled.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        settings: ControlSettings,
+        replication: StandInReplication,
+    ) -> None:
+        self._kernel = kernel
+        self._replication = replication
+        self._server = Server(
+            settings.this_host.http_address,
+            Probes(self._answer, lambda: True),
+        )
+
+    def start(self) -> None:
+        """Starts the server."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stops the server."""
+        self._server.stop()
+
+    def _answer(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        work = {
+            '/v1/accept': self._accept,
+            '/v1/isolate': self._isolate,
+            '/v1/usage': self._usage,
+            '/v1/status': self._status,
+        }.get(environ['PATH_INFO'])
+        if work is None:
+            return reply_json(start_response, '404 Not Found', {})
+        body = environ['wsgi.input'].read()
+        asked = unpack_json(body) if body else {}
+        return reply_json(start_response, '200 OK', work(asked))
+
+    def _accept(self, asked: dict[str, Any]) -> float:
+        """Accepts an edit and returns the monotonic time before its push."""
+        checked = check_sources(msgspec.convert(asked, SourceSet))
+        if isinstance(checked, Refused):
+            raise ValueError(checked.problems)
+        started_s = monotonic_s()
+        self._replication.state = checked
+        self._kernel.publish('configuration-accepted', version=checked.version)
+        return started_s
+
+    def _isolate(self, asked: dict[str, bool]) -> None:
+        """Begins or ends the isolation from the majority."""
+        is_isolated = asked['is_isolated']
+        self._replication.isolated_at_s = monotonic_s() if is_isolated else None
+
+    def _usage(self, _asked: object) -> dict[str, Any]:
+        """Returns processor time, memory and bytes by kind."""
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        pages = int(Path('/proc/self/statm').read_text().split()[1])
+        samples = next(
+            family.samples
+            for family in metrics.REGISTRY.collect()
+            if family.name == 'control_bytes'
+        )
+        return {
+            'cpu_s': used.ru_utime + used.ru_stime,
+            'rss_bytes': pages * PAGE_BYTES,
+            'bytes': [
+                [*sample.labels.values(), sample.value]
+                for sample in samples
+                if sample.name == 'control_bytes_total'
+            ],
+        }
+
+    def _status(self, _asked: object) -> Any:
+        """Returns the status of the fleet."""
+        return self._kernel.find('distribution').fleet_status()
+
+
+def build(settings: ControlSettings) -> Kernel:
+    """Returns the kernel of a stand-in control host."""
+    kernel = Kernel()
+    replication = StandInReplication()
+    kernel.provide(
+        'peers',
+        Peers(settings.this_host, settings.hosts, settings.peer_limits),
+    )
+    kernel.provide('replication', replication)
+    distribution.attach(kernel, settings)
+    kernel.provide('api', StandInApi(kernel, settings, replication))
+    return kernel
--- /dev/null
+++ b/waxwingsaddle/ui/fleet.py
@@ -0,0 +1,15 @@
+"""Command `fleet`: a stand-in for many nodes."""
+
+import sys
+
+from waxwingsaddle import green, program  # noqa: F401
+from waxwingsaddle.fleet import FleetSettings, build
+
+
+def main() -> int:
+    """Runs the stand-in nodes until a stop signal."""
+    return program.run('fleet', FleetSettings, build)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
