--- a/waxwingsaddle/distribution_settings.py
+++ b/waxwingsaddle/distribution_settings.py
@@ -5,6 +5,7 @@
 import msgspec
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
+NotNegative = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class DistributionSettings(
@@ -23,7 +24,8 @@
         hello_burst: New leases admitted at once.
         majority_age_limit_ms: Age of the majority contact above which this
             host tells its nodes.
-        config_steps_kept: Changes kept as deltas for nodes that are behind.
+        config_steps_kept: Changes kept as deltas for nodes that are behind; 0
+            sends whole configurations only.
         directory_batch_ms: Shortest interval between pushes of the directory.
         directory_log_kept: Directory changes kept for nodes that missed some.
         directory_digest_ms: Interval of digests between control hosts.
@@ -41,7 +43,7 @@
     hello_rate_per_s: Positive
     hello_burst: Positive
     majority_age_limit_ms: Positive
-    config_steps_kept: Positive
+    config_steps_kept: NotNegative
     directory_batch_ms: Positive
     directory_log_kept: Positive
     directory_digest_ms: Positive
