--- a/test/fixed_node.py
+++ b/test/fixed_node.py
@@ -53,7 +53,7 @@
         return ()
 
 
-def subscribe(settings, kernel):
+def subscribe(kernel, settings):
     """Provides `configuration` and `directory` from the file."""
     path = Path(sys.argv[sys.argv.index('--settings') + 1])
     fixed = json.loads(path.with_name('fixed.json').read_text('utf-8'))
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -25,7 +25,7 @@
     StartResponse,
 )
 
-Subscribe = Callable[[NodeSettings, Kernel], None]
+Subscribe = Callable[[Kernel, NodeSettings], object]
 
 
 def build(settings: NodeSettings, subscribe: Subscribe) -> Kernel:
@@ -48,7 +48,7 @@
         'upstreams',
         Upstreams(kernel, settings.upstream_ttl_ms, monotonic_s),
     )
-    subscribe(settings, kernel)
+    subscribe(kernel, settings)
     guarding = _provide_guarding(kernel, settings)
     dispatch = _provide_dispatch(kernel, settings, guarding)
     presence = Presence(settings.caller_check_ms)
--- a/waxwingsaddle/upstreams.py
+++ b/waxwingsaddle/upstreams.py
@@ -10,7 +10,7 @@
 from waxwingsaddle.addresses import Address
 from waxwingsaddle.config import Name
 from waxwingsaddle.kernel import Kernel
-from waxwingsaddle.util.clock import MS_PER_S
+from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
 from waxwingsaddle.web import Environ, StartResponse, reply_json
 
 PATH = '/v1/upstreams/'
@@ -60,6 +60,11 @@
     state: str
     started_s: float
 
+    @property
+    def started_ms_ago(self) -> int:
+        """Milliseconds since it was announced first."""
+        return int((monotonic_s() - self.started_s) * MS_PER_S)
+
 
 class Upstreams:
     """Takes announcements and forgets upstreams that fall silent.
