--- a/waxwingsaddle/green.py
+++ b/waxwingsaddle/green.py
@@ -11,10 +11,7 @@
     about 6 MB, is switched off.
     """
     os.environ.setdefault('EVENTLET_NO_GREENDNS', 'yes')
-    import eventlet
-
-    # The notice of eventlet would repeat at every start of every program. The
-    # filter stands after the import, which sets one of its own.
-    warnings.filterwarnings('ignore', message=r'\s*Eventlet is deprecated')
-
+    # eventlet prints a notice at its import, whatever the filters say.
+    with warnings.catch_warnings(record=True):
+        import eventlet
     eventlet.monkey_patch()
