--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -6,12 +6,14 @@
 
 from waxwingsaddle.access import AccessToken, repeated_name
 from waxwingsaddle.addresses import ControlHost, HostName
+from waxwingsaddle.distribution_settings import DistributionSettings
+from waxwingsaddle.peers import PeerLimits
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 
 
 class ControlSettings(
-    msgspec.Struct,
+    DistributionSettings,
     frozen=True,
     kw_only=True,
     forbid_unknown_fields=True,
@@ -26,10 +28,16 @@
         log_form: `json` or `text`.
         events_kept: Events kept for the time line.
         tokens: Bearer tokens of the administration API; none for free access.
-        api_body_limit_bytes: Largest body of a request, in bytes.
-        api_restore_limit_bytes: Largest backup to restore, in bytes.
-        api_catch_up_ms: Longest wait of an edit for the version before it, in
-            milliseconds.
+        api_body_limit_bytes: Largest body of a request to the administration
+            API.
+        api_restore_limit_bytes: Largest backup to restore.
+        api_catch_up_ms: Longest wait of an edit for the version before it.
+        peer_queue_messages: Messages queued for or from one control host.
+        peer_message_bytes: Largest message taken from a control host.
+        peer_reconnect_ms: First delay before connecting again.
+        peer_reconnect_limit_ms: Largest such delay.
+        peer_keepalive_ms: Interval of probes on idle connections.
+        peer_keepalive_timeout_ms: Silence that closes a connection.
     """
 
     host: HostName
@@ -45,9 +53,15 @@
     api_body_limit_bytes: Positive
     api_restore_limit_bytes: Positive
     api_catch_up_ms: Positive
+    peer_queue_messages: Positive
+    peer_message_bytes: Positive
+    peer_reconnect_ms: Positive
+    peer_reconnect_limit_ms: Positive
+    peer_keepalive_ms: Positive
+    peer_keepalive_timeout_ms: Positive
 
     def __post_init__(self) -> None:
-        """Checks what concerns several keys.
+        """Checks what concerns several tokens.
 
         Raises:
             ValueError: Two tokens have one name.
@@ -56,6 +70,18 @@
         if repeated:
             raise ValueError(f'two `tokens` have the name {repeated!r}')
 
+    @property
+    def peer_limits(self) -> PeerLimits:
+        """Limits of the sockets between control hosts."""
+        return PeerLimits(
+            queue_messages=self.peer_queue_messages,
+            message_bytes=self.peer_message_bytes,
+            reconnect_ms=self.peer_reconnect_ms,
+            reconnect_limit_ms=self.peer_reconnect_limit_ms,
+            keepalive_ms=self.peer_keepalive_ms,
+            keepalive_timeout_ms=self.peer_keepalive_timeout_ms,
+        )
+
     @property
     def this_host(self) -> ControlHost:
         """The entry of this host.
--- a/waxwingsaddle/settings_page.py
+++ b/waxwingsaddle/settings_page.py
@@ -70,7 +70,8 @@
     defaults = settings.defaults(table) if table else {}
     for field in structs.fields(model):
         # The comment beside a default also gives the reason for its value.
-        meaning = reasons.get((table, field.name)) or texts[field.name]
+        place = (table, field.name)
+        meaning = reasons[place] if place in reasons else texts[field.name]
         default = _default(field, defaults)
         yield (
             f'| `{field.name}` | {_type_name(field.type)} | {default} | '
