Test distribution over sockets and between processes

Cause: failures of control hosts, lost messages and herds had no tests. The renewal interval only shrinks, so a frozen host is left in 2.6 s at most.

--- a/test/distribution_fakes.py
+++ b/test/distribution_fakes.py
@@ -63,6 +63,26 @@
         return self.parts
 
 
+class FakeHop:
+    """Answers requests between the nodes of a test at once."""
+
+    def __init__(self, address, network):
+        self.network = network
+        self.handlers = {}
+        network[address] = self
+
+    def subscribe(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+    def request(self, address, message, timeout_s, reply_type):
+        other = self.network.get(address)
+        if other is None:
+            return None
+        reply = other.handlers[type(message)](message)
+        assert isinstance(reply, reply_type)
+        return reply
+
+
 def announcement(name, service='orders', state='ready'):
     return SimpleNamespace(
         name=name,
--- /dev/null
+++ b/test/test_control_choice.py
@@ -0,0 +1,90 @@
+"""Choice of control host and version floor."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from waxwingsaddle.addresses import NodeControl
+from waxwingsaddle.control_choice import (
+    Answer,
+    best_control,
+    in_order,
+    is_home_usable,
+    is_worth_moving,
+    version_floor,
+)
+
+LIMIT_MS = 2000
+STALE_MS = 9000
+RNG = random.Random(1)
+
+
+def control(zone='zone-a', number=0):
+    return NodeControl(
+        host=f'{zone}-{number}',
+        availability_zone=zone,
+        node_address='127.0.0.1:1',
+    )
+
+
+def answer(version, age_ms=0, zone='zone-a'):
+    return Answer(control(zone), version, age_ms)
+
+
+def test_floor_comes_from_fresh_hosts():
+    """Guards against an isolated host or a neighbour that sets the floor."""
+    neighbour = Answer(None, 9, -1, '127.0.0.1:2')
+    stale = answer(8, STALE_MS)
+    assert version_floor([answer(7), stale, neighbour], LIMIT_MS) == 7
+    assert version_floor([stale, neighbour], LIMIT_MS) == 9
+    assert version_floor([], LIMIT_MS) is None
+
+
+def test_floor_takes_the_newest_fresh_host():
+    """Guards against a restart that goes back to an older version."""
+    assert version_floor([answer(7), answer(9), answer(8)], LIMIT_MS) == 9
+
+
+def test_best_control_host():
+    """Guards against a lease with an isolated or a distant host."""
+    stale_home = answer(9, STALE_MS)
+    home = answer(7)
+    away = answer(8, zone='zone-b')
+    for answers, expected in (
+        ([stale_home, away], away),
+        ([home, away], home),
+        ([stale_home, answer(8, STALE_MS, 'zone-b')], stale_home),
+        ([], None),
+    ):
+        assert best_control(answers, 'zone-a', LIMIT_MS, RNG) == expected
+
+
+@given(st.integers(0, 9), st.integers(0, STALE_MS), st.integers(0, 9))
+def test_move_never_leads_to_an_older_version(version, age_ms, held):
+    """Guards against a node that waits for versions at a host behind it."""
+    candidate = answer(version, age_ms)
+    if is_worth_moving(candidate, held, LIMIT_MS):
+        assert version >= held
+        assert version > held or age_ms <= LIMIT_MS
+
+
+def test_no_move_without_gain():
+    """Guards against nodes that wander while no host has a majority."""
+    assert not is_worth_moving(answer(5, STALE_MS), 5, LIMIT_MS)
+    assert is_worth_moving(answer(5), 5, LIMIT_MS)
+    assert is_worth_moving(answer(6, STALE_MS), 5, LIMIT_MS)
+
+
+def test_return_to_the_own_zone():
+    """Guards against a return to a host that is still isolated or behind."""
+    assert is_home_usable(answer(5), 5, LIMIT_MS)
+    assert not is_home_usable(answer(4), 5, LIMIT_MS)
+    assert not is_home_usable(answer(6, STALE_MS), 5, LIMIT_MS)
+
+
+def test_own_zone_is_asked_first():
+    """Guards against needless crossings between zones."""
+    controls = [control('zone-b'), control('zone-c'), control('zone-a')]
+    first = in_order(controls, 'zone-a', RNG)[0]
+    assert first.availability_zone == 'zone-a'
--- /dev/null
+++ b/test/test_distribution_processes.py
@@ -0,0 +1,168 @@
+"""Distribution between real processes: freezes and herds."""
+
+import json
+import signal
+import time
+from contextlib import contextmanager
+from itertools import chain
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from test.distribution_fakes import control_hosts
+from test.processes import Process, free_address, wait_until
+from waxwingsaddle.distribution_bench import ask, base_file
+
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+NODES = 10
+SERVICES = 5
+
+
+def host_tables(table, hosts, fields):
+    """Returns the control hosts as an array of tables."""
+    return '\n'.join(
+        f'[[{table}]]\n'
+        + '\n'.join(
+            f'{name} = {json.dumps(getattr(host, name))}' for name in fields
+        )
+        for host in hosts
+    )
+
+
+class Cluster:
+    """Control hosts and two stand-in fleets as processes."""
+
+    def __init__(self, folder):
+        self.folder = Path(folder)
+        self.hosts = control_hosts(ZONES)
+        self.controls = [self._control(host) for host in self.hosts]
+        self.fleets = {}
+        self.addresses = {}
+        for zone in ZONES[:2]:
+            self.addresses[zone] = free_address()
+            self.fleets[zone] = self._fleet(zone)
+
+    def start(self):
+        for process in self.controls:
+            process.start()
+        wait_until(self._are_controls_up, 'control hosts')
+        self.accept(1)
+        for process in self.fleets.values():
+            process.start()
+        self.wait_for(1)
+
+    def stop(self):
+        for process in (*self.fleets.values(), *self.controls):
+            if process.popen:
+                process.kill()
+
+    def accept(self, version, numbers=(0, 1, 2)):
+        """Makes a version accepted on some control hosts."""
+        body = {
+            'base': base_file(version, SERVICES),
+            'overlays': {'north': ''},
+        }
+        for number in numbers:
+            ask(self._http(number), '/v1/accept', body)
+
+    def versions(self, zone):
+        return ask(self.addresses[zone], '/v1/versions')
+
+    def wait_for(self, version, limit_s=20):
+        wait_until(
+            lambda: set(map(self._versions_seen, self.fleets)) == {(version,)},
+            f'version {version}',
+            limit_s,
+        )
+
+    def know_upstreams(self, count):
+        """Says whether each node knows so many upstreams of s0."""
+        asked = {'service': 's0'}
+        states = chain.from_iterable(
+            ask(self.addresses[zone], '/v1/upstreams', asked)
+            for zone in self.fleets
+        )
+        return {len(part) for part in states} == {count}
+
+    def _versions_seen(self, zone):
+        return tuple(set(self.versions(zone)))
+
+    def _are_controls_up(self):
+        return [ask(host.http_address, '/v1/usage') for host in self.hosts]
+
+    def _http(self, number):
+        return self.hosts[number].http_address
+
+    def _control(self, host):
+        fields = (
+            'host',
+            'availability_zone',
+            'peer_address',
+            'node_address',
+            'http_address',
+        )
+        text = (
+            f'[control]\nhost = "{host.host}"\n'
+            f'data_folder = "{self.folder}"\n'
+            + host_tables('control.hosts', self.hosts, fields)
+        )
+        return self._process('standin_control', host.host, text)
+
+    def _fleet(self, zone):
+        fields = ('host', 'availability_zone', 'node_address')
+        text = (
+            f'[fleet]\nhost = "{zone}"\nsite = "north"\nnodes = {NODES}\n'
+            f'availability_zones = ["{zone}"]\nservices = {SERVICES}\n'
+            f'http_address = "{self.addresses[zone]}"\n'
+            + host_tables('fleet.controls', self.hosts, fields)
+        )
+        return self._process('fleet', zone, text)
+
+    def _process(self, program, name, text):
+        settings_file = self.folder / f'{name}.toml'
+        settings_file.write_text(text, encoding='utf-8')
+        return Process(program, settings_file, self.folder / f'{name}.log')
+
+
+@contextmanager
+def cluster():
+    """Runs a cluster until the end of a test."""
+    with TemporaryDirectory() as folder:
+        running = Cluster(folder)
+        try:
+            running.start()
+            yield running
+        finally:
+            running.stop()
+
+
+def test_frozen_control_host():
+    """Guards against nodes that wait for a frozen host, or go back later."""
+    with cluster() as running:
+        running.controls[0].signal(signal.SIGSTOP)
+        running.accept(2, numbers=(1, 2))
+        running.wait_for(2, limit_s=3)
+        running.controls[0].signal(signal.SIGCONT)
+        limit_s = time.monotonic() + 1
+        while time.monotonic() < limit_s:
+            assert set(running.versions('zone-a')) == {2}
+        running.accept(3)
+        running.wait_for(3, limit_s=3)
+
+
+def test_all_nodes_restarted_at_once():
+    """Guards against a herd that is not served, or an emptied directory."""
+    with cluster() as running:
+        expected = 2 * NODES // SERVICES
+        wait_until(
+            lambda: running.know_upstreams(expected),
+            'upstreams of both zones',
+        )
+        for zone in ZONES[:2]:
+            running.fleets[zone].kill()
+            running.fleets[zone].start()
+        running.accept(2)
+        running.wait_for(2)
+        wait_until(
+            lambda: running.know_upstreams(expected),
+            'upstreams of both zones after the restart',
+        )
--- a/waxwingsaddle/node_messages.py
+++ b/waxwingsaddle/node_messages.py
@@ -8,6 +8,7 @@
 
 from waxwingsaddle.directory import NodeRecord, UpstreamRecord
 from waxwingsaddle.patch import Operation
+from waxwingsaddle.util.codec import decompress
 
 MAX_WHOLE_BYTES = 16_777_216
 
@@ -185,6 +186,16 @@
     is_complete: bool
     is_compressed: bool
 
+    def records(self, raw: bytes) -> tuple[NodeRecord, ...]:
+        """Decodes the second frame.
+
+        Raises:
+            ValueError: The frame is damaged or too large.
+        """
+        if self.is_compressed:
+            raw = decompress(raw, MAX_WHOLE_BYTES)
+        return _decode_records(raw)
+
 
 class Busy(msgspec.Struct, frozen=True, array_like=True, tag='busy'):
     """A control host admits no new lease now.
@@ -254,4 +265,4 @@
 
 decode_from_node = msgspec.msgpack.Decoder(FromNode).decode
 decode_from_control = msgspec.msgpack.Decoder(FromControl).decode
-decode_records = msgspec.msgpack.Decoder(tuple[NodeRecord, ...]).decode
+_decode_records = msgspec.msgpack.Decoder(tuple[NodeRecord, ...]).decode
--- a/waxwingsaddle/node_session.py
+++ b/waxwingsaddle/node_session.py
@@ -13,7 +13,6 @@
 from waxwingsaddle.in_force import Applied, HeldConfiguration
 from waxwingsaddle.node_directory import NodeDirectory
 from waxwingsaddle.node_messages import (
-    MAX_WHOLE_BYTES,
     Busy,
     ConfigDelta,
     ConfigWhole,
@@ -25,10 +24,8 @@
     Leave,
     Renew,
     Welcome,
-    decode_records,
 )
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s, wall_ms
-from waxwingsaddle.util.codec import decompress
 from waxwingsaddle.util.wake import Wake
 
 # Time for the last message to leave before the socket closes.
@@ -273,11 +270,9 @@
         link: ControlLink,
         raw: bytes,
     ) -> None:
-        if message.is_compressed:
-            raw = decompress(raw, MAX_WHOLE_BYTES)
         is_whole = message.base_revision < 0
         changed = self._directory.apply(
-            decode_records(raw),
+            message.records(raw),
             is_replacing=is_whole and message.is_complete,
         )
         # After a gap the revision stays, so that the next renewal asks for
--- a/waxwingsaddle/subscription.py
+++ b/waxwingsaddle/subscription.py
@@ -29,8 +29,9 @@
 HOSTS_ASKED = 3
 # Spread of the questions of nodes that learn of an isolation together.
 ASK_SPREAD_S = 0.3
-# Variation of the renewal interval, so that renewals do not fall together.
-RENEWAL_SPREAD = 0.1
+# Variation of intervals, so that nodes do not ask together. Intervals only
+# shrink, because the interval bounds the time until a frozen host is left.
+INTERVAL_SPREAD = 0.2
 
 MOVES = metrics.counter(
     'control_host_moves',
@@ -133,7 +134,7 @@
         if not self.is_ready:
             self._learn_floor(self._inquiry.home())
         self._return_home()
-        spread = self._rng.uniform(1 - RENEWAL_SPREAD, 1 + RENEWAL_SPREAD)
+        spread = self._rng.uniform(1 - INTERVAL_SPREAD, 1)
         interval_s = self._settings.lease_renew_ms / MS_PER_S
         self.session.attention.wait(interval_s * spread)
 
@@ -219,7 +220,7 @@
         return self._settings.majority_age_limit_ms
 
     def _home_interval_s(self) -> float:
-        spread = self._rng.uniform(1 - RENEWAL_SPREAD, 1 + RENEWAL_SPREAD)
+        spread = self._rng.uniform(1 - INTERVAL_SPREAD, 1)
         return self._settings.home_check_ms / MS_PER_S * spread
 
     def _pause(self) -> None:
--- a/waxwingsaddle/web.py
+++ b/waxwingsaddle/web.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from eventlet import convenience, greenthread, wsgi
+from greenlet import GreenletExit
 
 from waxwingsaddle import metrics
 from waxwingsaddle.util.codec import pack_json
@@ -16,7 +17,7 @@
 JSON_TYPE = 'application/json'
 
 
-class StopServing(Exception):
+class StopServing(GreenletExit):
     """Ends the accept loop; calls in flight are served to their end."""
 
 
