Add at-most-once claims over three keepers of the home zone

Keepers settle a bucket after each change of its keepers by asking every member of the zone under the same membership, so two sets of keepers that both grant always share knowledge while nodes see different memberships.

--- a/waxwingsaddle/claims.py
+++ b/waxwingsaddle/claims.py
@@ -1,78 +1,184 @@
-"""At-most-once claims: homes and keepers of idempotency keys, and messages."""
+"""At-most-once claims of idempotency keys: models, messages and merge rule.
 
-from collections.abc import Iterable, Sequence
+A keeper holds, for each key, the claims made of it. A claim only moves from
+claimed over released to done, and merging takes the later state, so copies
+may arrive late, twice and in any order.
+"""
+
+from enum import IntEnum
 from hashlib import blake2b
+from typing import Literal
 
 import msgspec
 
-KEEPERS = 3
-GRANTS_NEEDED = 2
+_PLACE_BYTES = 16
+# Larger answers are not kept: a resend gets "ran, answer lost".
+MAX_ANSWER_BYTES = 65_536
+
 
+class ClaimState(IntEnum):
+    """State of one claim; a later state replaces an earlier one."""
 
-def home_zone(key: str, zones: Sequence[str]) -> str:
-    """Returns the home zone of a key.
+    CLAIMED = 1
+    RELEASED = 2
+    DONE = 3
 
-    A key `<availability zone>.<rest>` names its zone; any other key hashes to
-    one of the zones of the site.
 
-    Args:
-        key: Service name and idempotency key.
-        zones: All availability zones from settings, the same on every node.
+class Claim(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One claim of one key, as it is kept and copied.
+
+    Attributes:
+        place: Digest of service and key.
+        claim_id: Unique identifier of the claim.
+        state: How far it got.
+        kept_ms: How long it is to be kept from now.
+        answer: The packed answer of a done claim; None when it is lost.
     """
-    named, dot, _ = key.partition('.')
-    if dot and named in zones:
-        return named
-    return max(zones, key=lambda zone: _weight(zone, key))
+
+    place: bytes
+    claim_id: str
+    state: ClaimState
+    kept_ms: int
+    answer: bytes | None = None
 
 
-def keepers_of(key: str, hosts: Iterable[str]) -> tuple[str, ...]:
-    """Returns the hosts highest in rendezvous hash, best first."""
-    ranked = sorted(hosts, key=lambda host: _weight(host, key), reverse=True)
-    return tuple(ranked[:KEEPERS])
+class ClaimRequest(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Asks a keeper for a grant.
 
+    Attributes:
+        place: Digest of service and key.
+        claim_id: Unique identifier of the claim.
+        keepers: Hosts that the claimant asks; a keeper grants only if it
+            counts the same ones.
+        kept_ms: How long the claim is to be kept.
+    """
 
-def _weight(name: str, key: str) -> bytes:
-    return blake2b(f'{name}\n{key}'.encode(), digest_size=8).digest()
+    place: bytes
+    claim_id: str
+    keepers: tuple[str, ...]
+    kept_ms: int
 
 
-class Stored(msgspec.Struct, frozen=True, tag='stored'):
-    """The key was executed before.
+class ClaimReply(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Answer of a keeper to a claim.
 
     Attributes:
-        answer: Status, headers and body as the guard packed them, or None
-            when the answer was over the size limit ("ran, answer lost").
+        verdict: `granted`; `claimed` by another claim; `done`; `syncing`, the
+            keeper doesn't know all claims yet; `moved`, other keepers are in
+            charge; `full`, absent but there is no room for it.
+        answer: The stored answer when done, None when it is lost.
+        keepers: Host and call address of those in charge when moved.
     """
 
-    answer: bytes | None
+    verdict: Literal[
+        'granted',
+        'claimed',
+        'done',
+        'syncing',
+        'moved',
+        'full',
+    ]
+    answer: bytes | None = None
+    keepers: tuple[tuple[str, str], ...] = ()
+
+
+class ClaimRelease(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Takes back a claim whose call did not run."""
+
+    claim: Claim
 
 
-class Granted(msgspec.Struct, frozen=True, tag='granted'):
+class ClaimDone(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Tells that the call of a claim ran."""
+
+    claim: Claim
+
+
+class ClaimHandOver(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Copies claims to their next keeper before this host stops."""
+
+    claims: tuple[Claim, ...]
+
+
+class ClaimKept(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Confirms a release, an outcome or a hand-over."""
+
+    count: int
+
+
+class ClaimSync(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Asks a host for its claims in some buckets.
+
+    Attributes:
+        view: Digest of the membership that the asking host sees.
+        buckets: Buckets in which it is a keeper and doesn't know all claims.
+        life: Life of the asked host that `after` belongs to; empty at first.
+        after: Sequence number of the last change received, 0 at first.
+    """
+
+    view: bytes
+    buckets: tuple[int, ...]
+    life: str = ''
+    after: int = 0
+
+
+class ClaimSyncReply(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Answer to `ClaimSync`.
+
+    Attributes:
+        is_same_view: Whether the asked host sees the same membership; if not,
+            the exchange does not count.
+        claims: Changes after the asked number, oldest first.
+        life: Life of the answering host; its numbers start again in the next.
+        sequence: Number of the last change considered.
+        has_more: Whether further ones wait.
+    """
+
+    is_same_view: bool
+    claims: tuple[Claim, ...] = ()
+    life: str = ''
+    sequence: int = 0
+    has_more: bool = False
+
+
+class Granted(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """The claim stands: send the call to a guard, at most once.
 
     Attributes:
-        service: Name of the service.
-        key: Idempotency key.
-        claim_id: Identifier of the claim; the guard passes it to `done`.
+        place: Digest of service and key.
+        claim_id: Unique identifier of the claim.
         home: Home zone of the key.
+        kept_ms: How long the outcome is to be kept.
     """
 
-    service: str
-    key: str
+    place: bytes
     claim_id: str
     home: str
+    kept_ms: int
+
+
+class Stored(msgspec.Struct, frozen=True):
+    """The key was executed before.
+
+    Attributes:
+        answer: The answer as packed by the guard, or None when it is lost:
+            too large, or never received.
+    """
+
+    answer: bytes | None
 
 
-class InDoubt(msgspec.Struct, frozen=True, tag='in-doubt'):
+class InDoubt(msgspec.Struct, frozen=True):
     """The key may have been executed: answer `unknown`.
 
     Attributes:
-        reason: `in-progress`, `unreadable` or `contended`.
+        reason: `in-progress` or `unreadable`.
     """
 
     reason: str
 
 
-class Absent(msgspec.Struct, frozen=True, tag='absent'):
+class Absent(msgspec.Struct, frozen=True):
     """No claim was made and the key never ran: answer `not-run`.
 
     Attributes:
@@ -82,3 +188,29 @@
 
     reason: str
     retry_after_ms: int
+
+
+Claimed = Granted | Stored | InDoubt | Absent
+
+
+def place_of(service: str, key: str) -> bytes:
+    """Returns the digest under which the claims of a key are kept."""
+    digest = blake2b(digest_size=_PLACE_BYTES)
+    digest.update(service.encode())
+    digest.update(b'\n')
+    digest.update(key.encode())
+    return digest.digest()
+
+
+def merged(mine: Claim | None, theirs: Claim) -> Claim:
+    """Returns the later of two states of the same claim.
+
+    Of two done states, one with the answer replaces one without.
+    """
+    if mine is None:
+        return theirs
+    return max(mine, theirs, key=_lateness)
+
+
+def _lateness(claim: Claim) -> tuple[int, bool]:
+    return claim.state, claim.answer is not None
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -29,6 +29,14 @@
         log_level: Least level of log lines.
         log_form: `json` or `text`.
         events_kept: Events kept for the time line.
+        availability_zones: All zones, the same list on every node; keys
+            without a zone prefix hash over them. Empty: those of `controls`.
+        claim_window_ms: Grants of a key are void this long after they were
+            asked for.
+        claim_grace_ms: Wait for the last keeper once two have granted.
+        claim_pause_ms: Mean pause before a key is asked for again.
+        claims_max_bytes: Size of the claims kept for others from which new
+            keys are refused.
     """
 
     host: HostName
@@ -41,3 +49,8 @@
     log_level: Literal['debug', 'info', 'warning', 'error']
     log_form: Literal['json', 'text']
     events_kept: Positive
+    availability_zones: tuple[HostName, ...] = ()
+    claim_window_ms: Positive
+    claim_grace_ms: Positive
+    claim_pause_ms: Positive
+    claims_max_bytes: Positive
