--- a/waxwingsaddle/calls.py
+++ b/waxwingsaddle/calls.py
@@ -78,6 +78,7 @@
         headers: Fields of the upstream, without those of one connection.
         body: The whole body when it is small.
         stream: The body when it is large.
+        length: Length of a body that is not in `body`, when it is known.
         reason: Why it did not run or is unknown.
         retry_after_ms: When an attempt may succeed.
         load: Load of the upstream.
@@ -89,6 +90,7 @@
     headers: HeaderPairs = ()
     body: bytes = b''
     stream: BodyStream | None = None
+    length: int | None = None
     reason: str = ''
     retry_after_ms: int = 0
     load: Load | None = None
@@ -161,6 +163,7 @@
         reason: Why it did not run or is unknown.
         retry_after_ms: When an attempt may succeed.
         is_streamed: Whether the body follows as `CallChunk` messages.
+        length: Length of a body that is not in the next frame, when known.
         was_retried: Whether a layer below has spent its retries on it.
         load: In flight, queued, limit and wait_ms of the guard.
     """
@@ -172,6 +175,7 @@
     reason: str
     retry_after_ms: int
     is_streamed: bool
+    length: int | None
     was_retried: bool
     load: tuple[int, int, int, int] | None
 
--- a/waxwingsaddle/entry.py
+++ b/waxwingsaddle/entry.py
@@ -23,7 +23,7 @@
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.web import Environ, StartResponse
 
-_DEADLINE_KEY = f'HTTP_{DEADLINE_HEADER.upper().replace("-", "_")}'
+_DEADLINE_KEY = DEADLINE_HEADER.lower()
 _STATUS_BY_REASON = {
     'no-route': 404,
     'bad-deadline': 400,
@@ -108,21 +108,14 @@
         body = self._body(environ)
         if isinstance(body, Answer):
             return body
-        target = environ['RAW_PATH_INFO']
-        query = environ.get('QUERY_STRING')
-        if query:
-            target = f'{target}?{query}'
-        request = Request(
-            method,
-            target,
-            passed_on(environ['headers_raw']),
-            body,
-        )
+        head = environ['waxwing.head']
+        headers = passed_on(head.headers)
+        request = Request(method, head.target, headers, body)
         deadline_s = arrived_s + timeout_ms / MS_PER_S
         return self._run(environ, Task(match, request, deadline_s))
 
     def _run(self, environ: Environ, task: Task) -> Answer:
-        sock = environ['eventlet.input'].get_socket()
+        sock = environ['wsgi.input'].get_socket()
         watched = self._presence.watch(sock, lambda: self._cancel(task))
         try:
             return self._dispatch.run(task)
@@ -134,20 +127,16 @@
 
     def _body(self, environ: Environ) -> bytes | Answer:
         stream = environ['wsgi.input']
-        length = stream.content_length
-        if length == 0 and not stream.chunked_input:
+        if stream.is_whole:
             return b''
-        if length is not None and length > self._body_limit_bytes:
+        limit = self._body_limit_bytes
+        if stream.length is not None and stream.length > limit:
             return not_run('body-too-large')
         try:
-            body = stream.read(self._body_limit_bytes + 1)
+            body = stream.read(limit + 1)
         except (OSError, ValueError):
             return not_run('bad-body')
-        if len(body) > self._body_limit_bytes:
-            return not_run('body-too-large')
-        if length is not None and len(body) < length:
-            return not_run('bad-body')
-        return body
+        return not_run('body-too-large') if len(body) > limit else body
 
 
 class _Streamed:
@@ -165,7 +154,7 @@
 
 
 def _timeout_ms(environ: Environ, match: Match) -> float | None:
-    given = environ.get(_DEADLINE_KEY)
+    given = environ['waxwing.head'].fields.get(_DEADLINE_KEY)
     if given is None:
         return match.service.timeout_ms
     if not given.isascii() or not given.isdecimal():
@@ -196,6 +185,6 @@
         headers.append((RETRY_AFTER_HEADER, str(answer.retry_after_ms)))
     if answer.was_retried:
         headers.append((RETRIED_HEADER, '1'))
-    if answer.stream is None and answer.status not in {204, 304}:
-        headers.append(('Content-Length', str(len(answer.body))))
+    if answer.length is not None:
+        headers.append(('Content-Length', str(answer.length)))
     return headers
--- /dev/null
+++ b/waxwingsaddle/heads.py
@@ -0,0 +1,170 @@
+"""Strict and lean parser of HTTP/1.1 message heads.
+
+A head is checked by one regular expression and split afterwards, which costs
+a tenth of `email.parser`. What another server might read in another way is
+refused: line folding, bare line ends, control characters, repeated or
+combined framing fields.
+"""
+
+import re
+from dataclasses import dataclass
+
+HeaderPairs = tuple[tuple[str, str], ...]
+
+MAX_LENGTH_DIGITS = 18
+
+_TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+_TEXT = rb'[^\x00-\x08\x0a-\x1f\x7f]*'
+_FIELDS = rb'((?:%b:%b\r\n)*)\r\n' % (_TOKEN, _TEXT)
+_REQUEST = re.compile(
+    rb'(%b) (/[!-~]*) HTTP/1\.([01])\r\n%b' % (_TOKEN, _FIELDS),
+)
+_ANSWER = re.compile(
+    rb'HTTP/1\.([01]) ([1-9][0-9][0-9])(?: %b)?\r\n%b' % (_TEXT, _FIELDS),
+)
+_FIELD_END = b'\r\n'
+
+
+class MalformedError(ValueError):
+    """A message that is not valid or could be read in two ways."""
+
+
+@dataclass(frozen=True, slots=True)
+class Framing:
+    """How the body of a message is delimited.
+
+    Attributes:
+        length: Length of the body; None if it is not given.
+        is_chunked: Whether the body is in chunks.
+        is_kept: Whether the connection stays open afterwards.
+    """
+
+    length: int | None
+    is_chunked: bool
+    is_kept: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """Head of a request.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query as received.
+        headers: Fields in order, with the names as received.
+        fields: Values by name in lower case; the last of each name.
+        framing: How the body is delimited.
+        is_old: Whether the caller speaks HTTP/1.0.
+    """
+
+    method: str
+    target: str
+    headers: HeaderPairs
+    fields: dict[str, str]
+    framing: Framing
+    is_old: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Head of an answer.
+
+    Attributes:
+        status: HTTP status.
+        headers: Fields in order, with the names as received.
+        fields: Values by name in lower case; the last of each name.
+        framing: How the body is delimited.
+    """
+
+    status: int
+    headers: HeaderPairs
+    fields: dict[str, str]
+    framing: Framing
+
+
+def parse_request(head: bytes) -> RequestHead:
+    """Parses the head of a request, with the empty line at its end.
+
+    Raises:
+        MalformedError: It is not valid or ambiguous.
+    """
+    match = _REQUEST.fullmatch(head)
+    if match is None:
+        raise MalformedError('malformed request head')
+    method, target, minor, raw = match.groups()
+    headers, fields = _split(raw)
+    is_old = minor == b'0'
+    if not is_old and 'host' not in fields:
+        raise MalformedError('no Host')
+    framing = _framing(fields, is_old)
+    if framing.is_chunked and is_old:
+        raise MalformedError('Transfer-Encoding in HTTP/1.0')
+    return RequestHead(
+        method=method.decode('ascii'),
+        target=target.decode('ascii'),
+        headers=headers,
+        fields=fields,
+        framing=framing,
+        is_old=is_old,
+    )
+
+
+def parse_answer(head: bytes) -> AnswerHead:
+    """Parses the head of an answer, with the empty line at its end.
+
+    Raises:
+        MalformedError: It is not valid or ambiguous.
+    """
+    match = _ANSWER.fullmatch(head)
+    if match is None:
+        raise MalformedError('malformed answer head')
+    minor, status, raw = match.groups()
+    headers, fields = _split(raw)
+    return AnswerHead(
+        status=int(status),
+        headers=headers,
+        fields=fields,
+        framing=_framing(fields, minor == b'0'),
+    )
+
+
+# Fields that change the meaning of a message when they come twice.
+_SINGLE = frozenset(('host', 'content-length', 'transfer-encoding'))
+
+
+def _split(raw: bytes) -> tuple[HeaderPairs, dict[str, str]]:
+    headers = []
+    fields: dict[str, str] = {}
+    for line in raw.decode('latin-1').split('\r\n')[:-1]:
+        name, _, padded = line.partition(':')
+        field_value = padded.strip(' \t')
+        key = name.lower()
+        if key in fields and key in _SINGLE:
+            raise MalformedError(f'repeated {name}')
+        headers.append((name, field_value))
+        fields[key] = field_value
+    return tuple(headers), fields
+
+
+def _framing(fields: dict[str, str], is_old: bool) -> Framing:
+    given = fields.get('content-length')
+    encoding = fields.get('transfer-encoding')
+    if encoding is not None:
+        if given is not None:
+            raise MalformedError('Content-Length with Transfer-Encoding')
+        if encoding.lower() != 'chunked':
+            raise MalformedError('unknown Transfer-Encoding')
+    connection = fields.get('connection', '').lower()
+    is_kept = connection == 'keep-alive' if is_old else connection != 'close'
+    return Framing(
+        length=None if given is None else _length(given),
+        is_chunked=encoding is not None,
+        is_kept=is_kept and 'close' not in connection,
+    )
+
+
+def _length(given: str) -> int:
+    is_number = given.isascii() and given.isdecimal()
+    if not is_number or len(given) > MAX_LENGTH_DIGITS:
+        raise MalformedError('malformed Content-Length')
+    return int(given)
--- a/waxwingsaddle/http_leg.py
+++ b/waxwingsaddle/http_leg.py
@@ -1,18 +1,18 @@
-"""HTTP leg from a guarding node to its local upstream."""
+"""HTTP leg from a guarding node to its local upstream.
+
+Requests are written and answers parsed here, with the parser of the server
+side: a general client library costs 0.6 ms of processor time a call.
+"""
 
 import socket
 from collections import defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
-from http.client import HTTPException
-
-from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError
-from urllib3.response import HTTPResponse
-from urllib3.util.wait import wait_for_read
 
+from waxwingsaddle.bodies import Body
 from waxwingsaddle.calls import (
     DEADLINE_HEADER,
+    OUTCOME_HEADER,
     Answer,
     BrokenBodyError,
     Request,
@@ -20,14 +20,21 @@
     passed_on,
     unknown,
 )
+from waxwingsaddle.heads import AnswerHead, MalformedError, parse_answer
+from waxwingsaddle.retry import RETRIED_HEADER
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.web import split_address
 from waxwingsaddle.work import Lane
 
-_LEG_ERRORS = (OSError, HTTPException, HTTPError)
+_LEG_ERRORS = (OSError, MalformedError)
 # A timeout of zero would make the socket non-blocking.
 _LEAST_TIMEOUT_S = 0.001
+_MAX_HEAD_BYTES = 32_768
+_HEAD_END = b'\r\n\r\n'
+_LINE_END = b'\r\n'
+_BODYLESS = frozenset((204, 304))
+_LEAST_FINAL_STATUS = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,20 +58,44 @@
     stall_timeout_s: float = 10
 
 
+class _Connection:
+    """One connection to an upstream, with buffered reading."""
+
+    def __init__(self, target: tuple[str, int], timeout_s: float) -> None:
+        self.sock = socket.create_connection(target, timeout_s)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.reader = self.sock.makefile('rb')
+        self.idle_since_s = 0.0
+
+    def is_idle(self) -> bool:
+        """Says whether it is open with nothing to read."""
+        try:
+            self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        """Closes it."""
+        self.reader.close()
+        self.sock.close()
+
+
 class Exchange:
     """One request on the leg, which another green thread may abort."""
 
     def __init__(self) -> None:
         self.is_aborted = False
-        self.connection: HTTPConnection | None = None
+        self.connection: _Connection | None = None
 
     def abort(self) -> None:
         """Closes the connection below the request: the upstream notices."""
         self.is_aborted = True
-        sock = self.connection.sock if self.connection else None
-        if sock is not None:
+        if self.connection is not None:
             try:
-                sock.shutdown(socket.SHUT_RDWR)
+                self.connection.sock.shutdown(socket.SHUT_RDWR)
             except OSError:
                 # The upstream closed it first.
                 return
@@ -89,15 +120,15 @@
         self._target = split_address(address)
         self._policy = policy
         self._clock = clock
-        self._idle: dict[Lane, list[tuple[float, HTTPConnection]]] = (
-            defaultdict(list)
-        )
+        self._idle: dict[Lane, list[_Connection]] = defaultdict(list)
         self._open = 0
+        self._is_closed = False
 
     def close(self) -> None:
-        """Closes the idle connections."""
+        """Closes the idle connections, and the others after their request."""
+        self._is_closed = True
         for idle in self._idle.values():
-            for _, connection in idle:
+            for connection in idle:
                 self._discard(connection)
             idle.clear()
 
@@ -117,7 +148,8 @@
             exchange: Allows to abort the request.
 
         Returns:
-            The answer; "not run" only if no byte was sent.
+            The answer; "not run" only if no byte was sent, or if the upstream
+            says so itself.
         """
         left_s = deadline_s - self._clock()
         if left_s <= 0:
@@ -143,99 +175,127 @@
 
     def _run(
         self,
-        connection: HTTPConnection,
+        connection: _Connection,
         request: Request,
         lane: Lane,
         deadline_s: float,
     ) -> Answer:
-        left_s = deadline_s - self._clock()
-        connection.timeout = max(_LEAST_TIMEOUT_S, left_s)
-        headers = dict(request.headers)
-        headers[DEADLINE_HEADER] = str(max(1, int(left_s * MS_PER_S)))
-        connection.request(
-            request.method,
-            request.target,
-            request.body or None,
-            headers,
-            preload_content=False,
-            decode_content=False,
-        )
-        response = connection.getresponse()
-        answer = Answer(
-            Outcome.RAN,
-            response.status,
-            passed_on(tuple(response.headers.iteritems())),
+        left_s = max(_LEAST_TIMEOUT_S, deadline_s - self._clock())
+        connection.sock.settimeout(left_s)
+        self._write(connection, request, left_s)
+        head = _read_head(connection)
+        body = _body(connection, request, head)
+        inline = body.read(self._policy.inline_bytes)
+        if body.is_whole:
+            self._release(connection, head, lane)
+            answer = _answer(head, inline)
+            if request.method == 'HEAD':
+                answer.length = head.framing.length
+            return answer
+        answer = _answer(head, b'')
+        answer.length = head.framing.length
+        answer.stream = _BodyPieces(
+            inline,
+            body,
+            connection,
+            self._policy,
+            lambda is_whole: self._end_stream(connection, head, lane, is_whole),
         )
-        body = response.read(self._policy.inline_bytes + 1)
-        if len(body) <= self._policy.inline_bytes:
-            answer.body = body
-            self._release(connection, response, lane)
-        else:
-            answer.stream = _ResponseStream(
-                body,
-                response,
-                connection,
-                self._policy,
-                lambda: self._release(connection, response, lane),
-            )
         return answer
 
-    def _connection(self, lane: Lane, left_s: float) -> HTTPConnection | Answer:
+    def _write(
+        self,
+        connection: _Connection,
+        request: Request,
+        left_s: float,
+    ) -> None:
+        lines = [
+            f'{name}: {text}\r\n'
+            for name, text in request.headers
+            if name != DEADLINE_HEADER
+        ]
+        body = request.body
+        has_body = body or request.method in {'POST', 'PUT', 'PATCH'}
+        length = f'Content-Length: {len(body)}\r\n' if has_body else ''
+        head = ''.join(
+            (
+                f'{request.method} {request.target} HTTP/1.1\r\n',
+                *lines,
+                f'{DEADLINE_HEADER}: {max(1, int(left_s * MS_PER_S))}\r\n',
+                length,
+                '\r\n',
+            ),
+        ).encode('latin-1')
+        connection.sock.sendall(head + body if body else head)
+
+    def _connection(self, lane: Lane, left_s: float) -> _Connection | Answer:
         idle = self._idle[lane]
-        now_s = self._clock()
+        oldest_s = self._clock() - self._policy.idle_limit_s
         while idle:
-            since_s, connection = idle.pop()
-            is_fresh = now_s - since_s < self._policy.idle_limit_s
-            # An idle connection is readable only when the upstream closed it.
-            if is_fresh and not wait_for_read(connection.sock, timeout=0):
+            connection = idle.pop()
+            if connection.idle_since_s > oldest_s and connection.is_idle():
                 return connection
             self._discard(connection)
         if self._open >= self._policy.connections:
             return not_run('connections')
-        return self._connect(min(left_s, self._policy.connect_timeout_s))
-
-    def _connect(self, timeout_s: float) -> HTTPConnection | Answer:
-        connection = HTTPConnection(*self._target, timeout=timeout_s)
         self._open += 1
         try:
-            connection.connect()
-        except _LEG_ERRORS:
+            return _Connection(
+                self._target,
+                min(left_s, self._policy.connect_timeout_s),
+            )
+        except OSError:
             self._open -= 1
             return not_run('upstream-refused')
-        return connection
+
+    def _end_stream(
+        self,
+        connection: _Connection,
+        head: AnswerHead,
+        lane: Lane,
+        is_whole: bool,
+    ) -> None:
+        if is_whole:
+            self._release(connection, head, lane)
+        else:
+            self._discard(connection)
 
     def _release(
         self,
-        connection: HTTPConnection,
-        response: HTTPResponse,
+        connection: _Connection,
+        head: AnswerHead,
         lane: Lane,
     ) -> None:
-        original = response._original_response
-        is_reusable = original.isclosed() and not original.will_close
-        if connection.sock is None or not is_reusable:
+        framing = head.framing
+        is_delimited = framing.is_chunked or framing.length is not None
+        is_bodyless = head.status in _BODYLESS
+        if self._is_closed or not framing.is_kept:
             self._discard(connection)
+        elif is_delimited or is_bodyless:
+            connection.idle_since_s = self._clock()
+            self._idle[lane].append(connection)
         else:
-            self._idle[lane].append((self._clock(), connection))
+            self._discard(connection)
 
-    def _discard(self, connection: HTTPConnection) -> None:
+    def _discard(self, connection: _Connection) -> None:
         self._open -= 1
         connection.close()
 
 
-class _ResponseStream:
+class _BodyPieces:
     """Body of a large answer, read from the upstream piece by piece."""
 
     def __init__(
         self,
         first: bytes,
-        response: HTTPResponse,
-        connection: HTTPConnection,
+        body: Body,
+        connection: _Connection,
         policy: LegPolicy,
-        on_end: Callable[[], None],
+        on_end: Callable[[bool], None],
     ) -> None:
         self._first = first
-        self._response = response
-        self._policy = policy
+        self._body = body
+        self._chunk_bytes = policy.chunk_bytes
         self._on_end = on_end
         self._is_open = True
         connection.sock.settimeout(policy.stall_timeout_s)
@@ -243,17 +303,62 @@
     def __iter__(self) -> Iterator[bytes]:
         """Yields the pieces of the body."""
         yield self._first
-        while True:
+        while not self._body.is_whole:
             try:
-                piece = self._response.read(self._policy.chunk_bytes)
+                piece = self._body.read(self._chunk_bytes)
             except _LEG_ERRORS as error:
                 raise BrokenBodyError(str(error)) from None
-            if not piece:
-                return
-            yield piece
+            if piece:
+                yield piece
 
     def close(self) -> None:
         """Returns or closes the connection."""
         if self._is_open:
             self._is_open = False
-            self._on_end()
+            self._on_end(self._body.is_whole)
+
+
+def _read_head(connection: _Connection) -> AnswerHead:
+    while True:
+        head = parse_answer(_raw_head(connection))
+        if head.status >= _LEAST_FINAL_STATUS:
+            return head
+
+
+def _raw_head(connection: _Connection) -> bytes:
+    reader = connection.reader
+    buffered = reader.peek()
+    end = buffered.find(_HEAD_END)
+    if end >= 0:
+        return reader.read(end + len(_HEAD_END))
+    lines = []
+    left = _MAX_HEAD_BYTES
+    while left > 0:
+        line = reader.readline(left)
+        lines.append(line)
+        left -= len(line)
+        if line == _LINE_END:
+            return b''.join(lines)
+        if not line:
+            raise MalformedError('the upstream closed the connection')
+    raise MalformedError('the head is too large')
+
+
+def _body(connection: _Connection, request: Request, head: AnswerHead) -> Body:
+    is_bodyless = request.method == 'HEAD' or head.status in _BODYLESS
+    body = Body(connection.reader, head.framing, is_to_end=not is_bodyless)
+    body.is_whole = body.is_whole or is_bodyless
+    return body
+
+
+def _answer(head: AnswerHead, body: bytes) -> Answer:
+    # An upstream that sheds a call says that it did not run it.
+    if head.fields.get(OUTCOME_HEADER.lower()) == Outcome.NOT_RUN.value:
+        return not_run('upstream-shed')
+    return Answer(
+        Outcome.RAN,
+        head.status,
+        passed_on(head.headers),
+        body,
+        was_retried=RETRIED_HEADER.lower() in head.fields,
+    )
--- /dev/null
+++ b/waxwingsaddle/lean_http.py
@@ -0,0 +1,269 @@
+"""HTTP server connection with a lean request parser and answer writer.
+
+Replaces the parts of eventlet's `HttpProtocol` that cost most per request:
+header parsing by `email.parser`, the full WSGI environment and the answer
+writer with its many small steps.
+"""
+
+import time
+from collections.abc import Iterable
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import unquote
+
+from eventlet import wsgi
+
+from waxwingsaddle import logs, metrics
+from waxwingsaddle.bodies import Body
+from waxwingsaddle.heads import MalformedError, RequestHead, parse_request
+from waxwingsaddle.web import Environ
+
+MAX_HEAD_BYTES = 32_768
+MAX_FIELDS_LINES = 200
+
+_HEAD_END = b'\r\n\r\n'
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_OUTCOME = 'Waxwing-Outcome: not-run\r\n'
+_BODYLESS = frozenset((204, 304))
+_SENT_AT_ONCE = 65_536
+
+_malformed = metrics.counter(
+    'waxwing_http_malformed',
+    'Requests that were refused as malformed.',
+)
+
+
+class RequestBody(Body):
+    """Body of a request; asks the caller to go on when it waits for that."""
+
+    def __init__(self, protocol: 'LeanProtocol', head: RequestHead) -> None:
+        super().__init__(protocol.rfile, head.framing)
+        self._protocol = protocol
+        self._is_awaited = (
+            head.fields.get('expect', '').lower() == '100-continue'
+            and not self.is_whole
+        )
+
+    def read(self, size: int) -> bytes:
+        """Returns the next bytes, fewer than asked for only at the end."""
+        if self._is_awaited:
+            self._is_awaited = False
+            self._protocol.connection.sendall(_CONTINUE)
+        return super().read(size)
+
+    def get_socket(self) -> Any:
+        """Returns the connection of the caller."""
+        return self._protocol.connection
+
+
+class LeanProtocol(wsgi.HttpProtocol):
+    """Serves the requests of one connection."""
+
+    def handle_one_request(self) -> None:
+        """Reads and answers one request."""
+        self.close_connection = True
+        raw = self._read_head()
+        if raw is None:
+            return
+        self.conn_state[2] = wsgi.STATE_REQUEST
+        try:
+            head = parse_request(raw)
+        except MalformedError as error:
+            self._refuse(HTTPStatus.BAD_REQUEST, str(error))
+            return
+        self.server.outstanding_requests += 1
+        try:
+            self._answer(head)
+        except (BrokenPipeError, ConnectionResetError):
+            self.close_connection = True
+        finally:
+            self.server.outstanding_requests -= 1
+
+    def _read_head(self) -> bytes | None:
+        try:
+            buffered = self.rfile.peek()
+        except (OSError, ValueError):
+            return None
+        if not buffered:
+            return None
+        # The usual case: the whole head came with one read.
+        end = buffered.find(_HEAD_END)
+        if end >= 0:
+            return self.rfile.read(end + len(_HEAD_END))
+        return self._read_long_head()
+
+    def _read_long_head(self) -> bytes | None:
+        lines = []
+        left = MAX_HEAD_BYTES
+        while left > 0 and len(lines) < MAX_FIELDS_LINES:
+            try:
+                line = self.rfile.readline(left)
+            except OSError:
+                return None
+            if not line:
+                return None
+            lines.append(line)
+            left -= len(line)
+            if line == b'\r\n':
+                return b''.join(lines)
+        self._refuse(
+            HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+            'the head is too large',
+        )
+        return None
+
+    def _refuse(self, status: HTTPStatus, problem: str) -> None:
+        _malformed.inc()
+        body = f'{problem}\n'
+        text = (
+            f'HTTP/1.1 {status.value} {status.phrase}\r\n{_OUTCOME}'
+            f'Waxwing-Reason: malformed\r\nContent-Type: text/plain\r\n'
+            f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n{body}'
+        )
+        try:
+            self.connection.sendall(text.encode('ascii'))
+        except OSError:
+            # The caller is gone; the connection is closed in any case.
+            return
+
+    def _answer(self, head: RequestHead) -> None:
+        body = RequestBody(self, head)
+        writer = _Writer(self, head, body)
+        result = ()
+        try:
+            result = self.server.app(_environ(head, body), writer.start)
+            writer.write_all(result)
+        except (BrokenPipeError, ConnectionResetError):
+            raise
+        except Exception as error:
+            writer.fail(error)
+        finally:
+            if hasattr(result, 'close'):
+                result.close()
+
+
+def _environ(head: RequestHead, body: RequestBody) -> Environ:
+    path, _, query = head.target.partition('?')
+    return {
+        'REQUEST_METHOD': head.method,
+        'RAW_PATH_INFO': path,
+        'PATH_INFO': unquote(path, 'latin-1') if '%' in path else path,
+        'QUERY_STRING': query,
+        'wsgi.input': body,
+        'waxwing.head': head,
+    }
+
+
+class _Writer:
+    """Writes the answer to one request."""
+
+    def __init__(
+        self,
+        protocol: LeanProtocol,
+        head: RequestHead,
+        body: RequestBody,
+    ) -> None:
+        self._protocol = protocol
+        self._head = head
+        self._body = body
+        self._status = ''
+        self._headers: list[tuple[str, str]] = []
+        self._is_begun = False
+        self._is_chunked = False
+        self._is_to_end = False
+
+    def start(
+        self,
+        status: str,
+        headers: list[tuple[str, str]],
+        _exc_info: object = None,
+    ) -> None:
+        """Takes status and fields, as WSGI's `start_response`."""
+        self._status = status
+        self._headers = headers
+
+    def write_all(self, result: Iterable[bytes]) -> None:
+        """Writes the answer, in one piece if it is whole already."""
+        if isinstance(result, list):
+            body = b''.join(result)
+            self._send(self._begin(len(body)), body)
+            return
+        self._send(self._begin(None), b'')
+        if self._is_bodyless():
+            return
+        for piece in result:
+            if self._is_chunked and piece:
+                self._send(b'%x\r\n' % len(piece), piece, b'\r\n')
+            elif piece:
+                self._protocol.connection.sendall(piece)
+        if self._is_chunked:
+            self._protocol.connection.sendall(b'0\r\n\r\n')
+
+    def fail(self, error: Exception) -> None:
+        """Breaks the answer off: the caller must not take it for whole."""
+        logs.logger().warning('answer broke off', error=repr(error))
+        self._protocol.close_connection = True
+        if not self._is_begun:
+            self.start('500 Internal Server Error', [])
+            self._send(self._begin(0), b'')
+
+    def _begin(self, length: int | None) -> bytes:
+        self._is_begun = True
+        names = {name.lower() for name, _ in self._headers}
+        lines = [
+            f'HTTP/1.1 {self._status}\r\n',
+            *(f'{name}: {text}\r\n' for name, text in self._headers),
+            f'Date: {_date()}\r\n',
+        ]
+        has_length = 'content-length' in names
+        if not has_length and not self._is_bodyless():
+            lines.append(self._framing_line(length))
+        lines.append(self._connection_line())
+        lines.append('\r\n')
+        return ''.join(lines).encode('latin-1')
+
+    def _framing_line(self, length: int | None) -> str:
+        if length is not None:
+            return f'Content-Length: {length}\r\n'
+        if self._head.is_old:
+            self._is_to_end = True
+            return ''
+        self._is_chunked = True
+        return 'Transfer-Encoding: chunked\r\n'
+
+    def _connection_line(self) -> str:
+        protocol = self._protocol
+        is_kept = (
+            self._head.framing.is_kept
+            and self._body.is_whole
+            and not self._is_to_end
+            and protocol.server.keepalive
+            and protocol.conn_state[2] != wsgi.STATE_CLOSE
+        )
+        protocol.close_connection = not is_kept
+        if not is_kept:
+            return 'Connection: close\r\n'
+        return 'Connection: keep-alive\r\n' if self._head.is_old else ''
+
+    def _is_bodyless(self) -> bool:
+        status = int(self._status[:3])
+        return self._head.method == 'HEAD' or status in _BODYLESS
+
+    def _send(self, *parts: bytes) -> None:
+        whole = b''.join(parts)
+        if self._is_bodyless():
+            whole = parts[0]
+        self._protocol.connection.sendall(whole)
+
+
+_dates: dict[int, str] = {}
+
+
+def _date() -> str:
+    now_s = int(time.time())
+    text = _dates.get(now_s)
+    if text is None:
+        _dates.clear()
+        text = wsgi.format_date_time(now_s)
+        _dates[now_s] = text
+    return text
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -10,6 +10,7 @@
 from waxwingsaddle.hop import Hop
 from waxwingsaddle.http_leg import LegPolicy
 from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.lean_http import LeanProtocol
 from waxwingsaddle.link import LinkPolicy
 from waxwingsaddle.node_settings import NodeSettings
 from waxwingsaddle.presence import Presence
@@ -143,7 +144,7 @@
         _Paths(kernel.find('upstreams'), entry),
         lambda: configuration.current is not None,
     )
-    return Server(settings.http_address, probed)
+    return Server(settings.http_address, probed, LeanProtocol)
 
 
 def _link_policy(settings: NodeSettings) -> LinkPolicy:
--- a/waxwingsaddle/remote.py
+++ b/waxwingsaddle/remote.py
@@ -148,6 +148,7 @@
             status=message.status,
             headers=message.headers,
             body=received.frames[0],
+            length=message.length,
             reason=message.reason,
             retry_after_ms=message.retry_after_ms,
             load=message.load and Load(*message.load),
--- a/waxwingsaddle/serving.py
+++ b/waxwingsaddle/serving.py
@@ -136,6 +136,7 @@
             reason=answer.reason,
             retry_after_ms=answer.retry_after_ms,
             is_streamed=answer.stream is not None,
+            length=answer.length,
             was_retried=answer.was_retried,
             load=load
             and (load.in_flight, load.queued, load.limit, load.wait_ms),
