Stop nodes gracefully and answer failures exactly

A stop announces the upstreams as draining, tells callers to close their connections, takes the connections that wait in the accept queue, finishes the calls of callers and other nodes, and logs what a passed limit cut off. A guard notices nodes that died while their calls run, and cancels these.

--- a/test/nodes.py
+++ b/test/nodes.py
@@ -182,9 +182,9 @@
         self.processes.append(upstream.process)
         return upstream.start()
 
-    def pair(self, **settings):
+    def pair(self, slots=6, **settings):
         """Starts an entry node and a guarding node with one upstream."""
-        upstream = self.upstream()
+        upstream = self.upstream(slots=slots)
         guard = self.node('guard', **settings)
         guard.announce(upstream)
         entry = self.node('entry', [guard.entry(upstream)], **settings)
--- /dev/null
+++ b/test/test_node_failures.py
@@ -0,0 +1,251 @@
+"""Nodes and upstreams that die, drain or stop while calls run."""
+
+import threading
+import time
+from contextlib import suppress
+from functools import partial
+from http.client import HTTPConnection, HTTPException
+
+from test.nodes import call, setting
+from test.processes import wait_until
+
+# The killed calls would take this long.
+CALL_S = 4
+
+
+class Caller(threading.Thread):
+    """One call in a thread of its own."""
+
+    def __init__(self, node, target, method='POST', deadline_ms=5000):
+        super().__init__(daemon=True)
+        headers = {'Waxwing-Deadline-Ms': str(deadline_ms)}
+        self._parts = (node.http_address, method, target, None, headers)
+        self.result = None
+        self.error = None
+        self.took_s = 0.0
+        self.start()
+
+    def run(self):
+        """Makes the call."""
+        begun_s = time.monotonic()
+        try:
+            self.result = call(*self._parts)
+        except OSError as error:
+            self.error = error
+        self.took_s = time.monotonic() - begun_s
+
+    def outcome(self):
+        """Returns status, outcome and reason."""
+        self.join(20)
+        status, headers, _ = self.result
+        return status, headers['Waxwing-Outcome'], headers['Waxwing-Reason']
+
+
+def _begun(upstream, identifier):
+    wait_until(lambda: upstream.count('begin', identifier), identifier)
+
+
+def test_guarding_node_killed_while_call_runs():
+    """Guards against waiting for a dead node, a wrong "not run", a rerun."""
+    with setting() as started:
+        entry, guard, upstream = started.pair()
+        caller = Caller(entry, '/orders?id=k1&wait_ms=4500')
+        _begun(upstream, 'k1')
+        guard.process.kill()
+        assert caller.outcome() == (502, 'unknown', 'connection-lost')
+        assert caller.took_s < CALL_S, caller.took_s
+        # With the node gone, nothing of the next call leaves this one.
+        status, headers, _ = call(entry.http_address, 'POST', '/orders?id=k2')
+        assert (status, headers['Waxwing-Outcome']) == (503, 'not-run')
+        assert upstream.count('begin', 'k1') == 1
+        assert upstream.count('begin', 'k2') == 0
+
+
+def test_upstream_killed_while_call_runs():
+    """Guards against a broken upstream answered late or as "not run"."""
+    with setting() as started:
+        entry, _, upstream = started.pair()
+        caller = Caller(entry, '/orders?id=u1&wait_ms=4500')
+        _begun(upstream, 'u1')
+        upstream.process.kill()
+        assert caller.outcome() == (502, 'unknown', 'upstream-broke-off')
+        assert caller.took_s < CALL_S, caller.took_s
+        assert Caller(entry, '/orders?id=u2').outcome() == (
+            503,
+            'not-run',
+            'upstream-refused',
+        )
+
+
+def test_upstream_killed_while_answer_streams():
+    """Guards against a broken large answer that looks whole."""
+    with setting() as started:
+        entry, _, upstream = started.pair()
+        connection = HTTPConnection(entry.http_address, timeout=20)
+        size = 500_000_000
+        connection.request('GET', f'/plans?id=s1&bytes={size}')
+        got = connection.getresponse()
+        got.read(100_000)
+        upstream.process.kill()
+        # The caller sees fewer bytes than announced, and the connection end.
+        with suppress(OSError, HTTPException):
+            received = sum(map(len, iter(partial(got.read, 1_000_000), b'')))
+            assert int(got.headers['Content-Length']) == size
+            assert received < size, received
+
+
+def test_entry_node_killed_cancels_at_upstream():
+    """Guards against work that goes on for callers of a dead node."""
+    with setting() as started:
+        entry, guard, upstream = started.pair()
+        Caller(entry, '/orders?id=e1&wait_ms=15000')
+        _begun(upstream, 'e1')
+        entry.process.kill()
+        wait_until(lambda: upstream.count('cut', 'e1'), 'cancellation', 5)
+        wait_until(
+            lambda: guard.metric('waxwing_guard_in_flight') == 0, 'free slot', 5
+        )
+
+
+def test_caller_that_goes_away_cancels_at_upstream():
+    """Guards against work that goes on for a caller that is gone."""
+    with setting() as started:
+        entry, guard, upstream = started.pair()
+        for node, identifier in ((entry, 'c1'), (guard, 'c2')):
+            connection = HTTPConnection(node.http_address, timeout=20)
+            target = f'/orders?id={identifier}&wait_ms=15000'
+            connection.request('POST', target)
+            _begun(upstream, identifier)
+            connection.close()
+            wait_until(partial(upstream.count, 'cut', identifier), 'cut', 5)
+
+
+def test_deadline_passed_in_queue_did_not_run():
+    """Guards against a queued call that runs after its caller gave up."""
+    with setting() as started:
+        entry, _, upstream = started.pair(slots=1)
+        long_call = Caller(entry, '/orders?id=d1&wait_ms=1500')
+        _begun(upstream, 'd1')
+        queued = Caller(entry, '/orders?id=d2', deadline_ms=150)
+        status, outcome, _ = queued.outcome()
+        assert (status, outcome) == (504, 'not-run')
+        assert long_call.outcome()[1] == 'ran'
+        assert upstream.count('begin', 'd2') == 0
+
+
+def test_deadline_passed_at_upstream_is_unknown():
+    """Guards against a started call that is told as "not run"."""
+    with setting() as started:
+        entry, _, upstream = started.pair()
+        caller = Caller(entry, '/orders?id=t1&wait_ms=3000', deadline_ms=300)
+        assert caller.outcome() == (502, 'unknown', 'deadline')
+        wait_until(lambda: upstream.count('cut', 't1'), 'cut', 5)
+
+
+def test_frozen_upstream_does_not_block_others():
+    """Guards against short answers that wait behind a large one."""
+    with setting() as started:
+        entry, _, _ = started.pair()
+        slow_reader = HTTPConnection(entry.http_address, timeout=20)
+        slow_reader.request('GET', '/plans?id=big&bytes=200000000')
+        large = slow_reader.getresponse()
+        large.read(1000)
+        for number in range(20):
+            result = Caller(entry, f'/orders?id=n{number}')
+            assert result.outcome()[1] == 'ran'
+            assert result.took_s < 2, result.took_s
+        slow_reader.close()
+
+
+class LoadWorker(threading.Thread):
+    """Makes calls on kept connections, and notes those that failed.
+
+    A refused connection sent nothing: the worker goes to the next node.
+    """
+
+    def __init__(self, name, nodes, done):
+        super().__init__(name=name)
+        self._addresses = [node.http_address for node in nodes]
+        self._done = done
+        self._connection = None
+        self.calls = 0
+        self.failures = []
+        self.start()
+
+    def run(self):
+        """Makes calls until told to end."""
+        while not self._done.is_set():
+            if self._connection is None:
+                self._connect()
+                continue
+            self.calls += 1
+            try:
+                self._call()
+            except (OSError, HTTPException) as error:
+                self.failures.append(repr(error))
+                self._connection = None
+
+    def _connect(self):
+        connection = HTTPConnection(self._addresses[0], timeout=20)
+        try:
+            connection.connect()
+        except OSError:
+            self._addresses.reverse()
+        else:
+            self._connection = connection
+
+    def _call(self):
+        target = f'/orders?id={self.name}-{self.calls}&wait_ms=5'
+        self._connection.request('POST', target)
+        got = self._connection.getresponse()
+        got.read()
+        if got.status != 200:
+            self.failures.append((got.status, got.headers.items()))
+        if got.headers['Connection'] == 'close':
+            self._connection = None
+
+
+def test_stop_of_entry_node_under_load_fails_no_call():
+    """Guards against requests lost when a node stops."""
+    with setting() as started:
+        entry, guard, _ = started.pair(slots=64, drain_wait_ms=500)
+        done = threading.Event()
+        workers = [
+            LoadWorker(f'w{number}', [entry, guard], done)
+            for number in range(8)
+        ]
+        time.sleep(0.5)
+        try:
+            assert entry.process.terminate() == 0
+            time.sleep(0.3)
+        finally:
+            done.set()
+        for worker in workers:
+            worker.join()
+            assert not worker.failures, worker.failures[:3]
+            assert worker.calls > 10, worker.calls
+
+
+def test_stop_of_guarding_node_finishes_calls_in_flight():
+    """Guards against calls of other nodes that a stop cuts off."""
+    with setting() as started:
+        entry, guard, upstream = started.pair(drain_wait_ms=200)
+        caller = Caller(entry, '/orders?id=g1&wait_ms=1500')
+        _begun(upstream, 'g1')
+        assert guard.process.terminate() == 0
+        assert caller.outcome()[:2] == (200, 'ran')
+        assert 'cut off' not in guard.process.log_text()
+
+
+def test_stop_beyond_its_limit_says_what_was_cut():
+    """Guards against a stop that hangs, or cuts calls off silently."""
+    with setting() as started:
+        entry, guard, upstream = started.pair(
+            drain_wait_ms=100, stop_limit_ms=300
+        )
+        caller = Caller(entry, '/orders?id=x1&wait_ms=15000')
+        _begun(upstream, 'x1')
+        assert guard.process.terminate(5) == 0
+        assert caller.outcome()[1] == 'unknown'
+        assert 'calls were cut off' in guard.process.log_text()
+        assert 'nodes=1' in guard.process.log_text()
--- a/waxwingsaddle/guarding.py
+++ b/waxwingsaddle/guarding.py
@@ -25,6 +25,7 @@
 from waxwingsaddle.work import Call
 
 _CANCELLED = 'cancelled'
+_DRAINING = 'draining'
 
 _sheds = metrics.counter(
     'waxwing_guard_refused',
@@ -64,6 +65,8 @@
         configuration: Service with `current`, for the tunables of guards.
         policy: Tunables of the HTTP legs.
         call_ids_kept_s: How long call identifiers are remembered.
+        drain_wait_s: How long a draining upstream takes calls of nodes that
+            have not heard of the drain yet.
         clock: Monotonic seconds.
     """
 
@@ -73,11 +76,13 @@
         configuration,
         policy: LegPolicy,
         call_ids_kept_s: float,
+        drain_wait_s: float,
         clock: Callable[[], float],
     ) -> None:
         self._upstreams = upstreams
         self._configuration = configuration
         self._policy = policy
+        self._drain_wait_s = drain_wait_s
         self._clock = clock
         self._guarded: dict[str, _Guarded] = {}
         self._jobs: dict[str, _Job] = {}
@@ -208,7 +213,7 @@
     def _adopt(self, name: str, announcement: Announcement) -> None:
         guarded = self._guarded.get(name)
         policy = GuardPolicy.of(self._service(announcement.service))
-        if guarded is None or guarded.leg.address != announcement.address:
+        if guarded is None or _is_new(guarded.announcement, announcement):
             if guarded is not None:
                 guarded.leg.close()
             guarded = _Guarded(
@@ -217,6 +222,9 @@
                 UpstreamLeg(announcement.address, self._policy, self._clock),
             )
             self._guarded[name] = guarded
+        is_draining = announcement.state == _DRAINING
+        if is_draining and guarded.announcement.state != _DRAINING:
+            eventlet.spawn_after(self._drain_wait_s, guarded.guard.drain)
         guarded.announcement = announcement
         guarded.guard.configure(announcement.slots, policy)
 
@@ -232,6 +240,12 @@
         return sum(one.guard.load().in_flight for one in self._guarded.values())
 
 
+def _is_new(before: Announcement, after: Announcement) -> bool:
+    # A guard that drains stays so; an upstream that is back gets a new one.
+    is_back = before.state == _DRAINING and after.state != _DRAINING
+    return is_back or before.address != after.address
+
+
 class _GuardedStream:
     """Body of a large answer that holds its slot until it ends."""
 
--- a/waxwingsaddle/hop.py
+++ b/waxwingsaddle/hop.py
@@ -257,6 +257,14 @@
         """
         return self._answer([sender, _envelope(message), *frames])
 
+    def is_reachable(self, sender: bytes) -> bool:
+        """Says whether the connection a message came on still stands."""
+        try:
+            self._router.send_multipart([sender, _PROBE], zmq.NOBLOCK)
+        except zmq.ZMQError as error:
+            return error.errno != zmq.EHOSTUNREACH
+        return True
+
     def _answer(self, frames: Frames) -> bool:
         if self._router is None:
             return False
@@ -332,6 +340,9 @@
             handler(link)
 
 
+# No node handles this kind; sending it finds out whether a peer is there.
+_PROBE = pack(Envelope('Probe', 0, False, msgspec.Raw(pack(None))))
+
 _decode = msgspec.msgpack.Decoder(Envelope).decode
 
 
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -6,6 +6,7 @@
 from waxwingsaddle.dispatch import Dispatch
 from waxwingsaddle.entry import Entry
 from waxwingsaddle.events import Timeline
+from waxwingsaddle.graceful import GracefulServer
 from waxwingsaddle.guarding import Guarding
 from waxwingsaddle.hop import Hop
 from waxwingsaddle.http_leg import LegPolicy
@@ -17,12 +18,12 @@
 from waxwingsaddle.remote import RemoteCalls, RemotePolicy
 from waxwingsaddle.routing import Routing
 from waxwingsaddle.serving import Serving
+from waxwingsaddle.shutdown import Shutdown
 from waxwingsaddle.upstreams import PATH, Upstreams
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
 from waxwingsaddle.web import (
     Environ,
     Probes,
-    Server,
     StartResponse,
 )
 
@@ -61,7 +62,7 @@
         settings.request_body_limit_bytes,
         monotonic_s,
     )
-    kernel.provide('http', _server(kernel, settings, entry))
+    _provide_server(kernel, settings, entry)
     return kernel
 
 
@@ -95,6 +96,7 @@
             stall_timeout_s=settings.stall_timeout_ms / MS_PER_S,
         ),
         settings.call_ids_kept_s,
+        settings.drain_wait_ms / MS_PER_S,
         monotonic_s,
     )
     kernel.subscribe('upstreams-changed', guarding.refresh)
@@ -138,13 +140,26 @@
     return dispatch
 
 
-def _server(kernel: Kernel, settings: NodeSettings, entry: Entry) -> Server:
+def _provide_server(
+    kernel: Kernel,
+    settings: NodeSettings,
+    entry: Entry,
+) -> None:
     configuration = kernel.find('configuration')
+    upstreams = kernel.find('upstreams')
     probed = Probes(
-        _Paths(kernel.find('upstreams'), entry),
-        lambda: configuration.current is not None,
+        _Paths(upstreams, entry),
+        lambda: configuration.current is not None and not shutdown.is_draining,
+    )
+    shutdown = Shutdown(
+        upstreams,
+        GracefulServer(settings.http_address, probed, LeanProtocol),
+        kernel.find('serving'),
+        kernel.find('guarding'),
+        settings.drain_wait_ms,
+        settings.stop_limit_ms,
     )
-    return Server(settings.http_address, probed, LeanProtocol)
+    kernel.provide('shutdown', shutdown)
 
 
 def _link_policy(settings: NodeSettings) -> LinkPolicy:
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -46,6 +46,9 @@
         answer_grace_ms: Wait beyond the deadline for the guard to say whether
             the call ran.
         caller_check_ms: Interval at which callers that went away are noticed.
+        drain_wait_ms: Time in which other nodes learn that this one stops.
+        stop_limit_ms: Longest time for calls in flight at a stop; those that
+            last longer are cut off and logged.
         call_ids_kept_s: How long call identifiers are remembered.
         hop_heartbeat_ms: Interval of heartbeats between nodes; a peer that
             misses three is lost.
@@ -76,6 +79,8 @@
     answer_grace_ms: Positive
     caller_check_ms: Positive
     call_ids_kept_s: Positive
+    drain_wait_ms: Positive
+    stop_limit_ms: Positive
     hop_heartbeat_ms: Positive
     hop_queue_messages: Positive
     hop_message_bytes: Positive
--- a/waxwingsaddle/serving.py
+++ b/waxwingsaddle/serving.py
@@ -21,6 +21,9 @@
 from waxwingsaddle.hop import Hop, Received
 from waxwingsaddle.util.clock import MS_PER_S
 
+# Interval of checks whether the nodes whose calls run are still there.
+_WATCH_S = 0.2
+
 _decode_request = msgspec.msgpack.Decoder(CallRequest).decode
 _decode_cancel = msgspec.msgpack.Decoder(CallCancel).decode
 _decode_credit = msgspec.msgpack.Decoder(CallCredit).decode
@@ -74,6 +77,10 @@
         hop.on_raw(CallCancel, self._on_cancel)
         hop.on_raw(CallCredit, self._on_credit)
 
+    def start(self) -> None:
+        """Begins to notice nodes that went away while their calls run."""
+        eventlet.spawn(self._watch_callers)
+
     @property
     def pending(self) -> int:
         """The number of calls of other nodes that are not answered yet."""
@@ -102,6 +109,19 @@
             sending.receiver = received.sender
             sending.notify()
 
+    def _watch_callers(self) -> None:
+        while True:
+            eventlet.sleep(_WATCH_S)
+            senders = set(self._callers.values())
+            gone = {one for one in senders if not self._hop.is_reachable(one)}
+            orphans = [
+                call_id
+                for call_id, sender in self._callers.items()
+                if sender in gone
+            ]
+            for call_id in orphans:
+                self._cancel(call_id)
+
     def _run(
         self,
         received: Received,
--- /dev/null
+++ b/waxwingsaddle/shutdown.py
@@ -0,0 +1,72 @@
+"""Graceful stop of a node: announce, wait, finish the calls, exit."""
+
+import time
+
+import eventlet
+
+from waxwingsaddle import logs
+from waxwingsaddle.graceful import GracefulServer
+from waxwingsaddle.guarding import Guarding
+from waxwingsaddle.serving import Serving
+from waxwingsaddle.upstreams import Upstreams
+from waxwingsaddle.util.clock import MS_PER_S
+
+_POLL_S = 0.02
+
+
+class Shutdown:
+    """Stops the data path of a node without cutting a call off.
+
+    It is the last service, so that it stops first, while all others work.
+
+    Args:
+        upstreams: Announces the upstreams of this node as draining.
+        server: Serves callers.
+        serving: Serves other nodes.
+        guarding: Runs calls at the upstreams.
+        drain_wait_ms: Time in which other nodes learn of the drain.
+        stop_limit_ms: Longest time for calls in flight afterwards.
+    """
+
+    def __init__(
+        self,
+        upstreams: Upstreams,
+        server: GracefulServer,
+        serving: Serving,
+        guarding: Guarding,
+        drain_wait_ms: int,
+        stop_limit_ms: int,
+    ) -> None:
+        self._upstreams = upstreams
+        self._server = server
+        self._serving = serving
+        self._guarding = guarding
+        self._drain_wait_s = drain_wait_ms / MS_PER_S
+        self._stop_limit_s = stop_limit_ms / MS_PER_S
+        self.is_draining = False
+
+    def start(self) -> None:
+        """Serves callers."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Drains, finishes the calls in flight and says what was cut."""
+        self.is_draining = True
+        self._server.drain()
+        self._upstreams.drain()
+        eventlet.sleep(self._drain_wait_s)
+        end_s = time.monotonic() + self._stop_limit_s
+        cut_callers = self._server.finish(self._stop_limit_s)
+        while time.monotonic() < end_s and self._is_busy():
+            eventlet.sleep(_POLL_S)
+        cut_nodes = self._serving.pending
+        if cut_callers or cut_nodes:
+            logs.logger().warning(
+                'stop limit passed, calls were cut off',
+                callers=cut_callers,
+                nodes=cut_nodes,
+                at_upstreams=self._guarding.pending,
+            )
+
+    def _is_busy(self) -> bool:
+        return bool(self._serving.pending or self._guarding.pending)
