--- /dev/null
+++ b/test/clusters.py
@@ -0,0 +1,174 @@
+"""A cluster of control hosts as real processes."""
+
+import json
+import shutil
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from functools import partial
+from pathlib import Path
+from urllib.error import HTTPError
+from urllib.request import Request, urlopen
+
+from test.processes import Process, free_address, get_json, is_ready, wait_until
+
+REQUEST_LIMIT_S = 30
+LOG_SHOWN = 3000
+
+BASE = """version = {version}
+[services.orders]
+timeout_ms = {timeout_ms}
+[routes.order]
+path_prefix = "/orders"
+service = "orders"
+"""
+
+
+class ControlCluster:
+    """Control hosts `c0`, `c1`, ... under one folder.
+
+    Args:
+        folder: Holds settings, state and logs.
+        count: Number of hosts; each is its own availability zone.
+        settings: Further settings of every host.
+    """
+
+    def __init__(self, folder: Path, count: int = 3, **settings) -> None:
+        self.folder = folder
+        self.hosts = [
+            {
+                'host': f'c{number}',
+                'availability_zone': f'z{number}',
+                'peer_address': free_address(),
+                'node_address': free_address(),
+                'http_address': free_address(),
+            }
+            for number in range(count)
+        ]
+        self.processes = {
+            entry['host']: self._process(entry['host'], settings)
+            for entry in self.hosts
+        }
+
+    def start(self) -> 'ControlCluster':
+        """Starts all hosts and waits until all of them are ready."""
+        for process in self.processes.values():
+            process.start()
+        for host in self.processes:
+            self.wait_ready(host)
+        return self
+
+    def stop(self) -> None:
+        """Kills all hosts."""
+        for process in self.processes.values():
+            process.kill()
+
+    def address(self, host: str) -> str:
+        """Returns the HTTP address of a host."""
+        return next(
+            entry['http_address']
+            for entry in self.hosts
+            if entry['host'] == host
+        )
+
+    def wait_ready(self, host: str) -> None:
+        """Waits until a host has contact with a majority."""
+        try:
+            wait_until(partial(is_ready, self.address(host)), f'{host} ready')
+        except AssertionError as error:
+            log = self.processes[host].log_text()[-LOG_SHOWN:]
+            raise AssertionError(f'{error}\n{log}') from None
+
+    def status(self, host: str) -> dict:
+        """Returns the status document of a host."""
+        return get_json(self.address(host), '/v1/status')
+
+    def leader(self, besides: str | None = None) -> str:
+        """Waits until some host leads and returns its name."""
+        return wait_until(lambda: self._leader(besides), 'a leader')
+
+    def wait_version(self, version: int) -> None:
+        """Waits until every running host has applied a version."""
+        for host in self.running():
+            wait_until(
+                partial(self._has_version, host, version),
+                f'version {version} on {host}',
+            )
+
+    def running(self) -> list[str]:
+        """Returns the names of the hosts that run."""
+        return [
+            host
+            for host, process in self.processes.items()
+            if process.popen and process.popen.poll() is None
+        ]
+
+    def submit(self, host: str, edit: dict) -> dict:
+        """Submits an edit through a host and returns the outcome.
+
+        Raises:
+            OSError: The host does not answer.
+        """
+        request = Request(
+            f'http://{self.address(host)}/v1/edits',
+            json.dumps(edit).encode(),
+            {'Content-Type': 'application/json'},
+        )
+        try:
+            with urlopen(request, timeout=REQUEST_LIMIT_S) as got:
+                return json.load(got)
+        except HTTPError as error:
+            return json.load(error)
+
+    def wipe(self, host: str) -> None:
+        """Kills a host, loses its disk and starts it again."""
+        self.processes[host].kill()
+        shutil.rmtree(self.folder / host / 'state')
+        self.processes[host].start()
+
+    def _has_version(self, host: str, version: int) -> bool:
+        return self.status(host)['replication']['version'] >= version
+
+    def _leader(self, besides: str | None) -> str | None:
+        for host in self.running():
+            if host == besides:
+                continue
+            if self.status(host)['replication']['is_leader']:
+                return host
+        return None
+
+    def _process(self, host: str, settings: dict) -> Process:
+        folder = self.folder / host
+        folder.mkdir()
+        own = {'host': host, 'data_folder': str(folder / 'state'), **settings}
+        lines = [
+            '[control]',
+            *(f'{key} = {json.dumps(setting)}' for key, setting in own.items()),
+        ]
+        for entry in self.hosts:
+            lines.append('[[control.hosts]]')
+            lines.extend(
+                f'{key} = {json.dumps(setting)}'
+                for key, setting in entry.items()
+            )
+        settings_file = folder / 'settings.toml'
+        settings_file.write_text('\n'.join(lines), encoding='utf-8')
+        return Process('control', settings_file, folder / 'log')
+
+
+def edit(version: int, timeout_ms: int = 1000, author: str = 'ann') -> dict:
+    """Returns a small edit."""
+    base = BASE.format(version=version, timeout_ms=timeout_ms)
+    sources = {'base': base, 'overlays': {'north': '', 'south': ''}}
+    return {'sources': sources, 'author': author}
+
+
+@contextmanager
+def control_cluster(count: int = 3, **settings) -> Iterator[ControlCluster]:
+    """Runs a cluster of control hosts in a folder that is deleted."""
+    with tempfile.TemporaryDirectory() as name:
+        cluster = ControlCluster(Path(name), count, **settings)
+        try:
+            yield cluster.start()
+        finally:
+            cluster.stop()
--- /dev/null
+++ b/waxwingsaddle/control.py
@@ -0,0 +1,84 @@
+"""Program wiring of a control host."""
+
+from importlib import import_module, util
+
+from waxwingsaddle import web
+from waxwingsaddle.control_http import MinimalApi
+from waxwingsaddle.control_settings import ControlSettings
+from waxwingsaddle.events import Timeline
+from waxwingsaddle.kernel import Kernel, UnknownServiceError
+from waxwingsaddle.peers import Peers
+from waxwingsaddle.raft_messages import Members, Replica
+from waxwingsaddle.replication import Replication
+
+# Modules with services of their own; each has `attach(kernel, settings)`.
+ATTACHED = ('waxwingsaddle.distribution', 'waxwingsaddle.api')
+HTTP_APPLICATION = 'http-application'
+
+
+def build(settings: ControlSettings) -> Kernel:
+    """Makes the kernel of a control host with all services.
+
+    Services start in the order of registration and stop in the reverse order:
+    the HTTP server takes requests only while the log runs.
+    """
+    kernel = Kernel()
+    this_host = settings.this_host
+    peers = Peers(this_host, settings.hosts, settings.peer_limits)
+    timeline = Timeline('control', settings.host, settings.events_kept)
+    replication = Replication(kernel, settings, peers)
+    kernel.provide('events', timeline)
+    kernel.provide('peers', peers)
+    kernel.provide('replication', replication)
+    _record_changes(kernel, timeline, replication)
+    for name in ATTACHED:
+        if util.find_spec(name) is not None:
+            import_module(name).attach(kernel, settings)
+    probes = web.Probes(
+        _application(kernel, replication),
+        lambda: _is_ready(replication, settings.ready_majority_age_ms),
+    )
+    kernel.provide('http', web.Server(this_host.http_address, probes))
+    return kernel
+
+
+def _application(kernel: Kernel, replication: Replication) -> web.Application:
+    try:
+        return kernel.find(HTTP_APPLICATION)
+    except UnknownServiceError:
+        return MinimalApi(replication)
+
+
+def _is_ready(replication: Replication, age_limit_ms: int) -> bool:
+    is_fresh = replication.majority_age_ms() <= age_limit_ms
+    return is_fresh and replication.problem is None
+
+
+def _record_changes(
+    kernel: Kernel,
+    timeline: Timeline,
+    replication: Replication,
+) -> None:
+    kernel.subscribe(
+        'leader-changed',
+        lambda leader: timeline.record('leader', leader=leader or 'unknown'),
+    )
+    kernel.subscribe(
+        'configuration-accepted',
+        lambda version: timeline.record('accepted', version=version),
+    )
+    kernel.subscribe(
+        'members-changed',
+        lambda members: timeline.record('members', **_described(members)),
+    )
+
+
+def _described(members: Members) -> dict[str, str]:
+    return {
+        'voters': _named(members.voters),
+        'learners': _named(members.learners),
+    }
+
+
+def _named(replicas: tuple[Replica, ...]) -> str:
+    return ' '.join(replica.identity for replica in replicas)
--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -6,6 +6,9 @@
 
 from waxwingsaddle.addresses import ControlHost, HostName
 from waxwingsaddle.peers import PeerLimits
+from waxwingsaddle.raft_driver import DriverLimits
+from waxwingsaddle.raft_state import Timing
+from waxwingsaddle.util.clock import MS_PER_S
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 
@@ -25,6 +28,27 @@
         log_level: Least level of log lines.
         log_form: `json` or `text`.
         events_kept: Events kept for the time line.
+        election_min_ms: Shortest election timeout; a leader without a
+            majority steps down after it.
+        election_max_ms: Longest election timeout.
+        heartbeat_ms: Interval of the leader's heartbeats.
+        append_bytes: Most bytes of log entries in one message.
+        snapshot_chunk_bytes: Bytes of a snapshot in one message.
+        inflight_entries: Entries sent to one replica and not yet answered.
+        caught_up_entries: Entries a learner may lack when it gets a vote.
+        log_compact_bytes: Bytes of log that lead to a snapshot.
+        log_kept_entries: Entries kept for replicas a little behind.
+        disk_retry_ms: Pause before a full disk is tried again.
+        join_interval_ms: Pause between requests to join.
+        versions_kept: Versions that can be had as a whole.
+        history_kept: Versions whose digest and author are remembered.
+        edit_bytes: Largest edit, as the sum of its files.
+        submit_deadline_ms: How long an edit is tried before the answer is
+            that its result is not known.
+        forward_timeout_ms: How long one try waits for the leader.
+        hand_over_ms: How long a stop waits for a new leader.
+        ready_majority_age_ms: Age of the last contact with a majority above
+            which the host is not ready.
         peer_queue_messages: Messages queued for or from one control host.
         peer_message_bytes: Largest message taken from a control host.
         peer_reconnect_ms: First delay before connecting again.
@@ -42,6 +66,24 @@
     log_level: Literal['debug', 'info', 'warning', 'error']
     log_form: Literal['json', 'text']
     events_kept: Positive
+    election_min_ms: Positive
+    election_max_ms: Positive
+    heartbeat_ms: Positive
+    append_bytes: Positive
+    snapshot_chunk_bytes: Positive
+    inflight_entries: Positive
+    caught_up_entries: Positive
+    log_compact_bytes: Positive
+    log_kept_entries: Positive
+    disk_retry_ms: Positive
+    join_interval_ms: Positive
+    versions_kept: Positive
+    history_kept: Positive
+    edit_bytes: Positive
+    submit_deadline_ms: Positive
+    forward_timeout_ms: Positive
+    hand_over_ms: Positive
+    ready_majority_age_ms: Positive
     peer_queue_messages: Positive
     peer_message_bytes: Positive
     peer_reconnect_ms: Positive
@@ -49,6 +91,46 @@
     peer_keepalive_ms: Positive
     peer_keepalive_timeout_ms: Positive
 
+    def __post_init__(self) -> None:
+        """Checks what concerns several settings.
+
+        Raises:
+            ValueError: The times or hosts do not fit together.
+        """
+        if self.election_max_ms < self.election_min_ms:
+            raise ValueError('election_max_ms is below election_min_ms')
+        if self.heartbeat_ms * 2 > self.election_min_ms:
+            raise ValueError('election_min_ms is below two heartbeats')
+        if len({one.host for one in self.hosts}) < len(self.hosts):
+            raise ValueError('hosts names a host twice')
+
+    @property
+    def timing(self) -> Timing:
+        """Times and limits of the consensus protocol."""
+        return Timing(
+            election_min_s=self.election_min_ms / MS_PER_S,
+            election_max_s=self.election_max_ms / MS_PER_S,
+            heartbeat_s=self.heartbeat_ms / MS_PER_S,
+            append_bytes=self.append_bytes,
+            chunk_bytes=self.snapshot_chunk_bytes,
+            inflight_entries=self.inflight_entries,
+            caught_up_entries=self.caught_up_entries,
+        )
+
+    @property
+    def driver_limits(self) -> DriverLimits:
+        """Limits of the log and its disk."""
+        return DriverLimits(
+            compact_bytes=self.log_compact_bytes,
+            kept_entries=self.log_kept_entries,
+            disk_retry_ms=self.disk_retry_ms,
+        )
+
+    @property
+    def first_voters(self) -> tuple[str, ...]:
+        """Hosts that vote when the first control hosts start, sorted."""
+        return tuple(sorted(one.host for one in self.hosts if one.is_voter))
+
     @property
     def peer_limits(self) -> PeerLimits:
         """Limits of the sockets between control hosts."""
--- /dev/null
+++ b/waxwingsaddle/deciding.py
@@ -0,0 +1,107 @@
+"""Decides edits and changes of members as leader of the log."""
+
+from collections.abc import Callable
+
+from eventlet import greenthread
+
+from waxwingsaddle import config
+from waxwingsaddle.membership import Change, MembershipError
+from waxwingsaddle.outcomes import (
+    Edit,
+    MembersChanged,
+    Outcome,
+    Refused,
+    Unavailable,
+)
+from waxwingsaddle.raft_driver import RaftDriver
+from waxwingsaddle.util.clock import monotonic_s, wall_ms
+
+# Pause between looks at a state that nobody signals, such as a new leader.
+POLL_S = 0.02
+NOT_LEADER = Unavailable(reason='not the leader')
+IN_DOUBT = Unavailable(reason='the result is not known')
+
+
+class Deciding:
+    """Answers requests on the host that leads.
+
+    Args:
+        driver: Runs the replica of this host.
+    """
+
+    def __init__(self, driver: RaftDriver) -> None:
+        self._driver = driver
+
+    def edit(self, edit: Edit, budget_s: float) -> Outcome:
+        """Decides an edit within some seconds."""
+        deadline_s = monotonic_s() + budget_s
+        checked = config.check_sources(edit.sources)
+        if isinstance(checked, config.Refused):
+            return Refused(problems=checked.problems)
+        if not self._is_settled_by(deadline_s):
+            return NOT_LEADER
+        state = self._driver.state
+        verdict = state.verdict(checked.version, checked.digest)
+        if isinstance(verdict, Refused):
+            # A leader that was replaced unawares may not know the newest
+            # version; what it knows as accepted stays true.
+            if not self._leads_beyond(monotonic_s(), deadline_s):
+                return Unavailable(reason='no contact with a majority')
+            verdict = state.verdict(checked.version, checked.digest)
+        if verdict is not None:
+            return verdict
+        command = state.entry(edit, checked, wall_ms())
+        proposal = self._driver.propose(command)
+        if proposal is None:
+            return NOT_LEADER
+        return proposal.wait(deadline_s - monotonic_s()) or IN_DOUBT
+
+    def change(
+        self,
+        change: Change,
+        budget_s: float,
+    ) -> MembersChanged | Refused | Unavailable:
+        """Decides a change of members within some seconds."""
+        deadline_s = monotonic_s() + budget_s
+        if not self._is_settled_by(deadline_s):
+            return NOT_LEADER
+        try:
+            proposal = self._driver.change_members(change)
+        except MembershipError as error:
+            return Refused(problems=(str(error),))
+        if proposal is None:
+            return Unavailable(reason='another change of members is under way')
+        members = proposal.wait(deadline_s - monotonic_s())
+        return IN_DOUBT if members is None else MembersChanged(members=members)
+
+    def _is_settled_by(self, deadline_s: float) -> bool:
+        """Waits until an entry of this leader's term is committed."""
+        wait_until(
+            lambda: self._is_settled() or not self._driver.is_leader,
+            deadline_s - monotonic_s(),
+        )
+        return self._is_settled()
+
+    def _leads_beyond(self, asked_s: float, deadline_s: float) -> bool:
+        """Waits for a proof that this host led at a time."""
+        return wait_until(
+            lambda: self._led_at(asked_s),
+            deadline_s - monotonic_s(),
+        )
+
+    def _is_settled(self) -> bool:
+        return self._driver.is_leader and self._driver.raft.is_settled_leader
+
+    def _led_at(self, asked_s: float) -> bool:
+        majority_s = self._driver.raft.majority_s
+        return self._is_settled() and majority_s >= asked_s
+
+
+def wait_until(condition: Callable[[], bool], limit_s: float) -> bool:
+    """Waits in this green thread; false when the condition never held."""
+    deadline_s = monotonic_s() + limit_s
+    while not condition():
+        if monotonic_s() >= deadline_s:
+            return False
+        greenthread.sleep(POLL_S)
+    return True
--- /dev/null
+++ b/waxwingsaddle/forwarding.py
@@ -0,0 +1,123 @@
+"""Forwards requests of one control host to the leader, and answers them."""
+
+import secrets
+from itertools import count
+
+import msgspec
+from eventlet import greenpool, timeout
+from eventlet.event import Event
+
+from waxwingsaddle.deciding import Deciding
+from waxwingsaddle.membership import Change
+from waxwingsaddle.outcomes import Edit, MembersChanged, Outcome, Unavailable
+from waxwingsaddle.peers import Peers
+
+# A leader that works on so many forwarded requests refuses more; each may
+# hold a whole set of source files.
+MAX_REQUESTS = 64
+
+Answer = Outcome | MembersChanged
+
+
+class ForwardEdit(msgspec.Struct, frozen=True):
+    """Asks the leader to take an edit.
+
+    Attributes:
+        request: Identifies the request; unique over restarts.
+        budget_s: How long the sender waits.
+        edit: The edit.
+    """
+
+    request: str
+    budget_s: float
+    edit: Edit
+
+
+class ForwardChange(msgspec.Struct, frozen=True):
+    """Asks the leader to take a change of members."""
+
+    request: str
+    budget_s: float
+    change: Change
+
+
+class ForwardReply(msgspec.Struct, frozen=True):
+    """Answers a forwarded request."""
+
+    request: str
+    answer: Answer
+
+
+class Forwarding:
+    """Requests to the leader and from other hosts.
+
+    Args:
+        peers: Carries the messages.
+        deciding: Answers as leader.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        deciding: Deciding,
+    ) -> None:
+        self._peers = peers
+        self._deciding = deciding
+        self._pool = greenpool.GreenPool(MAX_REQUESTS)
+        self._start = secrets.token_hex(4)
+        self._numbers = count()
+        self._waiting: dict[str, Event] = {}
+        peers.subscribe(ForwardEdit, self._on_edit)
+        peers.subscribe(ForwardChange, self._on_change)
+        peers.subscribe(ForwardReply, self._on_reply)
+
+    def edit(self, host: str, edit: Edit, budget_s: float) -> Answer:
+        """Forwards an edit and waits for the answer."""
+        return self._ask(
+            host,
+            ForwardEdit(self._request(), budget_s, edit),
+        )
+
+    def change(self, host: str, change: Change, budget_s: float) -> Answer:
+        """Forwards a change of members and waits for the answer."""
+        return self._ask(
+            host,
+            ForwardChange(self._request(), budget_s, change),
+        )
+
+    def _request(self) -> str:
+        return f'{self._peers.host}-{self._start}-{next(self._numbers)}'
+
+    def _ask(self, host: str, message: ForwardEdit | ForwardChange) -> Answer:
+        answered = Event()
+        self._waiting[message.request] = answered
+        try:
+            if not self._peers.send(host, message):
+                return Unavailable(reason=f'no connection to leader {host}')
+            with timeout.Timeout(message.budget_s, False):
+                return answered.wait()
+        finally:
+            self._waiting.pop(message.request, None)
+        return Unavailable(reason=f'no answer from leader {host} in time')
+
+    def _on_edit(self, sender: str, message: ForwardEdit) -> None:
+        self._work(sender, message, self._deciding.edit, message.edit)
+
+    def _on_change(self, sender: str, message: ForwardChange) -> None:
+        self._work(sender, message, self._deciding.change, message.change)
+
+    def _work(self, sender: str, message, decide, request) -> None:
+        if self._pool.free() > 0:
+            self._pool.spawn_n(self._answer, sender, message, decide, request)
+        else:
+            busy = Unavailable(reason='the leader has too many requests')
+            self._peers.send(sender, ForwardReply(message.request, busy))
+
+    def _answer(self, sender: str, message, decide, request) -> None:
+        answer = decide(request, message.budget_s)
+        self._peers.send(sender, ForwardReply(message.request, answer))
+
+    def _on_reply(self, _sender: str, reply: ForwardReply) -> None:
+        answered = self._waiting.pop(reply.request, None)
+        if answered is not None:
+            answered.send(reply.answer)
--- /dev/null
+++ b/waxwingsaddle/joining.py
@@ -0,0 +1,167 @@
+"""How control hosts find their place: first members, learners, repairs.
+
+A host with a new identity asks all others to join. The first members are set
+by the host with the least name among the voters of the settings, once every
+other voter has answered the present identity that it is new too. A host whose
+disk was lost can therefore not begin a second log: a host that kept its disk
+does not answer that it is new.
+"""
+
+import msgspec
+
+from waxwingsaddle import logs
+from waxwingsaddle.addresses import ControlHost
+from waxwingsaddle.membership import (
+    AddLearner,
+    Change,
+    MembershipError,
+    Replace,
+)
+from waxwingsaddle.peers import Peers
+from waxwingsaddle.raft_driver import RaftDriver
+from waxwingsaddle.raft_messages import Members, Replica
+
+
+class Join(msgspec.Struct, frozen=True):
+    """Asks to receive the log.
+
+    Attributes:
+        replica: The replica that asks.
+    """
+
+    replica: Replica
+
+
+class JoinReply(msgspec.Struct, frozen=True):
+    """Answers a host that asks to join.
+
+    Attributes:
+        replica: The replica that answers.
+        is_new: Whether it has never had a log.
+        asked_by: Identity that asked.
+    """
+
+    replica: Replica
+    is_new: bool
+    asked_by: str
+
+
+class Joining:
+    """Joins this host to the others, and others to the log.
+
+    Args:
+        driver: Runs the replica of this host.
+        peers: Carries the messages.
+        this_host: The entry of this host.
+        first_voters: Hosts that vote when the first control hosts start.
+        lost_state: Whether this host has set state aside; it then takes no
+            part in the beginning of a new log.
+    """
+
+    def __init__(
+        self,
+        driver: RaftDriver,
+        peers: Peers,
+        this_host: ControlHost,
+        first_voters: tuple[str, ...],
+        lost_state: bool,
+    ) -> None:
+        self._driver = driver
+        self._peers = peers
+        self._replica = Replica(
+            driver.raft.identity,
+            this_host.host,
+            this_host.peer_address,
+        )
+        self._first_voters = first_voters
+        self._lost_state = lost_state
+        self._new: dict[str, Replica] = {this_host.host: self._replica}
+        self._asking: dict[str, Replica] = {}
+        peers.subscribe(Join, self._on_join)
+        peers.subscribe(JoinReply, self._on_reply)
+
+    @property
+    def is_new(self) -> bool:
+        """Whether this host has never had a log."""
+        has_log = self._driver.raft.log.last_index > 0
+        return not has_log and not self._lost_state
+
+    def tick(self) -> None:
+        """Does what is due; called at a steady interval."""
+        self._connect_members()
+        if self._driver.is_leader:
+            self._admit()
+        elif self._wants_to_join():
+            self._peers.broadcast(Join(self._replica))
+            self._begin()
+
+    def _wants_to_join(self) -> bool:
+        # A learner that no leader sends to was removed, or replaced by a late
+        # request of an earlier identity of its host.
+        raft = self._driver.raft
+        if raft.log.last_index == 0:
+            return True
+        is_voter = raft.members.is_voter(raft.identity)
+        return not is_voter and not raft.has_live_leader
+
+    def _begin(self) -> None:
+        raft = self._driver.raft
+        is_first = self._replica.host == min(self._first_voters, default='')
+        is_complete = self._new.keys() >= set(self._first_voters)
+        if self.is_new and is_first and is_complete and not raft.members.voters:
+            voters = tuple(self._new[host] for host in self._first_voters)
+            logs.logger().info('begins a new log', voters=self._first_voters)
+            raft.bootstrap(Members(voters))
+            self._driver.wake()
+
+    def _admit(self) -> None:
+        for change in (*self._repairs(), *self._admissions()):
+            try:
+                proposal = self._driver.change_members(change)
+            except MembershipError:
+                continue
+            if proposal is not None:
+                logs.logger().info('changes members', change=change)
+                return
+
+    def _repairs(self) -> list[Change]:
+        raft = self._driver.raft
+        return [
+            Replace(voter.identity, learner.identity)
+            for learner in raft.members.learners
+            for voter in raft.members.voters
+            if voter.host == learner.host
+            and raft.is_caught_up(learner.identity)
+        ]
+
+    def _admissions(self) -> list[Change]:
+        members = self._driver.raft.members
+        asking = [
+            replica
+            for replica in self._asking.values()
+            if members.find(replica.identity) is None
+        ]
+        self._asking.clear()
+        return [AddLearner(replica) for replica in asking]
+
+    def _connect_members(self) -> None:
+        for member in self._driver.raft.members:
+            self._peers.connect(member.host, member.peer_address)
+
+    def _on_join(self, sender: str, message: Join) -> None:
+        self._peers.connect(sender, message.replica.peer_address)
+        self._asking[sender] = message.replica
+        reply = JoinReply(
+            self._replica,
+            self.is_new,
+            message.replica.identity,
+        )
+        self._peers.send(sender, reply)
+
+    def _on_reply(self, sender: str, message: JoinReply) -> None:
+        if message.asked_by != self._replica.identity:
+            return
+        if message.is_new:
+            self._new[sender] = message.replica
+        else:
+            self._new.pop(sender, None)
--- a/waxwingsaddle/leading.py
+++ b/waxwingsaddle/leading.py
@@ -153,14 +153,19 @@
         """Says whether a replica lacks few enough entries for a vote."""
         state = self._state
         progress = self._progress.get(identity)
-        if progress is None:
+        if progress is None or not self.is_heard(identity):
             return False
         lag = state.log.last_index - progress.match_index
+        return lag <= state.timing.caught_up_entries
+
+    def is_heard(self, identity: str) -> bool:
+        """Says whether a replica answered within an election timeout."""
+        state = self._state
+        progress = self._progress.get(identity)
+        if progress is None:
+            return identity == state.identity
         silence_s = state.now_s - progress.contact_s
-        return (
-            lag <= state.timing.caught_up_entries
-            and silence_s <= state.timing.election_min_s
-        )
+        return silence_s <= state.timing.election_min_s
 
     def _heard(self, reply: AppendReply | SnapshotReply) -> Progress | None:
         progress = self._progress.get(reply.source)
--- a/waxwingsaddle/membership.py
+++ b/waxwingsaddle/membership.py
@@ -65,6 +65,11 @@
     """Returns the identity that must be caught up before the change."""
 
 
+def loses_vote(change: Change) -> str | None:
+    """Returns the identity that the change takes as ended."""
+    return change.ended if isinstance(change, Replace) else None
+
+
 @changed.register
 def _add_learner(change: AddLearner, members: Members) -> Members:
     added = change.replica
--- a/waxwingsaddle/outcomes.py
+++ b/waxwingsaddle/outcomes.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from waxwingsaddle.config import SourceSet
+from waxwingsaddle.raft_messages import Members
 
 
 class Edit(msgspec.Struct, frozen=True, kw_only=True):
@@ -75,4 +76,19 @@
     reason: str
 
 
+class MembersChanged(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    tag='members-changed',
+):
+    """A change of members is committed.
+
+    Attributes:
+        members: The members since.
+    """
+
+    members: Members
+
+
 Outcome = Accepted | Conflict | Refused | Unavailable
--- a/waxwingsaddle/peers.py
+++ b/waxwingsaddle/peers.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable, Iterable
+from itertools import count
 from typing import Any, TypeVar
 
 import msgspec
@@ -22,6 +23,10 @@
 SHORT_HEADER_BYTES = 2
 LONG_HEADER_BYTES = 9
 
+# Receiving does not yield while messages wait; other green threads get their
+# turn after so many.
+MESSAGES_A_TURN = 16
+
 CONTROL_BYTES = metrics.counter(
     'control_bytes',
     'Bytes of control traffic with framing, by peer and message kind.',
@@ -225,9 +230,11 @@
         return True
 
     def _receive_all(self) -> None:
-        while True:
+        for number in count():
             frames = self._receiver.recv_multipart()
             self._dispatch(frames[-1])
+            if number % MESSAGES_A_TURN == 0:
+                greenthread.sleep(0)
 
     def _dispatch(self, frame: bytes) -> None:
         kind = 'unknown'
--- a/waxwingsaddle/raft.py
+++ b/waxwingsaddle/raft.py
@@ -144,6 +144,11 @@
         """The log; callers only read it."""
         return self._state.log
 
+    @property
+    def has_live_leader(self) -> bool:
+        """Whether a leader was heard within the shortest election timeout."""
+        return self._state.has_live_leader
+
     @property
     def majority_s(self) -> float | None:
         """Clock at the last proven contact with a majority."""
@@ -191,8 +196,9 @@
         """Adds a change of members to the log; None when it can not now.
 
         Raises:
-            MembershipError: The change does not fit the members, or the
-                replica that would get a vote is not caught up.
+            MembershipError: The change does not fit the members, the
+                replica that would get a vote is not caught up, or the one
+                said to have ended is still heard.
         """
         log = self._state.log
         is_pending = log.members_index > log.commit
@@ -202,6 +208,9 @@
         gaining = membership.gains_vote(change)
         if gaining is not None and not self._leading.is_caught_up(gaining):
             raise membership.MembershipError(f'{gaining} is not caught up')
+        ended = membership.loses_vote(change)
+        if ended is not None and self._leading.is_heard(ended):
+            raise membership.MembershipError(f'{ended} has not ended')
         return self._leading.append(members)
 
     def is_caught_up(self, identity: str) -> bool:
--- /dev/null
+++ b/waxwingsaddle/raft_driver.py
@@ -0,0 +1,280 @@
+"""Runs one replica: disk, messages, state machine, waiting proposals."""
+
+import os
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from eventlet import greenthread, timeout
+from eventlet.event import Event
+
+from waxwingsaddle import logs
+from waxwingsaddle.edits import EditState
+from waxwingsaddle.membership import Change
+from waxwingsaddle.outcomes import Outcome
+from waxwingsaddle.raft import Output, Raft
+from waxwingsaddle.raft_messages import (
+    Command,
+    Entry,
+    Members,
+    Message,
+    Snapshot,
+)
+from waxwingsaddle.storage import DiskFullError, Storage
+from waxwingsaddle.util.clock import MS_PER_S, MonotonicClock, monotonic_s
+
+TICK_S = 0.02
+EXIT_DISK = 3
+
+
+class Sender(Protocol):
+    """Takes messages for other replicas."""
+
+    def __call__(self, message: Message) -> object:
+        """Sends a message, or loses it."""
+
+
+@dataclass(frozen=True, slots=True)
+class DriverLimits:
+    """Limits of the driver.
+
+    Attributes:
+        compact_bytes: Bytes of log that lead to a snapshot.
+        kept_entries: Entries kept in memory below a snapshot.
+        disk_retry_ms: Pause before a full disk is tried again.
+    """
+
+    compact_bytes: int
+    kept_entries: int
+    disk_retry_ms: int
+
+
+@dataclass(slots=True)
+class Proposal:
+    """An entry in the log whose fate is awaited.
+
+    Attributes:
+        entry: The entry.
+        concluded: Gets the outcome, or None when the fate is not known here.
+    """
+
+    entry: Entry
+    concluded: Event
+
+    def wait(self, limit_s: float) -> Outcome | Members | None:
+        """Waits for the outcome; None when it is not known in time."""
+        with timeout.Timeout(max(0, limit_s), False):
+            return self.concluded.wait()
+        return None
+
+
+class RaftDriver:
+    """Feeds a replica with time and messages and does what it asks for.
+
+    Args:
+        raft: The replica.
+        storage: Its disk.
+        state: State machine that committed commands are applied to.
+        send: Sends a message to another replica.
+        announce: Called after changes of version, members or leader.
+        limits: Limits.
+        clock: Monotonic seconds.
+
+    Attributes:
+        problem: Why the replica stands still, when it does.
+    """
+
+    def __init__(
+        self,
+        raft: Raft,
+        storage: Storage,
+        state: EditState,
+        send: Sender,
+        announce: Callable[[], None],
+        limits: DriverLimits,
+        clock: MonotonicClock = monotonic_s,
+    ) -> None:
+        self.raft = raft
+        self.state = state
+        self.problem: str | None = None
+        self._storage = storage
+        self._send = send
+        self._announce = announce
+        self._limits = limits
+        self._clock = clock
+        self._proposals: dict[int, Proposal] = {}
+        self._unsynced: Output | None = None
+        self._retry_at_s: float = 0
+        self._applied = raft.log.snapshot
+        self._wake = Event()
+        self._thread: greenthread.GreenThread | None = None
+        state.load(raft.log.snapshot.body)
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads and can write."""
+        return self.raft.is_leader and self.problem is None
+
+    @property
+    def applied_index(self) -> int:
+        """Index of the last entry applied."""
+        return self._applied.index
+
+    def start(self) -> None:
+        """Applies what is known as committed and runs in a green thread."""
+        self._flush()
+        self._thread = greenthread.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stops the green thread and closes the files."""
+        if self._thread is not None:
+            self._thread.kill()
+            self._thread = None
+            self._lose_proposals()
+            self._storage.close()
+
+    def receive(self, message: Message) -> None:
+        """Takes a message of another replica."""
+        if self._unsynced is None:
+            self.raft.receive(message)
+            self.wake()
+
+    def propose(self, command: bytes) -> Proposal | None:
+        """Adds a command to the log; None when this replica can not."""
+        if not self.is_leader:
+            return None
+        return self._proposal(self.raft.propose(command))
+
+    def change_members(self, change: Change) -> Proposal | None:
+        """Adds a change of members to the log; None when it can not now.
+
+        Raises:
+            MembershipError: The change does not fit.
+        """
+        if not self.is_leader:
+            return None
+        return self._proposal(self.raft.change_members(change))
+
+    def wake(self) -> None:
+        """Makes the green thread do what the replica asks for."""
+        if not self._wake.ready():
+            self._wake.send()
+
+    def _proposal(self, entry: Entry | None) -> Proposal | None:
+        if entry is None:
+            return None
+        proposal = Proposal(entry, Event())
+        self._proposals[entry.index] = proposal
+        self.wake()
+        return proposal
+
+    def _run(self) -> None:
+        try:
+            while True:
+                self._step()
+        except Exception:
+            # A failing disk or a broken invariant: what is stored is right,
+            # and the host must take part no more.
+            logs.logger().exception('replica failed')
+            os._exit(EXIT_DISK)
+
+    def _step(self) -> None:
+        with timeout.Timeout(TICK_S, False):
+            self._wake.wait()
+        self._wake = Event()
+        now_s = self._clock()
+        if self._unsynced is None:
+            self.raft.tick(now_s)
+            self._flush()
+        elif now_s >= self._retry_at_s:
+            self._finish(self._unsynced)
+
+    def _flush(self) -> None:
+        before = self._position()
+        self._finish(self.raft.take_output())
+        if not self.raft.is_leader:
+            self._lose_proposals()
+        if self._position() != before:
+            self._announce()
+
+    def _position(self) -> tuple[object, ...]:
+        raft = self.raft
+        return (raft.leader, raft.members, self.state.version, self.problem)
+
+    def _finish(self, output: Output) -> None:
+        try:
+            self._sync(output)
+        except DiskFullError as error:
+            self._stand_still(output, str(error))
+            return
+        self._unsynced = None
+        self._note_problem(None)
+        for message in output.messages:
+            self._send(message)
+        if output.snapshot:
+            self.state.load(output.snapshot.body)
+            self._applied = output.snapshot
+        for entry in output.committed:
+            self._apply(entry)
+        if output.committed:
+            self._storage.note_commit(self._applied.index)
+            self._compact()
+
+    def _sync(self, output: Output) -> None:
+        if output.vote:
+            self._storage.save_vote(output.vote)
+        if output.snapshot:
+            self._storage.install_snapshot(output.snapshot)
+        if output.entries:
+            self._storage.append(output.entries)
+
+    def _stand_still(self, output: Output, problem: str) -> None:
+        # Nothing may be sent, counted or voted for on the strength of what
+        # is not stored, so the replica acts as if it were down.
+        self._unsynced = output
+        self._retry_at_s = self._clock() + self._limits.disk_retry_ms / MS_PER_S
+        self._note_problem(problem)
+        self._lose_proposals()
+
+    def _note_problem(self, problem: str | None) -> None:
+        if problem != self.problem:
+            self.problem = problem
+            if problem is None:
+                logs.logger().info('disk has room again')
+            else:
+                logs.logger().error('replica stands still', problem=problem)
+            self._announce()
+
+    def _apply(self, entry: Entry) -> None:
+        outcome: Outcome | Members | None = None
+        if isinstance(entry.payload, Command):
+            outcome = self.state.apply(entry.payload.body)
+        elif isinstance(entry.payload, Members):
+            outcome = entry.payload
+        self._applied = Snapshot(entry.index, entry.term)
+        proposal = self._proposals.pop(entry.index, None)
+        if proposal is not None:
+            is_own = proposal.entry.term == entry.term
+            proposal.concluded.send(outcome if is_own else None)
+
+    def _lose_proposals(self) -> None:
+        for proposal in self._proposals.values():
+            proposal.concluded.send(None)
+        self._proposals.clear()
+
+    def _compact(self) -> None:
+        if self._storage.log_bytes < self._limits.compact_bytes:
+            return
+        index = self._applied.index
+        snapshot = Snapshot(
+            index,
+            self._applied.term,
+            self.raft.log.members_at(index),
+            self.state.dump(),
+        )
+        try:
+            self._storage.save_snapshot(snapshot)
+        except DiskFullError as error:
+            logs.logger().error('no room for a snapshot', problem=str(error))
+            return
+        self.raft.compact(snapshot, self._limits.kept_entries)
--- a/waxwingsaddle/storage.py
+++ b/waxwingsaddle/storage.py
@@ -89,6 +89,11 @@
         """Bytes of log since the last snapshot."""
         return self._appended_bytes
 
+    @property
+    def has_lost_state(self) -> bool:
+        """Whether damaged state was set aside in the folder."""
+        return any(self._folder.glob(f'{DAMAGED_PREFIX}*'))
+
     def save_vote(self, vote: Vote) -> None:
         """Stores term and vote."""
         with _full_disk():
