--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from waxwingsaddle.addresses import ControlHost, HostName
+from waxwingsaddle.distribution_settings import DistributionSettings
 from waxwingsaddle.peers import PeerLimits
 from waxwingsaddle.raft_driver import DriverLimits
 from waxwingsaddle.raft_state import Timing
@@ -14,7 +15,7 @@
 
 
 class ControlSettings(
-    msgspec.Struct,
+    DistributionSettings,
     frozen=True,
     kw_only=True,
     forbid_unknown_fields=True,
