--- /dev/null
+++ b/test/test_replication.py
@@ -0,0 +1,221 @@
+"""The replicated log between real processes, through failures."""
+
+import signal
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+from functools import partial
+
+from test.clusters import ControlCluster, control_cluster, edit
+from test.processes import get_json, wait_until
+
+ANSWER_LIMIT_S = 60
+RACE_ROUNDS = 200
+# The lower bound of the election timeout is 1 s, the upper one 2 s.
+FROZEN_S = 4
+
+
+def _submit(cluster, wanted, hosts):
+    """Submits through one host after the other until the result is known."""
+    deadline_s = time.monotonic() + ANSWER_LIMIT_S
+    tried = 0
+    while time.monotonic() < deadline_s:
+        host = hosts[tried % len(hosts)]
+        tried += 1
+        with suppress(OSError):
+            outcome = cluster.submit(host, wanted)
+            if outcome['type'] != 'unavailable':
+                return outcome
+        time.sleep(0.05)
+    raise AssertionError('no host knew the result')
+
+
+def _submit_all(cluster: ControlCluster, versions) -> list[dict]:
+    hosts = list(cluster.processes)
+    return [
+        _submit(
+            cluster,
+            edit(version, 1000 + version),
+            hosts[version % 3 :] + hosts[: version % 3],
+        )
+        for version in versions
+    ]
+
+
+def _history(cluster, host):
+    return [
+        {
+            'type': 'accepted',
+            'version': version,
+            'digest': digest,
+            'author': author,
+            'accepted_ms': accepted_ms,
+        }
+        for version, digest, author, accepted_ms in cluster.status(host)[
+            'history'
+        ]
+    ]
+
+
+def _assert_kept(cluster, accepted):
+    cluster.wait_version(accepted[-1]['version'])
+    for host in cluster.running():
+        assert _history(cluster, host) == accepted, host
+
+
+def _while_editing(cluster, versions, disturb: Callable[[], None]):
+    with ThreadPoolExecutor(1) as pool:
+        edits = pool.submit(_submit_all, cluster, versions)
+        disturb()
+        return edits.result()
+
+
+def _kill_leaders(cluster, times):
+    for _ in range(times):
+        time.sleep(0.3)
+        leader = cluster.leader()
+        cluster.processes[leader].kill()
+        cluster.leader(besides=leader)
+        cluster.processes[leader].start()
+        cluster.wait_ready(leader)
+
+
+def test_killed_leaders_lose_no_accepted_edit():
+    """Guards against lost edits, and second answers after restarts."""
+    with control_cluster() as cluster:
+        accepted = _while_editing(
+            cluster,
+            range(1, 401),
+            partial(_kill_leaders, cluster, 3),
+        )
+        assert {one['type'] for one in accepted} == {'accepted'}
+        _assert_kept(cluster, accepted)
+        for process in cluster.processes.values():
+            process.kill()
+        for process in cluster.processes.values():
+            process.start()
+        hosts = list(cluster.processes)
+        for version in (1, 200, 400):
+            again = edit(version, 1000 + version, author='bob')
+            assert _submit(cluster, again, hosts) == accepted[version - 1]
+        _assert_kept(cluster, accepted)
+
+
+def test_frozen_leader_is_replaced_and_returns():
+    """Guards against a leader that answers from the past after a pause."""
+    with control_cluster() as cluster:
+        first = _submit_all(cluster, [1])
+        frozen = cluster.leader()
+        cluster.processes[frozen].signal(signal.SIGSTOP)
+        started_s = time.monotonic()
+        others = [host for host in cluster.processes if host != frozen]
+        second = _submit(cluster, edit(2, 1002), others)
+        assert second['type'] == 'accepted'
+        time.sleep(max(0, FROZEN_S - (time.monotonic() - started_s)))
+        cluster.processes[frozen].signal(signal.SIGCONT)
+        stale = _submit(cluster, edit(2, 3333, author='late'), [frozen])
+        assert stale['type'] == 'conflict', stale
+        assert stale['winner_digest'] == second['digest']
+        third = _submit(cluster, edit(3, 1003), [frozen])
+        _assert_kept(cluster, [*first, second, third])
+
+
+def _race(cluster, pool, round_number):
+    hosts = list(cluster.processes)
+    first = round_number % 3
+    racing = [
+        pool.submit(
+            _submit,
+            cluster,
+            edit(round_number, 1000 + operator, author=f'operator-{operator}'),
+            [hosts[(first + operator) % 3]],
+        )
+        for operator in range(2)
+    ]
+    return [one.result() for one in racing]
+
+
+def test_races_have_exactly_one_winner():
+    """Guards against two accepted edits under one version number."""
+    with control_cluster() as cluster, ThreadPoolExecutor(2) as pool:
+        winners = []
+        for number in range(1, RACE_ROUNDS + 1):
+            outcomes = _race(cluster, pool, number)
+            kinds = sorted(outcome['type'] for outcome in outcomes)
+            assert kinds == ['accepted', 'conflict'], outcomes
+            won = next(one for one in outcomes if one['type'] == 'accepted')
+            lost = next(one for one in outcomes if one['type'] == 'conflict')
+            assert lost['winner_digest'] == won['digest']
+            assert lost['winner_author'] == won['author']
+            winners.append(won)
+        _assert_kept(cluster, winners)
+
+
+def _is_repaired(cluster, host):
+    status = cluster.status(host)
+    voters = status['members'][1]
+    return status['replication']['identity'] in {one[0] for one in voters}
+
+
+def test_lost_disk_is_repaired_and_a_second_host_may_fail():
+    """Guards against accepted versions that only two lost hosts held."""
+    with control_cluster(log_compact_bytes=2000) as cluster:
+        accepted = _submit_all(cluster, range(1, 31))
+        lost, second, _ = cluster.processes
+        for wiped, killed in ((lost, second), (second, lost)):
+            cluster.wipe(wiped)
+            wait_until(partial(_is_repaired, cluster, wiped), 'a repair')
+            cluster.processes[killed].kill()
+            following = len(accepted) + 1
+            accepted += _submit_all(cluster, range(following, following + 5))
+            _assert_kept(cluster, accepted)
+            cluster.processes[killed].start()
+            cluster.wait_ready(killed)
+        assert {one['type'] for one in accepted} == {'accepted'}
+
+
+def test_planned_stop_hands_leadership_over():
+    """Guards against a planned stop that costs an election timeout."""
+    with control_cluster() as cluster:
+        leader = cluster.leader()
+        accepted = _while_editing(
+            cluster,
+            range(1, 41),
+            partial(_stop_gracefully, cluster, leader),
+        )
+        assert {one['type'] for one in accepted} == {'accepted'}
+        _assert_kept(cluster, accepted)
+
+
+def _stop_gracefully(cluster, leader):
+    time.sleep(0.1)
+    assert cluster.processes[leader].terminate() == 0
+    successor = cluster.leader()
+    term = cluster.status(successor)['replication']['term']
+    # A transfer begins exactly one election, without a time-out before it.
+    assert term == 2, term
+
+
+def test_minority_accepts_nothing_and_says_so():
+    """Guards against an edit accepted, or refused for good, in a minority."""
+    settings = {'submit_deadline_ms': 1500}
+    with control_cluster(**settings) as cluster:
+        accepted = _submit_all(cluster, [1])
+        alone, *others = cluster.processes
+        for host in others:
+            cluster.processes[host].kill()
+        wait_until(
+            lambda: (
+                not get_json(cluster.address(alone), '/v1/status')[
+                    'replication'
+                ]['is_leader']
+            ),
+            'the lonely leader steps down',
+        )
+        outcome = cluster.submit(alone, edit(2))
+        assert outcome['type'] == 'unavailable', outcome
+        for host in others:
+            cluster.processes[host].start()
+        accepted.append(_submit(cluster, edit(2), [alone]))
+        _assert_kept(cluster, accepted)
--- a/test/test_storage.py
+++ b/test/test_storage.py
@@ -1,7 +1,6 @@
 """Durable state: crashes, damage, full and lost disks."""
 
 import os
-import resource
 import shutil
 import tempfile
 from contextlib import contextmanager
@@ -9,6 +8,7 @@
 from pathlib import Path
 from unittest import mock
 
+from test.limits import file_size_limit
 from waxwingsaddle.frames import HEADER_BYTES
 from waxwingsaddle.raft_messages import (
     Command,
@@ -196,7 +196,7 @@
         _written(folder, [(1, 2)])
         storage = Storage(folder, 'c0')
         large = (Entry(3, 1, Command(bytes(range(256)) * 64)),)
-        with _file_size_limit(8000):
+        with file_size_limit(8000):
             before = _segment(folder).read_bytes()
             _expect(DiskFullError, storage.append, large)
             assert _segment(folder).read_bytes() == before
@@ -245,16 +245,6 @@
     raise AssertionError(f'no {error.__name__}')
 
 
-@contextmanager
-def _file_size_limit(limit_bytes):
-    soft, hard = resource.getrlimit(resource.RLIMIT_FSIZE)
-    resource.setrlimit(resource.RLIMIT_FSIZE, (limit_bytes, hard))
-    try:
-        yield
-    finally:
-        resource.setrlimit(resource.RLIMIT_FSIZE, (soft, hard))
-
-
 class _SyncRecorder:
     """Stands in for `os.fsync` and keeps the synced content of files."""
 
