Test refusals without contact, unsynced answers and lost majorities

Cause: four mechanisms had no test that fails without them: the proof of contact before a version number is refused, the sync before a follower acknowledges, the silence of an identity that is said to have ended, and the agreement of all first voters before a log begins. Change: a directed test for each.

--- a/test/test_raft_driver.py
+++ b/test/test_raft_driver.py
@@ -14,17 +14,34 @@
 from waxwingsaddle.outcomes import Accepted, Edit, Unavailable
 from waxwingsaddle.raft import Raft
 from waxwingsaddle.raft_driver import DriverLimits, RaftDriver
-from waxwingsaddle.raft_messages import Members, Replica
+from waxwingsaddle.raft_messages import (
+    Append,
+    AppendReply,
+    Command,
+    Entry,
+    Members,
+    Pulse,
+    Replica,
+    Snapshot,
+    VoteReply,
+    VoteRequest,
+)
 from waxwingsaddle.raft_state import Timing
 from waxwingsaddle.storage import Storage
 from waxwingsaddle.util.clock import monotonic_s
 
+OTHERS = (Replica('c1.1', 'c1'), Replica('c2.1', 'c2'))
 LIMITS = DriverLimits(compact_bytes=10**9, kept_entries=10, disk_retry_ms=50)
 
 
 @contextmanager
-def _alone(folder):
+def _alone(folder, members=None, sent=None):
     storage = Storage(Path(folder), 'c0')
+    if members:
+        own = Replica(storage.identity, 'c0')
+        storage.install_snapshot(Snapshot(1, 1, Members((own, *members))))
+        storage.close()
+        storage = Storage(Path(folder), 'c0')
     raft = Raft(
         storage.identity,
         storage.stored,
@@ -36,7 +53,7 @@
         raft,
         storage,
         EditState(5, 100),
-        lambda message: None,
+        [].append if sent is None else sent.append,
         lambda: None,
         LIMITS,
     )
@@ -92,3 +109,72 @@
             # No election has taken place yet.
             assert driver.state.version == 2
             assert driver.state.verdict(1, first.digest) == first
+
+
+def _reply_all(driver, sent):
+    """Answers every message so far as `c1` would, once."""
+    while sent:
+        message = sent.pop(0)
+        common = {'source': 'c1.1', 'target': message.source}
+        if isinstance(message, VoteRequest):
+            driver.receive(
+                VoteReply(
+                    **common,
+                    term=message.term,
+                    is_pre=message.is_pre,
+                    is_granted=True,
+                ),
+            )
+        elif isinstance(message, Append):
+            driver.receive(
+                AppendReply(
+                    **common,
+                    term=message.term,
+                    is_match=True,
+                    prev_index=message.prev_index,
+                    match_index=message.prev_index + len(message.entries),
+                    stamp_s=0,
+                    echo_s=message.pulse.stamp_s,
+                ),
+            )
+
+
+def _settle(driver, sent):
+    _reply_all(driver, sent)
+    return driver.raft.is_settled_leader
+
+
+def test_leader_without_contact_refuses_no_version():
+    """Guards against a replaced leader that denies newer versions."""
+    sent = []
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        _alone(folder, OTHERS, sent) as driver,
+    ):
+        _until(lambda: _settle(driver, sent))
+        outcome = Deciding(driver).edit(_edit(9), 0.5)
+        assert isinstance(outcome, Unavailable), outcome
+
+
+def test_nothing_is_acknowledged_that_is_not_stored():
+    """Guards against an acknowledgement to the leader before the sync."""
+    sent = []
+    append = {
+        'source': 'c1.1',
+        'term': 2,
+        'prev_index': 1,
+        'prev_term': 1,
+        'entries': (Entry(2, 2, Command(bytes(20_000))),),
+        'commit': 0,
+        'pulse': Pulse(0, None, 0),
+    }
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        _alone(folder, OTHERS, sent) as driver,
+    ):
+        with file_size_limit(8000):
+            driver.receive(Append(**append, target=driver.raft.identity))
+            _until(lambda: driver.problem)
+            eventlet.sleep(0.2)
+            assert not any(isinstance(one, AppendReply) for one in sent)
+        _until(lambda: any(isinstance(one, AppendReply) for one in sent))
--- a/test/test_raft_rules.py
+++ b/test/test_raft_rules.py
@@ -2,7 +2,7 @@
 
 import random
 
-from waxwingsaddle.membership import AddLearner
+from waxwingsaddle.membership import AddLearner, MembershipError, Replace
 from waxwingsaddle.raft import Raft, Stored
 from waxwingsaddle.raft_messages import (
     Append,
@@ -25,6 +25,7 @@
 )
 THREE = Members((FIRST, SECOND, THIRD))
 NOW_S = 50
+ELECTED_S = 53
 PULSE = Pulse(NOW_S, None, 0)
 
 
@@ -39,7 +40,7 @@
 
 def _elected(*entries):
     raft = _raft(*entries)
-    raft.tick(NOW_S + 3)
+    raft.tick(ELECTED_S)
     for is_pre in (True, False):
         reply = {'term': 2, 'is_pre': is_pre, 'is_granted': True}
         raft.receive(_from_second(VoteReply, **reply))
@@ -47,15 +48,16 @@
     return raft
 
 
-def _acknowledge(raft, index):
-    reply = _from_second(
-        AppendReply,
+def _acknowledge(raft, index, replica=SECOND, echo_s=ELECTED_S):
+    reply = AppendReply(
+        source=replica.identity,
+        target=FIRST.identity,
         term=raft.term,
         is_match=True,
         prev_index=index,
         match_index=index,
-        stamp_s=NOW_S,
-        echo_s=NOW_S,
+        stamp_s=echo_s,
+        echo_s=echo_s,
     )
     raft.receive(reply)
 
@@ -93,6 +95,29 @@
     assert raft.change_members(AddLearner(other)).index == 4
 
 
+def test_vote_of_a_living_identity_is_not_given_away():
+    """Guards against two identities that both count for one vote."""
+    raft = _elected(Entry(1, 1, Noop()))
+    _acknowledge(raft, 2)
+    again = Replica('c1.1', SECOND.host)
+    raft.change_members(AddLearner(again))
+    _acknowledge(raft, 3)
+    for source in (again, SECOND):
+        _acknowledge(raft, 3, source)
+    change = Replace(SECOND.identity, again.identity)
+    try:
+        raft.change_members(change)
+    except MembershipError as error:
+        assert 'has not ended' in str(error), error
+    else:
+        raise AssertionError('a living identity was replaced')
+    for moment in range(1, 9):
+        raft.tick(ELECTED_S + moment / 4)
+        _acknowledge(raft, 3, THIRD, ELECTED_S + moment / 4)
+        _acknowledge(raft, 3, again, ELECTED_S + moment / 4)
+    assert raft.change_members(change).payload.is_voter(again.identity)
+
+
 def test_replaced_change_of_members_has_no_effect():
     """Guards against members of an entry that was never committed."""
     changed = Members((FIRST, SECOND, THIRD), (FOURTH,))
--- a/test/test_replication.py
+++ b/test/test_replication.py
@@ -219,3 +219,20 @@
             cluster.processes[host].start()
         accepted.append(_submit(cluster, edit(2), [alone]))
         _assert_kept(cluster, accepted)
+
+
+def test_lost_majority_is_not_replaced_by_a_new_log():
+    """Guards against hosts with lost disks that begin again at version 1."""
+    with control_cluster(submit_deadline_ms=1500) as cluster:
+        accepted = _submit_all(cluster, [1, 2])
+        cluster.wait_version(2)
+        first, second, kept = cluster.processes
+        cluster.processes[kept].kill()
+        for host in (first, second):
+            cluster.wipe(host)
+        cluster.processes[kept].start()
+        time.sleep(2)
+        for host in cluster.processes:
+            outcome = cluster.submit(host, edit(1, 7777))
+            assert outcome['type'] == 'unavailable', outcome
+        assert _history(cluster, kept) == accepted
