--- a/waxwingsaddle/ui/standin_control.py
+++ b/waxwingsaddle/ui/standin_control.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from waxwingsaddle import green, program  # noqa: F401
+from waxwingsaddle import program
 from waxwingsaddle.control_settings import ControlSettings
 from waxwingsaddle.standin_control import build
 
