--- a/waxwingsaddle/web.py
+++ b/waxwingsaddle/web.py
@@ -4,8 +4,8 @@
 from contextlib import suppress
 from typing import Any
 
-import greenlet
 from eventlet import convenience, greenthread, wsgi
+from greenlet import GreenletExit
 
 from waxwingsaddle import metrics
 from waxwingsaddle.util.codec import pack_json
@@ -18,7 +18,7 @@
 JSON_TYPE = 'application/json'
 
 
-class StopServing(greenlet.GreenletExit):
+class StopServing(GreenletExit):
     """Ends the accept loop; calls in flight are served to their end."""
 
 
