--- a/waxwingsaddle/fleet.py
+++ b/waxwingsaddle/fleet.py
@@ -7,6 +7,7 @@
 import msgspec
 from eventlet.green import zmq
 
+from waxwingsaddle import settings as checked_settings
 from waxwingsaddle.addresses import Address, HostName, NodeControl
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.node_settings import NodeSettings
@@ -179,22 +180,23 @@
     def _node_settings(self, number: int) -> NodeSettings:
         fleet = self._settings
         zones = fleet.availability_zones
-        shared = {
-            field: getattr(fleet, field)
-            for field in SubscriptionSettings.__struct_fields__
+        tunables = {
+            name: getattr(fleet, name)
+            for name in SubscriptionSettings.__struct_fields__
         }
-        return NodeSettings(
-            host=f'{fleet.host}-{number}',
-            availability_zone=zones[number % len(zones)],
-            site=fleet.site,
-            http_address=fleet.http_address,
-            call_address=fleet.http_address,
-            controls=fleet.controls,
-            log_level=fleet.log_level,
-            log_form=fleet.log_form,
-            events_kept=1,
-            **shared,
-        )
+        given = {
+            'host': f'{fleet.host}-{number}',
+            'availability_zone': zones[number % len(zones)],
+            'site': fleet.site,
+            'http_address': fleet.http_address,
+            'call_address': fleet.http_address,
+            'controls': msgspec.to_builtins(fleet.controls),
+            **tunables,
+        }
+        checked = checked_settings.check('', 'node', given, NodeSettings)
+        if isinstance(checked, checked_settings.SettingsError):
+            raise ValueError(str(checked))
+        return checked
 
     def _answer(
         self,
