--- a/test/test_claims.py
+++ b/test/test_claims.py
@@ -155,7 +155,7 @@
     again = _keeper('a', clock)
     assert again.claim(_request('y')).verdict == 'syncing'
     _settle(again, second, third)
-    assert not again.due_exchanges(), 'asks within the window'
+    assert not again.is_settled, 'settled within the window'
     clock.now_s += 1
     _settle(again, second, third)
     assert again.is_settled
@@ -219,8 +219,8 @@
     copies = dict(leaving.leave())
     assert set(copies) == set(members) - {leaving.host}
     assert all(part[0].claim_id == 'x' for part in copies.values())
-    other = claims.ClaimRequest(b'0' * 16, 'z', leaving.keepers(b'0' * 16), 1)
-    assert leaving.claim(other).verdict in {'syncing', 'moved'}
+    leaving.keep([_claim(claims.ClaimState.RELEASED)])
+    assert leaving.claim(_request('y', asked)).verdict == 'syncing'
 
 
 def test_full_keeper_refuses_new_keys_only():
--- /dev/null
+++ b/test/test_guard.py
@@ -0,0 +1,273 @@
+"""Guard of one upstream: slots, lanes, queue, shedding, adaptive limit."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from waxwingsaddle.guard import Guard
+from waxwingsaddle.lanes import RunTimes
+from waxwingsaddle.limit import ConcurrencyLimit, LimitPolicy
+from waxwingsaddle.util.outcome import Outcome
+from waxwingsaddle.verdicts import (
+    Admitted,
+    Duplicate,
+    GuardPolicy,
+    Queued,
+    Refused,
+)
+from waxwingsaddle.work import Call, Lane
+
+PRIORITIES = ('low', 'normal', 'high')
+
+
+class Upstream:
+    """A guard with a clock set by hand, and what it let run."""
+
+    def __init__(self, slots=4, **policy):
+        """Starts idle."""
+        self.now_s = 0
+        self.running = {}
+        self.told = {}
+        self.guard = Guard(
+            slots,
+            GuardPolicy(**policy),
+            lambda: self.now_s,
+            random.Random(1),
+        )
+
+    def offer(self, call_id, **fields):
+        """Offers a call and notes what follows."""
+        call = _call(call_id, **{'deadline_s': self.now_s + 2, **fields})
+        verdict = self.guard.offer(call)
+        self.note(verdict)
+        return verdict
+
+    def end(self, call_id, took_s=0.02, outcome=Outcome.RAN):
+        """Ends a running call."""
+        self.running.pop(call_id)
+        started = self.guard.finished(call_id, outcome, took_s)
+        for admitted in started:
+            self.note(admitted)
+        return [admitted.call.call_id for admitted in started]
+
+    def do_offer(self, number, priority, work, is_idempotent):
+        """Step: a call comes."""
+        self.offer(
+            number,
+            priority=priority,
+            work=work,
+            is_idempotent=is_idempotent,
+        )
+
+    def do_end(self, _number, took_s):
+        """Step: the oldest running call ends."""
+        if self.running:
+            self.end(next(iter(self.running)), took_s)
+
+    def do_cancel(self, _number, call_id):
+        """Step: a call that may be queued is cancelled."""
+        if str(call_id) not in self.running:
+            self.guard.cancel(str(call_id))
+
+    def do_wait(self, _number, wait_s):
+        """Step: time passes."""
+        self.now_s += wait_s
+        for refused in self.guard.expire():
+            self.refuse(refused)
+
+    def note(self, verdict):
+        """Notes a verdict; one call is answered at most once."""
+        call = verdict.call
+        if isinstance(verdict, Admitted):
+            assert call.call_id not in self.running
+            self.running[call.call_id] = verdict.lane
+        for refused in getattr(verdict, 'displaced', ()):
+            self.refuse(refused)
+        if isinstance(verdict, Refused):
+            self.refuse(verdict)
+
+    def refuse(self, refused):
+        """Notes a refusal: the call must never have run."""
+        call_id = refused.call.call_id
+        assert call_id not in self.running
+        assert call_id not in self.told
+        self.told[call_id] = refused.reason
+
+
+def _call(call_id, **fields):
+    known = {
+        'route': 'r',
+        'work': 'short',
+        'priority': 'normal',
+        'is_idempotent': True,
+        'deadline_s': 2,
+    }
+    return Call(call_id=str(call_id), **{**known, **fields})
+
+
+_offers = st.tuples(
+    st.just('offer'),
+    st.sampled_from(PRIORITIES),
+    st.sampled_from(('short', 'long')),
+    st.booleans(),
+)
+_steps = st.one_of(
+    _offers,
+    st.tuples(st.just('end'), st.floats(0.001, 1)),
+    st.tuples(st.just('cancel'), st.integers(0, 200)),
+    st.tuples(st.just('wait'), st.floats(0, 0.5)),
+)
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.lists(_steps, max_size=120), st.integers(1, 8))
+def test_slots_and_refusals_are_exact(steps, slots):
+    """Guards against too many running calls and refused calls that run."""
+    upstream = Upstream(slots)
+    for number, (kind, *details) in enumerate(steps):
+        getattr(upstream, f'do_{kind}')(number, *details)
+        lanes = list(upstream.running.values())
+        assert len(lanes) <= slots
+        assert lanes.count(Lane.LONG) <= max(1, slots // 2)
+        assert upstream.guard.load().in_flight == len(lanes)
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(_offers, min_size=20, max_size=150))
+def test_no_call_is_refused_while_a_lower_one_waits(offers):
+    """Guards against a booking refused while cheap reads are served."""
+    upstream = Upstream(2, queue_wait_ms=100)
+    for number, (_, priority, work, is_idempotent) in enumerate(offers):
+        verdict = upstream.offer(
+            number,
+            priority=priority,
+            work=work,
+            is_idempotent=is_idempotent,
+        )
+        if isinstance(verdict, Refused):
+            queue = upstream.guard._queues[Lane(work)]
+            ranks = [call.rank for call in queue]
+            assert all(rank >= verdict.call.rank for rank in ranks)
+
+
+def test_high_call_takes_the_place_of_a_low_one():
+    """Guards against bookings that wait behind cheap reads."""
+    upstream = Upstream(1, queue_wait_ms=100)
+    while not upstream.told:
+        upstream.offer(
+            len(upstream.running) + random.getrandbits(60), priority='low'
+        )
+    verdict = upstream.offer('book', priority='high', is_idempotent=False)
+    assert isinstance(verdict, Queued)
+    assert [loser.reason for loser in verdict.displaced] == ['displaced']
+    assert upstream.end(next(iter(upstream.running))) == ['book']
+
+
+def test_long_work_leaves_slots_to_short_work():
+    """Guards against short work that queues behind long work."""
+    upstream = Upstream(6)
+    for number in range(6):
+        upstream.offer(f'long{number}', work='long')
+    lanes = list(upstream.running.values())
+    assert lanes.count(Lane.LONG) == len(lanes) == 3
+    for number in range(3):
+        assert isinstance(upstream.offer(f'short{number}'), Admitted)
+    # Long work isn't starved: its first waiting call gets the first slot.
+    for call_id in ('long0', 'long1', 'long2'):
+        assert upstream.end(call_id, 1) == [f'long{int(call_id[-1]) + 3}']
+
+
+def test_wait_beyond_the_deadline_is_refused_early():
+    """Guards against calls that queue only to miss their deadline."""
+    upstream = Upstream(1, queue_wait_ms=10_000, initial_run_ms=100)
+    verdicts = [upstream.offer(number, deadline_s=0.35) for number in range(5)]
+    kinds = [type(verdict) for verdict in verdicts]
+    assert kinds == [Admitted, Queued, Queued, Refused, Refused]
+    assert verdicts[-1].retry_after_ms > 0
+
+
+def test_queue_shrinks_when_the_upstream_slows():
+    """Guards against a queue that is too long for the speed it has now."""
+    upstream = Upstream(1, queue_wait_ms=100)
+    for number in range(6):
+        upstream.offer(number)
+    upstream.end('0', took_s=1)
+    losers = upstream.guard.expire()
+    assert losers
+    assert {loser.reason for loser in losers} == {'displaced'}
+
+
+def test_cancelled_and_expired_calls_never_start():
+    """Guards against work that nobody waits for."""
+    upstream = Upstream(1)
+    for call_id in 'abcd':
+        upstream.offer(call_id, deadline_s=1 if call_id == 'c' else 9)
+    assert upstream.guard.cancel('b')
+    assert not upstream.guard.cancel('a')
+    upstream.now_s = 2
+    assert upstream.end('a', outcome=Outcome.CANCELLED) == ['d']
+    assert [late.call.call_id for late in upstream.guard.expire()] == ['c']
+
+
+def test_duplicate_is_dropped():
+    """Guards against a call that runs twice because its message came twice."""
+    upstream = Upstream(1)
+    for call_id in 'ab':
+        upstream.offer(call_id, is_idempotent=False)
+    assert isinstance(upstream.offer('a'), Duplicate)
+    assert isinstance(upstream.offer('b'), Duplicate)
+    upstream.end('a')
+    assert isinstance(upstream.offer('a'), Duplicate)
+
+
+def test_drain_refuses_new_calls_only():
+    """Guards against a stop that cuts off queued calls."""
+    upstream = Upstream(1)
+    upstream.offer('a')
+    upstream.offer('b')
+    upstream.guard.drain()
+    assert upstream.offer('c').reason == 'draining'
+    assert upstream.end('a') == ['b']
+
+
+def test_more_slots_start_queued_calls():
+    """Guards against queued calls that wait beside free slots."""
+    upstream = Upstream(1)
+    upstream.offer('a')
+    upstream.offer('b')
+    started = upstream.guard.configure(2, GuardPolicy())
+    assert [admitted.call.call_id for admitted in started] == ['b']
+
+
+def test_limit_shrinks_when_slow_and_recovers():
+    """Guards against full concurrency on a slow upstream, and no recovery."""
+    rng = random.Random(1)
+    limit = ConcurrencyLimit(12, LimitPolicy(floor_percent=34, slow_ratio=2))
+    times = RunTimes(0.02, 4)
+    lowest = 12
+    for number in range(3000):
+        slow = 10 if 1000 <= number < 1300 else 1
+        took_s = 0.02 * slow * rng.lognormvariate(-0.125, 0.5)
+        limit.observe(times.observe('r', Lane.SHORT, took_s))
+        if number < 1000 or number > 1500:
+            assert limit.current >= 10, number
+        lowest = min(lowest, limit.current)
+    assert lowest == 4
+    assert limit.current == 12
+
+
+def test_long_routes_are_learned_and_forgotten():
+    """Guards against long work in the short lane, and lanes by accident."""
+    times = RunTimes(0.02, 4)
+    call = _call('a', route='report', work='learned')
+    assert times.lane_of(call) is Lane.SHORT
+    for _ in range(40):
+        times.observe('read', Lane.SHORT, 0.02)
+        times.observe('read', Lane.SHORT, 0.02)
+        times.observe('report', times.lane_of(call), 0.5)
+    assert times.lane_of(call) is Lane.LONG
+    for _ in range(60):
+        times.observe('read', Lane.SHORT, 0.2)
+        times.observe('report', Lane.LONG, 0.2)
+    assert times.lane_of(call) is Lane.SHORT
--- a/waxwingsaddle/choice.py
+++ b/waxwingsaddle/choice.py
@@ -17,6 +17,8 @@
 
 _PERCENT = 100
 _CHOICES = 2
+# A cancelled attempt would have taken longer than it had until then.
+_CANCELLED_FACTOR = 0.5
 _NONE_TRIED: AbstractSet[tuple[str, str]] = frozenset()
 # Keeps ratios finite on a loopback.
 _LEAST_TRIP_S = 0.0001
@@ -282,7 +284,10 @@
         if not is_cancelled:
             typical = self._typical.setdefault(ticket.route, Quantile(0.5))
             typical.observe(took_s)
-        if ratio >= self._service.eject_slow_ratio:
+        slow_ratio = self._service.eject_slow_ratio
+        if is_cancelled:
+            slow_ratio *= _CANCELLED_FACTOR
+        if ratio >= slow_ratio:
             self._fail(estimate, now_s)
         elif not is_cancelled:
             estimate.ejection.succeed(self._service, now_s)
--- a/waxwingsaddle/config.py
+++ b/waxwingsaddle/config.py
@@ -69,7 +69,7 @@
     limit_floor_percent: Percent = 34
     slow_ratio: Ratio = 2
     max_attempts: Count = 3
-    hedge_quantile_percent: Percent = 95
+    hedge_quantile_percent: Percent = 97
     slow_start_ms: TimeoutMs = 10_000
     eject_failures: Count = 3
     eject_slow_ratio: Ratio = 4
--- a/waxwingsaddle/guard.py
+++ b/waxwingsaddle/guard.py
@@ -3,13 +3,21 @@
 import random
 from collections import Counter, OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from itertools import chain
 
-from waxwingsaddle import config
 from waxwingsaddle.lanes import LaneQueue, RunTimes
-from waxwingsaddle.limit import ConcurrencyLimit, LimitPolicy
+from waxwingsaddle.limit import ConcurrencyLimit
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
+from waxwingsaddle.verdicts import (
+    Admitted,
+    Duplicate,
+    GuardPolicy,
+    Load,
+    Queued,
+    Refused,
+)
 from waxwingsaddle.work import Call, Lane
 
 _LEAST_RETRY_MS = 10
@@ -21,103 +29,6 @@
 _FINISHED_KEPT = 2000
 
 
-@dataclass(frozen=True, slots=True)
-class GuardPolicy:
-    """Tunables of a guard, taken from the service.
-
-    Attributes:
-        long_slots_percent: Most slots that long work may hold.
-        queue_wait_ms: Longest expected wait of a queued call.
-        long_ratio: Multiple of the median run time that makes work long.
-        limit: Tunables of the adaptive limit.
-        initial_run_ms: Run time assumed before the first answer.
-    """
-
-    long_slots_percent: int = 50
-    queue_wait_ms: int = 250
-    long_ratio: float = 4
-    limit: LimitPolicy = field(default_factory=LimitPolicy)
-    initial_run_ms: int = 20
-
-    @classmethod
-    def of(cls, service: config.Service) -> 'GuardPolicy':
-        """Returns the policy of a service."""
-        return cls(
-            long_slots_percent=service.long_slots_percent,
-            queue_wait_ms=service.queue_wait_ms,
-            long_ratio=service.long_ratio,
-            limit=LimitPolicy(service.limit_floor_percent, service.slow_ratio),
-            initial_run_ms=service.initial_run_ms,
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class Admitted:
-    """The call holds a slot: hand it to the upstream now.
-
-    Attributes:
-        call: The call.
-        lane: Its lane; long work uses connections of its own.
-    """
-
-    call: Call
-    lane: Lane
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """The call was never handed over, and is not queued.
-
-    Attributes:
-        call: The call.
-        reason: `overload`, `deadline`, `displaced` or `draining`.
-        retry_after_ms: When an attempt may succeed.
-    """
-
-    call: Call
-    reason: str
-    retry_after_ms: int
-
-
-@dataclass(frozen=True, slots=True)
-class Queued:
-    """The call waits for a slot.
-
-    Attributes:
-        call: The call.
-        wait_ms: Expected wait.
-        displaced: Queued calls of lower rank that gave way: answer them.
-    """
-
-    call: Call
-    wait_ms: float
-    displaced: tuple[Refused, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class Duplicate:
-    """The call identifier was seen before: drop the message unanswered."""
-
-    call: Call
-
-
-@dataclass(frozen=True, slots=True)
-class Load:
-    """Load of an upstream, carried on answers.
-
-    Attributes:
-        in_flight: Calls that hold a slot.
-        queued: Calls that wait for one.
-        limit: Calls that may run at once now.
-        wait_ms: Expected wait of the next short call.
-    """
-
-    in_flight: int
-    queued: int
-    limit: int
-    wait_ms: int
-
-
 @dataclass(frozen=True, slots=True)
 class _Running:
     call: Call
@@ -155,11 +66,20 @@
         self._finished: OrderedDict[str, None] = OrderedDict()
         self._is_draining = False
 
-    def configure(self, slots: int, policy: GuardPolicy) -> None:
-        """Adopts new slots or tunables; running calls are not touched."""
+    def configure(
+        self,
+        slots: int,
+        policy: GuardPolicy,
+    ) -> tuple[Admitted, ...]:
+        """Adopts new slots or tunables; running calls are not touched.
+
+        Returns:
+            The queued calls that have a slot now.
+        """
         self._policy = policy
         self._limit.resize(slots, policy.limit)
         self._times.long_ratio = policy.long_ratio
+        return self._start_queued()
 
     def drain(self) -> None:
         """Refuses calls from now on; queued and running ones go on."""
@@ -224,7 +144,10 @@
         )
 
     def expire(self) -> tuple[Refused, ...]:
-        """Takes out queued calls that can't end by their deadline."""
+        """Takes out queued calls that are late or too many; call it often.
+
+        They are too many when the upstream has slowed since they came.
+        """
         now_s = self._clock()
         late = [
             (lane, call)
@@ -234,7 +157,10 @@
         ]
         for lane, call in late:
             self._queues[lane].remove(call.call_id)
-        return tuple(self._refused(*pair, 'deadline') for pair in late)
+        return (
+            *(self._refused(*pair, 'deadline') for pair in late),
+            *chain.from_iterable(map(self._displaced, Lane)),
+        )
 
     def load(self) -> Load:
         """Returns the load to carry on answers."""
@@ -290,13 +216,19 @@
         return Admitted(call, lane)
 
     def _queue(self, call: Call, lane: Lane, wait_s: float) -> Queued:
+        self._queues[lane].push(call)
+        return Queued(call, wait_s * MS_PER_S, self._displaced(lane))
+
+    def _displaced(self, lane: Lane) -> tuple[Refused, ...]:
+        """Sheds the calls of lowest rank that would wait too long."""
         queue = self._queues[lane]
-        queue.push(call)
         displaced = []
-        while self._wait_s(lane, len(queue) - 1) > self._bound_s(lane):
+        while queue and self._wait_s(lane, len(queue) - 1) > self._bound_s(
+            lane
+        ):
             loser = queue.pop_last()
             displaced.append(self._refused(lane, loser, 'displaced'))
-        return Queued(call, wait_s * MS_PER_S, tuple(displaced))
+        return tuple(displaced)
 
     def _refused(self, lane: Lane, call: Call, reason: str) -> Refused:
         wait_ms = self._wait_s(lane, len(self._queues[lane])) * MS_PER_S
--- a/waxwingsaddle/lanes.py
+++ b/waxwingsaddle/lanes.py
@@ -10,10 +10,14 @@
 
 _RECENT_ANSWERS = 64
 _MEAN_SMOOTHING = 0.1
-# The baseline falls quickly and rises slowly, so that a slowdown of seconds
-# does not become the new normal.
-_BASELINE_FALL = 0.1
-_BASELINE_RISE = 0.005
+# The baseline hardly follows run times far above it, so that a slowdown of
+# seconds does not become the new normal. Below that it is a plain mean: one
+# that falls faster than it rises made a healthy upstream look slow.
+_BASELINE_SMOOTHING = 0.01
+_OUTLIER_SMOOTHING = 0.0003
+_OUTLIER_RATIO = 3
+# The first answers count more, so that an unusual first one does not stay.
+_WARM_UP = 4
 # A route leaves the long lane at half the ratio at which it entered.
 _HYSTERESIS = 0.5
 # Keeps ratios finite.
@@ -70,6 +74,7 @@
 class _RouteTimes:
     mean_s: float
     baseline_s: float
+    answers: int = 0
     is_long: bool = False
 
 
@@ -116,9 +121,11 @@
         self._lanes_s[lane] += _MEAN_SMOOTHING * gap_s
         times = self._routes.setdefault(route, _RouteTimes(took_s, took_s))
         times.mean_s += _MEAN_SMOOTHING * (took_s - times.mean_s)
-        gap_s = took_s - times.baseline_s
-        speed = _BASELINE_RISE if gap_s > 0 else _BASELINE_FALL
-        times.baseline_s += gap_s * speed
+        times.answers += 1
+        is_outlier = took_s > _OUTLIER_RATIO * times.baseline_s
+        speed = _OUTLIER_SMOOTHING if is_outlier else _BASELINE_SMOOTHING
+        speed = max(speed, _WARM_UP / (_WARM_UP + times.answers**2))
+        times.baseline_s += speed * (took_s - times.baseline_s)
         self._classify(times)
         return took_s / max(times.baseline_s, _LEAST_TIME_S)
 
--- /dev/null
+++ b/waxwingsaddle/verdicts.py
@@ -0,0 +1,104 @@
+"""What a guard decides and tells, and its tunables."""
+
+from dataclasses import dataclass, field
+
+from waxwingsaddle import config
+from waxwingsaddle.limit import LimitPolicy
+from waxwingsaddle.work import Call, Lane
+
+
+@dataclass(frozen=True, slots=True)
+class GuardPolicy:
+    """Tunables of a guard, taken from the service.
+
+    Attributes:
+        long_slots_percent: Most slots that long work may hold.
+        queue_wait_ms: Longest expected wait of a queued call.
+        long_ratio: Multiple of the median run time that makes work long.
+        limit: Tunables of the adaptive limit.
+        initial_run_ms: Run time assumed before the first answer.
+    """
+
+    long_slots_percent: int = 50
+    queue_wait_ms: int = 250
+    long_ratio: float = 4
+    limit: LimitPolicy = field(default_factory=LimitPolicy)
+    initial_run_ms: int = 20
+
+    @classmethod
+    def of(cls, service: config.Service) -> 'GuardPolicy':
+        """Returns the policy of a service."""
+        return cls(
+            long_slots_percent=service.long_slots_percent,
+            queue_wait_ms=service.queue_wait_ms,
+            long_ratio=service.long_ratio,
+            limit=LimitPolicy(service.limit_floor_percent, service.slow_ratio),
+            initial_run_ms=service.initial_run_ms,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The call holds a slot: hand it to the upstream now.
+
+    Attributes:
+        call: The call.
+        lane: Its lane; long work uses connections of its own.
+    """
+
+    call: Call
+    lane: Lane
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The call was never handed over, and is not queued.
+
+    Attributes:
+        call: The call.
+        reason: `overload`, `deadline`, `displaced` or `draining`.
+        retry_after_ms: When an attempt may succeed.
+    """
+
+    call: Call
+    reason: str
+    retry_after_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Queued:
+    """The call waits for a slot.
+
+    Attributes:
+        call: The call.
+        wait_ms: Expected wait.
+        displaced: Queued calls of lower rank that gave way: answer them.
+    """
+
+    call: Call
+    wait_ms: float
+    displaced: tuple[Refused, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Duplicate:
+    """The call identifier was seen before: drop the message unanswered."""
+
+    call: Call
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Load of an upstream, carried on answers.
+
+    Attributes:
+        in_flight: Calls that hold a slot.
+        queued: Calls that wait for one.
+        limit: Calls that may run at once now.
+        wait_ms: Expected wait of the next short call.
+    """
+
+    in_flight: int
+    queued: int
+    limit: int
+    wait_ms: int
