--- /dev/null
+++ b/test/test_choice.py
@@ -0,0 +1,176 @@
+"""Choice of upstream: zones, two choices, slow start, ejection, hints."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, replace
+from itertools import pairwise
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from waxwingsaddle import config
+from waxwingsaddle.choice import Choice, Ended, key_of
+from waxwingsaddle.ejection import Evidence
+from waxwingsaddle.verdicts import Load
+from waxwingsaddle.work import Call
+
+READ = Call('', 'r', 'short', 'normal', is_idempotent=True, deadline_s=1)
+BOOK = replace(READ, is_idempotent=False)
+GOOD = Ended(Evidence.ANSWERED, 0.02)
+SLOW = Ended(Evidence.ANSWERED, 0.4)
+FAILED = Ended(Evidence.FAILED, 0.01)
+
+
+@dataclass
+class Entry:
+    """Directory entry."""
+
+    name: str
+    availability_zone: str = 'a'
+    slots: int = 4
+    state: str = 'ready'
+    started_ms_ago: int = 3_600_000
+    service: str = 's'
+
+    @property
+    def host(self):
+        """The host of the upstream."""
+        return self.name
+
+
+class Node:
+    """A choice with a clock set by hand."""
+
+    def __init__(self, *entries, **service):
+        """Adopts the entries."""
+        self.now_s = 0
+        self.entries = entries
+        self.choice = Choice(
+            'a',
+            10,
+            config.Service(**service),
+            lambda: self.now_s,
+            random.Random(1),
+        )
+        self.choice.update(entries)
+
+    def send(self, call=READ, **endings):
+        """Sends one call; upstreams end it well, or as named."""
+        entry = self.choice.choose(call)
+        ticket = self.choice.started(entry, call)
+        self.choice.finished(ticket, endings.get(entry.name, GOOD))
+        self.now_s += 0.01
+        return entry.name
+
+    def shares(self, count=400, **endings):
+        """Sends calls and counts them by upstream."""
+        return Counter(self.send(**endings) for _ in range(count))
+
+
+def _three(**service):
+    return Node(Entry('x'), Entry('y'), Entry('z'), **service)
+
+
+def test_own_zone_first_and_spill_when_it_is_full():
+    """Guards against calls that cross zones for nothing, or queue at home."""
+    node = Node(Entry('near'), Entry('far', 'b'))
+    assert node.shares() == {'near': 400}
+    full = Ended(Evidence.ANSWERED, 0.02, Load(4, 8, 4, 50))
+    for _ in range(2):
+        node.send(near=full)
+    assert node.send() == 'far'
+    node.now_s += 10
+    assert node.send() == 'near', 'old load reports lose their weight'
+
+
+def test_calls_in_flight_spread_the_next_ones():
+    """Guards against all calls on one upstream between two reports."""
+    node = _three()
+    flying = Counter()
+    for _ in range(30):
+        entry = node.choice.choose(READ)
+        node.choice.started(entry, READ)
+        flying[entry.name] += 1
+    assert max(flying.values()) - min(flying.values()) <= 3
+
+
+def test_refusal_turns_calls_away():
+    """Guards against sending again to an upstream that just refused."""
+    node = _three()
+    refused = Ended(Evidence.REFUSED, 0.001, retry_after_ms=500)
+    first = node.send(x=refused, y=refused, z=refused)
+    following = {node.send() for _ in range(20)}
+    assert first not in following
+
+
+def test_cold_upstream_gets_a_growing_share():
+    """Guards against full load on a cold upstream, or none ever."""
+    cold = Entry('x', started_ms_ago=0)
+    node = Node(cold, Entry('y'), Entry('z'))
+    early = node.shares(100)['x']
+    node.now_s = 20
+    late = node.shares(100)['x']
+    assert 0 < early < late / 2, (early, late)
+
+
+def test_draining_and_tried_upstreams_get_nothing():
+    """Guards against new work for an upstream that leaves."""
+    node = Node(Entry('x', state='draining'), Entry('y'), Entry('z'))
+    assert 'x' not in node.shares(100)
+    tried = {key_of(entry) for entry in node.entries[1:]}
+    assert node.choice.choose(READ, tried) is None
+
+
+def test_failing_upstream_is_ejected_and_probed_later_and_later():
+    """Guards against calls lost to a dead upstream, and probe storms."""
+    node = _three()
+    probes = []
+    for _ in range(6000):
+        if node.send(x=FAILED) == 'x':
+            probes.append(node.now_s)
+    gaps = [later - sooner for sooner, later in pairwise(probes[2:])]
+    assert len(probes) < 12, probes
+    assert gaps[0] < gaps[2] < gaps[4], gaps
+    node.now_s += 60
+    assert node.shares(300)['x'] > 30, 'it must come back'
+
+
+def test_slow_upstream_is_ejected():
+    """Guards against tails while an upstream is slow but answers."""
+    node = _three()
+    node.shares(200)
+    slow = node.shares(300, x=SLOW)['x']
+    assert slow < 10, slow
+
+
+def test_only_idempotent_calls_probe():
+    """Guards against bookings lost to find out about an upstream."""
+    node = _three()
+    while not node.choice.ejected():
+        node.send(x=FAILED)
+    node.now_s += 5
+    assert 'x' not in {node.send(BOOK, x=FAILED) for _ in range(50)}
+    assert node.send(x=GOOD) == 'x'
+
+
+@settings(max_examples=50, deadline=None)
+@given(st.sets(st.integers(0, 9)), st.integers(0, 100))
+def test_ejected_share_is_bounded(failing, percent):
+    """Guards against ejections that overload the rest."""
+    entries = [Entry(f'u{number}') for number in range(10)]
+    node = Node(*entries, max_ejected_percent=percent)
+    endings = {f'u{number}': FAILED for number in failing}
+    for _ in range(300):
+        node.send(**endings)
+        assert len(node.choice.ejected()) * 10 <= percent
+    if len(failing) * 10 <= percent:
+        assert len(node.choice.ejected()) == len(failing)
+
+
+def test_health_hint_never_excludes():
+    """Guards against trust in health endpoints that mislead."""
+    node = Node(Entry('x'), Entry('y'))
+    node.choice.hint(key_of(node.entries[0]), is_healthy=False)
+    assert node.shares(100)['y'] > 90
+    node.choice.hint(key_of(node.entries[1]), is_healthy=False)
+    assert min(node.shares(100).values()) > 20
--- /dev/null
+++ b/test/test_retry.py
@@ -0,0 +1,143 @@
+"""Retry and hedging budgets."""
+
+import random
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+from nose2.tools import params
+
+from waxwingsaddle import config
+from waxwingsaddle.hedge import Hedges
+from waxwingsaddle.retry import Attempt, Retries
+from waxwingsaddle.util.outcome import Outcome
+from waxwingsaddle.util.quantile import Quantile
+from waxwingsaddle.work import Call
+
+READ = Call('', 'r', 'short', 'normal', is_idempotent=True, deadline_s=1)
+BOOK = replace(READ, is_idempotent=False, priority='high')
+SERVICE = config.Service()
+
+
+def _retries(now_s=0):
+    retries = Retries(SERVICE, lambda: now_s)
+    for _ in range(200):
+        retries.call_started()
+    return retries
+
+
+@params(
+    (Attempt(READ, Outcome.NOT_RUN, 1), True),
+    (Attempt(READ, Outcome.UNKNOWN, 1), True),
+    (Attempt(BOOK, Outcome.NOT_RUN, 1), True),
+    (Attempt(BOOK, Outcome.UNKNOWN, 1), False),
+    (Attempt(READ, Outcome.RAN, 1), False),
+    (Attempt(READ, Outcome.CANCELLED, 1), False),
+    (Attempt(READ, Outcome.NOT_RUN, 3), False),
+    (Attempt(READ, Outcome.NOT_RUN, 1, was_retried=True), False),
+    (Attempt(READ, Outcome.NOT_RUN, 1, has_alternative=False), False),
+)
+def test_only_safe_attempts_are_repeated(attempt, expected):
+    """Guards against a booking that runs twice, and retries at each layer."""
+    assert _retries().may_retry(attempt) is expected
+    assert not _retries(now_s=2).may_retry(attempt), 'past the deadline'
+
+
+def test_low_priority_retries_leave_tokens_for_bookings():
+    """Guards against a booking refused because reads spent the budget."""
+    retries = _retries()
+    low = Attempt(replace(READ, priority='low'), Outcome.NOT_RUN, 1)
+    spent = sum(retries.may_retry(low) for _ in range(100))
+    assert 0 < spent < 10
+    assert retries.may_retry(Attempt(BOOK, Outcome.NOT_RUN, 1))
+
+
+@given(st.integers(0, 100), st.integers(1, 2000))
+def test_extra_attempts_stay_within_the_budget(percent, calls):
+    """Guards against a retry storm while a service is down."""
+    retries = Retries(config.Service(retry_percent=percent), float)
+    extra = 0
+    for _ in range(calls):
+        retries.call_started()
+        number = 1
+        while retries.may_retry(Attempt(BOOK, Outcome.NOT_RUN, number)):
+            number += 1
+            extra += 1
+    assert extra <= 5 + calls * percent / 100
+
+
+def _attempts_at(depth, layers):
+    """Sends one call down the layers; returns attempts and the answer."""
+    if depth == len(layers):
+        return 1, False
+    retries = layers[depth]
+    retries.call_started()
+    attempts, was_retried = _attempts_at(depth + 1, layers)
+    number = 1
+    while retries.may_retry(
+        Attempt(BOOK, Outcome.NOT_RUN, number, was_retried=was_retried),
+    ):
+        number += 1
+        more, was_retried = _attempts_at(depth + 1, layers)
+        attempts += more
+    return attempts, True
+
+
+def test_attempts_stay_low_eight_layers_above_a_dead_service():
+    """Guards against retries that multiply over the layers."""
+    layers = [Retries(SERVICE, float) for _ in range(8)]
+    attempts = sum(_attempts_at(0, layers)[0] for _ in range(2000))
+    assert attempts < 2400
+
+
+def _learned(hedges, count=400):
+    rng = random.Random(1)
+    for _ in range(count):
+        hedges.delay_s(READ)
+        hedges.observe('r', rng.uniform(0.01, 0.02))
+    return hedges
+
+
+def test_hedge_comes_after_the_learned_quantile():
+    """Guards against hedges of calls that are not late, or none."""
+    hedges = Hedges(SERVICE)
+    assert hedges.delay_s(READ) is None
+    _learned(hedges)
+    assert 18 < 1000 * hedges.delay_s(READ) < 22
+    assert hedges.delay_s(BOOK) is None
+
+
+def test_hedges_stay_within_their_percent():
+    """Guards against hedges that double the load."""
+    hedges = _learned(Hedges(SERVICE))
+    fired = 0
+    for _ in range(1000):
+        hedges.delay_s(READ)
+        fired += hedges.may_hedge()
+    assert 50 <= fired <= 60
+
+
+def test_hedges_stop_when_everything_is_slow():
+    """Guards against hedges that add load to a service that is down."""
+    hedges = _learned(Hedges(SERVICE))
+    for _ in range(60):
+        hedges.delay_s(READ)
+        hedges.observe('r', 2)
+    assert not hedges.may_hedge()
+
+
+def test_no_hedges_without_a_budget():
+    """Guards against hedges that the operator switched off."""
+    hedges = _learned(Hedges(config.Service(hedge_percent=0)))
+    assert not hedges.may_hedge()
+
+
+@given(st.sampled_from((0.5, 0.9, 0.97)), st.floats(0.001, 100))
+def test_quantile_is_learned_at_any_scale(share, scale):
+    """Guards against hedge delays that fit one unit or service only."""
+    rng = random.Random(1)
+    quantile = Quantile(share)
+    for _ in range(2000):
+        quantile.observe(scale * rng.uniform(1, 2))
+    error_percent = 100 * (quantile.estimate / scale - 1 - share)
+    assert abs(error_percent) < 20
