--- a/test/fake_upstream.py
+++ b/test/fake_upstream.py
@@ -1,7 +1,8 @@
 """Stand-in upstream that journals every execution, for tests.
 
 `GET|POST /PATH?id=ID&wait_ms=N&bytes=N` answers after the wait with so many
-bytes. The journal file gets one line `begin ID`, `end ID` or `cut ID` each.
+bytes, in HTTP chunks with `unsized=1`. The journal file gets one line
+`begin ID`, `end ID` or `cut ID` each.
 """
 
 from waxwingsaddle import green  # noqa: F401  isort:skip
@@ -45,7 +46,9 @@
         if not size:
             start_response('200 OK', headers)
             return [identifier.encode()]
-        start_response('200 OK', [*headers, ('Content-Length', str(size))])
+        if 'unsized' not in query:
+            headers.append(('Content-Length', str(size)))
+        start_response('200 OK', headers)
         return pieces(size, identifier)
 
     def _is_cut(self, environ, wait_s):
--- a/test/nodes.py
+++ b/test/nodes.py
@@ -1,5 +1,7 @@
 """Nodes with fixed configuration and journaling upstreams, for tests."""
 
+from waxwingsaddle import green  # noqa: F401  isort:skip
+
 import json
 import subprocess
 import sys
--- /dev/null
+++ b/test/test_heads.py
@@ -0,0 +1,181 @@
+"""Parsing of HTTP heads and bodies: nothing ambiguous is accepted."""
+
+import io
+
+from hypothesis import given
+from hypothesis import strategies as some
+from nose2.tools import params
+
+from waxwingsaddle.bodies import Body
+from waxwingsaddle.heads import (
+    Framing,
+    MalformedError,
+    parse_answer,
+    parse_request,
+)
+
+START = b'POST /a?b=c HTTP/1.1\r\nHost: x\r\n'
+FRAGMENTS = (
+    b'POST /a HTTP/1.1\r\n',
+    b'GET / HTTP/1.0\r\n',
+    b'HTTP/1.1 200 OK\r\n',
+    b'Host: x\r\n',
+    b'Content-Length: 5\r\n',
+    b'content-length: 05\r\n',
+    b'Content-Length : 5\r\n',
+    b'Content-Length: 5, 5\r\n',
+    b'Content-Length: +5\r\n',
+    b'Transfer-Encoding: chunked\r\n',
+    b'Transfer-Encoding: gzip, chunked\r\n',
+    b'transfer-encoding:\tchunked\r\n',
+    b' folded\r\n',
+    b'\r\n',
+    b'\n',
+    b'\r',
+    b'\x00',
+    b': empty\r\n',
+    b'X: \xff\r\n',
+)
+_pieces = some.lists(
+    some.one_of(some.sampled_from(FRAGMENTS), some.binary(max_size=4)),
+    max_size=8,
+)
+
+
+def _parsed(parse, head):
+    try:
+        return parse(head)
+    except MalformedError:
+        return None
+
+
+def test_request_head():
+    """Guards against lost or changed parts of a head."""
+    head = parse_request(b'%bX-A:  1 \r\nx-a: 2\r\n\r\n' % START)
+    assert (head.method, head.target) == ('POST', '/a?b=c')
+    assert head.headers == (('Host', 'x'), ('X-A', '1'), ('x-a', '2'))
+    assert head.framing == Framing(None, is_chunked=False, is_kept=True)
+
+
+@params(
+    b'Content-Length: 5\r\nContent-Length: 5\r\n',
+    b'Content-Length: 5\r\nContent-Length: 6\r\n',
+    b'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n',
+    b'Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n',
+    b'Transfer-Encoding: chunked, identity\r\n',
+    b'Transfer-Encoding: xchunked\r\n',
+    b'Transfer-Encoding: \r\n',
+    b'Content-Length: \r\n',
+    b'Content-Length: -5\r\n',
+    b'Content-Length: +5\r\n',
+    b'Content-Length: 5_0\r\n',
+    b'Content-Length: 0x5\r\n',
+    b'Content-Length: \xb2\r\n',
+    b'Content-Length: 5, 5\r\n',
+    b'Content-Length : 5\r\n',
+    b'Content-Length: 9999999999999999999\r\n',
+    b'X: a\r\n folded\r\n',
+    b' X: a\r\n',
+    b'X: a\nContent-Length: 5\r\n',
+    b'X: a\rb\r\n',
+    b'X: a\x00b\r\n',
+    b'X a\r\n',
+    b': a\r\n',
+    b'Host: y\r\n',
+)
+def test_ambiguous_fields_are_refused(fields):
+    """Guards against a request that another server reads in another way."""
+    assert _parsed(parse_request, b'%b%b\r\n' % (START, fields)) is None
+
+
+@params(
+    b'GET / HTTP/1.1\r\n\r\n',
+    b'GET  / HTTP/1.1\r\nHost: x\r\n\r\n',
+    b'GET x HTTP/1.1\r\nHost: x\r\n\r\n',
+    b'GET /\x80 HTTP/1.1\r\nHost: x\r\n\r\n',
+    b'GET / HTTP/2.0\r\nHost: x\r\n\r\n',
+    b'GET /\r\n\r\n',
+    b'G@T / HTTP/1.1\r\nHost: x\r\n\r\n',
+    b'\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n',
+    b'GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n',
+)
+def test_malformed_request_lines_are_refused(head):
+    """Guards against request lines that are read with leniency."""
+    assert _parsed(parse_request, head) is None
+
+
+@given(_pieces)
+def test_any_bytes_are_parsed_or_refused(pieces):
+    """Guards against a crash, and against ambiguous framing, on any input."""
+    raw = b''.join(pieces)
+    for parse in (parse_request, parse_answer):
+        head = _parsed(parse, raw)
+        if head is None:
+            continue
+        names = [name.lower() for name, _ in head.headers]
+        framing_fields = names.count('content-length') + names.count(
+            'transfer-encoding',
+        )
+        assert framing_fields <= 1
+        assert raw.endswith(b'\r\n\r\n')
+        assert raw.count(b'\n') == raw.count(b'\r\n') == len(names) + 2
+
+
+def _chunked(raw, limit=1000):
+    framing = Framing(None, is_chunked=True, is_kept=True)
+    body = Body(io.BytesIO(raw), framing)
+    return body.read(limit), body
+
+
+@given(some.lists(some.binary(min_size=1, max_size=50), max_size=5))
+def test_chunked_body_is_whole(chunks):
+    """Guards against lost bytes between chunks, and reading too far."""
+    raw = b''.join(b'%x\r\n%b\r\n' % (len(one), one) for one in chunks)
+    stream = io.BytesIO(b'%b0;ext=1\r\nTrailer: 1\r\n\r\nNEXT' % raw)
+    body = Body(stream, Framing(None, is_chunked=True, is_kept=True))
+    got = list(iter(lambda: body.read(7), b''))
+    assert b''.join(got) == b''.join(chunks)
+    assert body.is_whole
+    assert stream.read() == b'NEXT'
+
+
+@params(
+    b'5\r\nabcde',
+    b'5\r\nabcdeXX0\r\n\r\n',
+    b'+5\r\nabcde\r\n0\r\n\r\n',
+    b'0x5\r\nabcde\r\n0\r\n\r\n',
+    b'5\nabcde\r\n0\r\n\r\n',
+    b'5 x\r\nabcde\r\n0\r\n\r\n',
+    b'\r\n',
+    b'1_0\r\n',
+    b'ffffffffffffffffff\r\n',
+    b'0\r\n',
+    b'5\r\nabc',
+)
+def test_malformed_chunks_are_refused(raw):
+    """Guards against chunk framing that is read with leniency."""
+    try:
+        _chunked(raw)
+    except MalformedError:
+        return
+    raise AssertionError(f'accepted: {raw!r}')
+
+
+@given(some.binary(max_size=60))
+def test_any_chunked_bytes_are_read_or_refused(raw):
+    """Guards against a crash on any chunked body."""
+    try:
+        got, body = _chunked(raw)
+    except MalformedError:
+        return
+    assert body.is_whole or len(got) == 1000
+
+
+def test_short_body_is_refused():
+    """Guards against a cut body that passes for whole."""
+    body = Body(io.BytesIO(b'abc'), Framing(5, is_chunked=False, is_kept=True))
+    try:
+        body.read(10)
+    except MalformedError:
+        return
+    raise AssertionError('a short body passed')
--- a/test/test_node_failures.py
+++ b/test/test_node_failures.py
@@ -4,7 +4,7 @@
 import time
 from contextlib import suppress
 from functools import partial
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPConnection, HTTPException, IncompleteRead
 
 from test.nodes import call, setting
 from test.processes import wait_until
@@ -88,17 +88,37 @@
         got.read(100_000)
         upstream.process.kill()
         # The caller sees fewer bytes than announced, and the connection end.
-        with suppress(OSError, HTTPException):
+        begun_s = time.monotonic()
+        with suppress(ConnectionError, HTTPException):
             received = sum(map(len, iter(partial(got.read, 1_000_000), b'')))
             assert int(got.headers['Content-Length']) == size
             assert received < size, received
+        assert time.monotonic() - begun_s < CALL_S
+
+
+def test_upstream_killed_while_answer_of_unknown_length_streams():
+    """Guards against a broken chunked answer that ends like a whole one."""
+    with setting() as started:
+        entry, _, upstream = started.pair()
+        connection = HTTPConnection(entry.http_address, timeout=20)
+        target = '/plans?id=s2&bytes=500000000&unsized=1'
+        connection.request('GET', target)
+        got = connection.getresponse()
+        assert got.headers['Transfer-Encoding'] == 'chunked'
+        got.read(100_000)
+        upstream.process.kill()
+        try:
+            got.read()
+        except IncompleteRead:
+            return
+        raise AssertionError('the broken answer passed for whole')
 
 
 def test_entry_node_killed_cancels_at_upstream():
     """Guards against work that goes on for callers of a dead node."""
     with setting() as started:
         entry, guard, upstream = started.pair()
-        Caller(entry, '/orders?id=e1&wait_ms=15000')
+        Caller(entry, '/orders?id=e1&wait_ms=15000', deadline_ms=20_000)
         _begun(upstream, 'e1')
         entry.process.kill()
         wait_until(lambda: upstream.count('cut', 'e1'), 'cancellation', 5)
@@ -114,7 +134,9 @@
         for node, identifier in ((entry, 'c1'), (guard, 'c2')):
             connection = HTTPConnection(node.http_address, timeout=20)
             target = f'/orders?id={identifier}&wait_ms=15000'
-            connection.request('POST', target)
+            # The deadline must not be what ends the call.
+            late = {'Waxwing-Deadline-Ms': '20000'}
+            connection.request('POST', target, headers=late)
             _begun(upstream, identifier)
             connection.close()
             wait_until(partial(upstream.count, 'cut', identifier), 'cut', 5)
@@ -243,7 +265,9 @@
         entry, guard, upstream = started.pair(
             drain_wait_ms=100, stop_limit_ms=300
         )
-        caller = Caller(entry, '/orders?id=x1&wait_ms=15000')
+        caller = Caller(
+            entry, '/orders?id=x1&wait_ms=15000', deadline_ms=20_000
+        )
         _begun(upstream, 'x1')
         assert guard.process.terminate(5) == 0
         assert caller.outcome()[1] == 'unknown'
--- a/waxwingsaddle/lean_http.py
+++ b/waxwingsaddle/lean_http.py
@@ -191,13 +191,24 @@
         self._send(self._begin(None), b'')
         if self._is_bodyless():
             return
-        for piece in result:
-            if self._is_chunked and piece:
+        sent = 0
+        for piece in filter(None, result):
+            sent += len(piece)
+            if self._is_chunked:
                 self._send(b'%x\r\n' % len(piece), piece, b'\r\n')
-            elif piece:
+            else:
                 self._protocol.connection.sendall(piece)
         if self._is_chunked:
             self._protocol.connection.sendall(b'0\r\n\r\n')
+        elif not self._is_to_end and sent != self._given_length():
+            raise ValueError(f'the body has {sent} bytes, not as announced')
+
+    def _given_length(self) -> int:
+        return next(
+            int(text)
+            for name, text in self._headers
+            if name.lower() == 'content-length'
+        )
 
     def fail(self, error: Exception) -> None:
         """Breaks the answer off: the caller must not take it for whole."""
