--- a/test/fake_upstream.py
+++ b/test/fake_upstream.py
@@ -5,7 +5,7 @@
 `begin ID`, `end ID` or `cut ID` each.
 """
 
-from waxwingsaddle import green  # noqa: F401  isort:skip
+from waxwingsaddle import ui  # noqa: F401  isort:skip
 
 import hashlib
 import sys
--- a/test/fixed_node.py
+++ b/test/fixed_node.py
@@ -4,7 +4,7 @@
 configuration and the directory entries of other nodes' upstreams.
 """
 
-from waxwingsaddle import green  # noqa: F401  isort:skip
+from waxwingsaddle import ui  # noqa: F401  isort:skip
 
 import json
 import sys
--- a/waxwingsaddle/green.py
+++ b/waxwingsaddle/green.py
@@ -1,13 +1,17 @@
-"""Patches the standard library for eventlet.
-
-Every program imports this module first. Addresses are IP numbers, so the
-eventlet DNS resolver, which costs about 6 MB, is switched off.
-"""
+"""Patches the standard library for eventlet."""
 
 import os
+import warnings
 
-os.environ.setdefault('EVENTLET_NO_GREENDNS', 'yes')
 
-import eventlet
+def patch() -> None:
+    """Makes blocking calls of the standard library yield to the event loop.
 
-eventlet.monkey_patch()
+    Addresses are IP numbers, so the DNS resolver of eventlet, which costs
+    about 6 MB, is switched off.
+    """
+    os.environ.setdefault('EVENTLET_NO_GREENDNS', 'yes')
+    # eventlet prints a notice at its import, whatever the filters say.
+    with warnings.catch_warnings(record=True):
+        import eventlet
+    eventlet.monkey_patch()
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -54,6 +54,14 @@
             misses three is lost.
         hop_queue_messages: Most messages queued on one socket between nodes.
         hop_message_bytes: Largest message between nodes.
+        availability_zones: All zones, the same list on every node; keys
+            without a zone prefix hash over them. Empty: those of `controls`.
+        claim_window_ms: Grants of a key are void this long after they were
+            asked for.
+        claim_grace_ms: Wait for the last keeper once two have granted.
+        claim_pause_ms: Mean pause before a key is asked for again.
+        claims_max_bytes: Size of the claims kept for others from which new
+            keys are refused.
     """
 
     host: HostName
@@ -84,3 +92,8 @@
     hop_heartbeat_ms: Positive
     hop_queue_messages: Positive
     hop_message_bytes: Positive
+    availability_zones: tuple[HostName, ...] = ()
+    claim_window_ms: Positive
+    claim_grace_ms: Positive
+    claim_pause_ms: Positive
+    claims_max_bytes: Positive
--- a/waxwingsaddle/ui/node.py
+++ b/waxwingsaddle/ui/node.py
@@ -1,7 +1,5 @@
 """Program `waxwing-node`."""
 
-from waxwingsaddle import green  # noqa: F401  isort:skip
-
 import sys
 
 from waxwingsaddle import program
--- a/waxwingsaddle/web.py
+++ b/waxwingsaddle/web.py
@@ -1,9 +1,11 @@
 """HTTP server of every program: eventlet's WSGI server with probes."""
 
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from typing import Any
 
 from eventlet import convenience, greenthread, wsgi
+from greenlet import GreenletExit
 
 from waxwingsaddle import metrics
 from waxwingsaddle.util.codec import pack_json
@@ -16,7 +18,7 @@
 JSON_TYPE = 'application/json'
 
 
-class StopServing(Exception):
+class StopServing(GreenletExit):
     """Ends the accept loop; calls in flight are served to their end."""
 
 
@@ -132,4 +134,6 @@
         if self._thread is None:
             return
         self._thread.kill(StopServing)
+        with suppress(StopServing):
+            self._thread.wait()
         self._thread = None
