Write the settings of a whole deployment for trials and tests

Cause: a trial needs a dozen settings files that agree with each other. Change: waxwing-load deployment FOLDER writes settings, configuration and a Procfile; test/meshes.py runs the same as real processes.

--- /dev/null
+++ b/test/meshes.py
@@ -0,0 +1,146 @@
+"""Whole deployments as real processes: controls, nodes, upstreams."""
+
+import json
+import tempfile
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from functools import partial
+from pathlib import Path
+from urllib.error import HTTPError
+from urllib.request import Request, urlopen
+
+from test.processes import Process, free_address, get_json, is_ready, wait_until
+from waxwingsaddle import deployment
+
+BASE = """version = {version}
+[services.orders]
+timeout_ms = {timeout_ms}
+[services.gallery]
+[routes.place-order]
+path_prefix = "/orders"
+methods = ["POST"]
+service = "orders"
+work = "short"
+priority = "high"
+[routes.browse]
+path_prefix = "/gallery"
+methods = ["GET"]
+service = "gallery"
+idempotent = true
+work = "short"
+"""
+START_LIMIT_S = 60
+LOG_SHOWN = 3000
+
+
+class Mesh:
+    """One deployment and its processes."""
+
+    def __init__(self, written: deployment.Deployment) -> None:
+        self.written = written
+        self.folder = written.folder
+        self.processes = {
+            member.host: Process(
+                member.program,
+                self.folder / f'{member.host}.toml',
+                self.folder / f'{member.host}.log',
+                (member.command,) if member.command else (),
+            )
+            for member in written.members
+        }
+
+    def start(self, program: str) -> None:
+        """Starts all processes of a program and waits until they are ready."""
+        for member in self.written.of(program):
+            self.processes[member.host].start()
+        for member in self.written.of(program):
+            self.wait_ready(member)
+
+    def wait_ready(self, member: deployment.Member) -> None:
+        """Waits until a process is ready."""
+        try:
+            wait_until(
+                partial(is_ready, member.http_address),
+                f'{member.host} is ready',
+                START_LIMIT_S,
+            )
+        except AssertionError as error:
+            log = self.processes[member.host].log_text()[-LOG_SHOWN:]
+            raise AssertionError(f'{error}\n{log}') from None
+
+    def stop(self) -> None:
+        """Kills all processes."""
+        for process in self.processes.values():
+            process.kill()
+
+    def submit(self, version: int, timeout_ms: int = 2000) -> dict:
+        """Submits an edit through the first control host that answers."""
+        base = BASE.format(version=version, timeout_ms=timeout_ms)
+        document = {
+            'sources': {'base': base, 'overlays': {deployment.SITE: ''}},
+            'author': 'test',
+        }
+        return wait_until(
+            partial(self._submit, json.dumps(document).encode()),
+            f'version {version} is accepted',
+        )
+
+    def versions(self) -> dict[str, int]:
+        """Returns the version in force by node."""
+        address = self.written.http_addresses('control')[0]
+        nodes = get_json(address, '/v1/status')['nodes']
+        return {node['host']: node['version'] for node in nodes}
+
+    def wait_version(self, version: int, nodes: int) -> float:
+        """Waits until a version is in force, and returns the seconds taken."""
+        started_s = time.monotonic()
+        wait_until(
+            lambda: list(self.versions().values()).count(version) >= nodes,
+            f'version {version} on {nodes} nodes',
+        )
+        return time.monotonic() - started_s
+
+    def _submit(self, body: bytes) -> dict | None:
+        for address in self.written.http_addresses('control'):
+            request = Request(
+                f'http://{address}/v1/edits',
+                body,
+                {'Content-Type': 'application/json'},
+            )
+            try:
+                with urlopen(request, timeout=10) as got:
+                    return json.load(got)
+            except HTTPError as error:
+                if error.code < 500:
+                    return json.load(error)
+            except OSError:
+                continue
+        return None
+
+
+@contextmanager
+def mesh(
+    zones: int = 3,
+    upstreams: dict[str, int] | None = None,
+    slots: int = 6,
+    **further,
+) -> Iterator[Mesh]:
+    """Runs control hosts, nodes and upstreams with version 1 in force."""
+    plan = deployment.Plan(
+        zones=tuple(f'z{number}' for number in range(zones)),
+        services=upstreams or {'orders': 3, 'gallery': 3},
+        slots=slots,
+        base=BASE.format(version=1, timeout_ms=2000),
+        **further,
+    )
+    with tempfile.TemporaryDirectory() as name:
+        running = Mesh(deployment.write(Path(name), plan, free_address))
+        try:
+            running.start('control')
+            running.submit(1)
+            running.start('node')
+            running.start('load')
+            yield running
+        finally:
+            running.stop()
--- /dev/null
+++ b/waxwingsaddle/deployment.py
@@ -0,0 +1,353 @@
+"""Settings of a whole deployment on one machine, for trials and experiments."""
+
+import json
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass, field
+from itertools import chain, count, cycle, repeat
+from pathlib import Path
+from typing import Any
+
+LOOPBACK = '127.0.0.1'
+SITE = 'local'
+Table = Mapping[str, Any]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Plan:
+    """What a deployment consists of.
+
+    Attributes:
+        zones: Names of the availability zones; a control host in each.
+        services: Upstreams by service name, dealt out over the zones.
+        slots: Slots of an upstream.
+        base: Text of the base file; the sites are one overlay, `local`.
+        control: Further settings of every control host.
+        node: Further settings of every node.
+        upstream: Further settings of every stand-in upstream.
+    """
+
+    zones: tuple[str, ...]
+    services: Mapping[str, int]
+    slots: int
+    base: str
+    control: Table = field(default_factory=dict)
+    node: Table = field(default_factory=dict)
+    upstream: Table = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Member:
+    """One process of a deployment.
+
+    Attributes:
+        host: Name of its host, and of its settings file.
+        program: Module of the program in `waxwingsaddle.ui`.
+        command: Command of the program, empty for none.
+        availability_zone: Its availability zone.
+        service: Service of an upstream or of the upstream beside a node.
+        http_address: Its HTTP server.
+    """
+
+    host: str
+    program: str
+    command: str
+    availability_zone: str
+    service: str
+    http_address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """A deployment written to a folder."""
+
+    folder: Path
+    members: tuple[Member, ...]
+
+    def of(self, program: str) -> tuple[Member, ...]:
+        """Returns the members that run a program."""
+        return tuple(one for one in self.members if one.program == program)
+
+    def http_addresses(self, program: str, service: str = '') -> list[str]:
+        """Returns HTTP addresses by program, and service where one is given."""
+        return [
+            one.http_address
+            for one in self.of(program)
+            if service in {'', one.service}
+        ]
+
+
+DEMO_FIRST_PORT = 7100
+DEMO_BASE = """# Configuration of all sites; overlays/SITE.toml changes one.
+version = 1
+
+[services.gallery]
+timeout_ms = 1000
+[services.orders]
+timeout_ms = 2000
+
+[routes.browse]
+path_prefix = "/gallery"
+methods = ["GET"]
+service = "gallery"
+idempotent = true
+work = "short"
+priority = "low"
+
+[routes.place-order]
+path_prefix = "/orders"
+methods = ["POST"]
+service = "orders"
+work = "short"
+priority = "high"
+"""
+DEMO = Plan(
+    zones=('zone-a', 'zone-b', 'zone-c'),
+    services={'gallery': 3, 'orders': 3},
+    slots=6,
+    base=DEMO_BASE,
+)
+
+
+def ports_from(first: int) -> Callable[[], str]:
+    """Returns a source of loopback addresses with ports from one on."""
+    numbers = count(first)
+    return lambda: f'{LOOPBACK}:{next(numbers)}'
+
+
+def write(
+    folder: Path,
+    plan: Plan,
+    next_address: Callable[[], str],
+) -> Deployment:
+    """Writes settings, configuration and a Procfile.
+
+    Args:
+        folder: Folder to write to; created where it is missing.
+        plan: What the deployment consists of.
+        next_address: Gives each listening socket its address.
+
+    Returns:
+        The processes of the deployment.
+    """
+    (folder / 'overlays').mkdir(parents=True, exist_ok=True)
+    (folder / 'base.toml').write_text(plan.base, encoding='utf-8')
+    overlay = folder / 'overlays' / f'{SITE}.toml'
+    overlay.write_text('# What differs at this site.\n', encoding='utf-8')
+    controls = [_control(zone, next_address) for zone in plan.zones]
+    members = (
+        *_write_controls(folder, plan, controls),
+        *_write_hosts(folder, plan, controls, next_address),
+        _write_source(folder, controls, next_address()),
+    )
+    _write_ctl(folder, controls)
+    _write_procfile(folder, members)
+    return Deployment(folder, members)
+
+
+def toml_text(table: str, settings: Table) -> str:
+    """Returns a settings file with one table; nested tables stand inline."""
+    lines = (f'{key} = {_inline(part)}' for key, part in settings.items())
+    return '\n'.join((f'[{table}]', *lines, ''))
+
+
+def _control(zone: str, next_address: Callable[[], str]) -> dict[str, str]:
+    return {
+        'host': f'control-{zone}',
+        'availability_zone': zone,
+        'peer_address': next_address(),
+        'node_address': next_address(),
+        'http_address': next_address(),
+    }
+
+
+def _write_controls(
+    folder: Path,
+    plan: Plan,
+    controls: list[dict[str, str]],
+) -> list[Member]:
+    members = []
+    for control in controls:
+        host = control['host']
+        settings = {
+            'host': host,
+            'data_folder': str(folder.resolve() / 'data' / host),
+            'hosts': controls,
+            **plan.control,
+        }
+        _write_settings(folder, host, 'control', settings)
+        members.append(
+            Member(
+                host=host,
+                program='control',
+                command='',
+                availability_zone=control['availability_zone'],
+                service='',
+                http_address=control['http_address'],
+            ),
+        )
+    return members
+
+
+def _write_hosts(
+    folder: Path,
+    plan: Plan,
+    controls: list[dict[str, str]],
+    next_address: Callable[[], str],
+) -> Iterator[Member]:
+    services = chain.from_iterable(
+        repeat(name, upstreams) for name, upstreams in plan.services.items()
+    )
+    hosts = [
+        _Host(
+            number,
+            zone,
+            service,
+            next_address(),
+            next_address(),
+            next_address(),
+        )
+        for number, (service, zone) in enumerate(
+            zip(services, cycle(plan.zones), strict=False),
+        )
+    ]
+    for host in hosts:
+        neighbours = [
+            other.call_address
+            for other in hosts
+            if other.zone == host.zone and other is not host
+        ]
+        node = host.node_settings(controls, neighbours)
+        standin = host.upstream_settings(folder, plan.slots)
+        _write_settings(folder, host.node, 'node', {**node, **plan.node})
+        _write_settings(
+            folder,
+            host.upstream,
+            'upstream',
+            {**standin, **plan.upstream},
+        )
+        yield Member(
+            host=host.node,
+            program='node',
+            command='',
+            availability_zone=host.zone,
+            service=host.service,
+            http_address=host.http_address,
+        )
+        yield Member(
+            host=host.upstream,
+            program='load',
+            command='upstream',
+            availability_zone=host.zone,
+            service=host.service,
+            http_address=host.upstream_address,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class _Host:
+    """One upstream host: its node and its stand-in upstream."""
+
+    number: int
+    zone: str
+    service: str
+    http_address: str
+    call_address: str
+    upstream_address: str
+
+    @property
+    def node(self) -> str:
+        """Name of the node."""
+        return f'node-{self.number}'
+
+    @property
+    def upstream(self) -> str:
+        """Name of the upstream."""
+        return f'upstream-{self.number}'
+
+    def node_settings(
+        self,
+        controls: list[dict[str, str]],
+        neighbours: list[str],
+    ) -> Table:
+        """Returns the settings of the node."""
+        keys = ('host', 'availability_zone', 'node_address')
+        return {
+            'host': self.node,
+            'availability_zone': self.zone,
+            'site': SITE,
+            'http_address': self.http_address,
+            'call_address': self.call_address,
+            'controls': [{key: one[key] for key in keys} for one in controls],
+            'neighbours': neighbours,
+        }
+
+    def upstream_settings(self, folder: Path, slots: int) -> Table:
+        """Returns the settings of the stand-in upstream."""
+        return {
+            'host': self.upstream,
+            'service': self.service,
+            'http_address': self.upstream_address,
+            'node_http_address': self.http_address,
+            'slots': slots,
+            'journal_file': str(folder.resolve() / f'{self.upstream}.jsonl'),
+        }
+
+
+def _write_source(
+    folder: Path,
+    controls: list[dict[str, str]],
+    http_address: str,
+) -> Member:
+    settings = {
+        'host': 'source',
+        'http_address': http_address,
+        'controls': [one['http_address'] for one in controls],
+        'base_file': str(folder.resolve() / 'base.toml'),
+        'overlay_folder': str(folder.resolve() / 'overlays'),
+    }
+    _write_settings(folder, 'source', 'source', settings)
+    return Member(
+        host='source',
+        program='source',
+        command='',
+        availability_zone=controls[0]['availability_zone'],
+        service='',
+        http_address=http_address,
+    )
+
+
+def _write_ctl(folder: Path, controls: list[dict[str, str]]) -> None:
+    settings = {
+        'controls': [one['http_address'] for one in controls],
+        'base_file': str(folder.resolve() / 'base.toml'),
+        'overlay_folder': str(folder.resolve() / 'overlays'),
+    }
+    _write_settings(folder, 'ctl', 'ctl', settings)
+
+
+def _write_procfile(folder: Path, members: tuple[Member, ...]) -> None:
+    lines = (
+        f'{one.host}: python -m waxwingsaddle.ui.{one.program} '
+        f'{one.command} --settings {folder.resolve() / one.host}.toml\n'
+        for one in members
+    )
+    (folder / 'Procfile').write_text(''.join(lines), encoding='utf-8')
+
+
+def _write_settings(
+    folder: Path,
+    name: str,
+    table: str,
+    settings: Table,
+) -> None:
+    text = toml_text(table, settings)
+    (folder / f'{name}.toml').write_text(text, encoding='utf-8')
+
+
+def _inline(part: object) -> str:
+    if isinstance(part, Mapping):
+        pairs = (f'{key} = {_inline(inner)}' for key, inner in part.items())
+        return f'{{ {", ".join(pairs)} }}'
+    if isinstance(part, list | tuple):
+        return f'[{", ".join(map(_inline, part))}]'
+    return json.dumps(part)
--- a/waxwingsaddle/ui/load.py
+++ b/waxwingsaddle/ui/load.py
@@ -8,7 +8,14 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from waxwingsaddle import __version__, checker, experiment, program, report
+from waxwingsaddle import (
+    __version__,
+    checker,
+    deployment,
+    experiment,
+    program,
+    report,
+)
 from waxwingsaddle.callers import Callers
 from waxwingsaddle.faults import FaultsSettings
 from waxwingsaddle.faults import build as build_faults
@@ -107,10 +114,40 @@
         return EXIT_VIOLATION if verdict.violations else 0
 
 
+class DeploymentCommand(Command):
+    """Writes the settings of a small deployment on this machine."""
+
+    name = 'deployment'
+    description = 'Writes settings and a Procfile for a trial in a folder'
+    arguments = [argument('folder', 'Folder to write to')]
+
+    def handle(self) -> int:
+        """Runs the command."""
+        folder = Path(self.argument('folder'))
+        if (folder / 'base.toml').exists():
+            self.line_error(
+                f'waxwing-load: {folder} has a base.toml; name a new folder',
+            )
+            return EXIT_INPUT
+        ports = deployment.ports_from(deployment.DEMO_FIRST_PORT)
+        written = deployment.write(folder, deployment.DEMO, ports)
+        self.line(f'{len(written.members)} processes in {folder}/Procfile')
+        return 0
+
+
+COMMANDS = (
+    UpstreamCommand,
+    FaultsCommand,
+    RunCommand,
+    CheckCommand,
+    DeploymentCommand,
+)
+
+
 def main() -> int:
     """Runs `waxwing-load`."""
     application = Application('waxwing-load', __version__)
-    for command in (UpstreamCommand, FaultsCommand, RunCommand, CheckCommand):
+    for command in COMMANDS:
         application.add(command())
     return application.run()
 
