Keep the learned run time and hedge delay steady through a slowdown

The outlier-resistant baseline still crept up within 400 slow answers, and the hedge delay doubled within 20. Tests of both and of long work that is not starved; each fails without its mechanism.

--- a/test/test_choice.py
+++ b/test/test_choice.py
@@ -139,7 +139,7 @@
     """Guards against tails while an upstream is slow but answers."""
     node = _three()
     node.shares(200)
-    slow = node.shares(300, x=SLOW)['x']
+    slow = node.shares(3000, x=SLOW)['x']
     assert slow < 10, slow
 
 
--- a/test/test_guard.py
+++ b/test/test_guard.py
@@ -173,9 +173,16 @@
     assert lanes.count(Lane.LONG) == len(lanes) == 3
     for number in range(3):
         assert isinstance(upstream.offer(f'short{number}'), Admitted)
-    # Long work isn't starved: its first waiting call gets the first slot.
-    for call_id in ('long0', 'long1', 'long2'):
-        assert upstream.end(call_id, 1) == [f'long{int(call_id[-1]) + 3}']
+
+
+def test_long_work_is_not_starved():
+    """Guards against long work that never runs beside busy short work."""
+    upstream = Upstream(2)
+    for call_id in ('s0', 's1', 's2', 's3'):
+        upstream.offer(call_id)
+    upstream.offer('long', work='long')
+    assert upstream.end('s0') == ['long']
+    assert upstream.end('s1') == ['s2']
 
 
 def test_wait_beyond_the_deadline_is_refused_early():
@@ -245,16 +252,14 @@
     rng = random.Random(1)
     limit = ConcurrencyLimit(12, LimitPolicy(floor_percent=34, slow_ratio=2))
     times = RunTimes(0.02, 4)
-    lowest = 12
     for number in range(3000):
-        slow = 10 if 1000 <= number < 1300 else 1
+        slow = 10 if 1000 <= number < 2000 else 1
         took_s = 0.02 * slow * rng.lognormvariate(-0.125, 0.5)
         limit.observe(times.observe('r', Lane.SHORT, took_s))
-        if number < 1000 or number > 1500:
+        if number < 1000 or number > 2200:
             assert limit.current >= 10, number
-        lowest = min(lowest, limit.current)
-    assert lowest == 4
-    assert limit.current == 12
+        if 1100 < number < 2000:
+            assert limit.current == 4, number
 
 
 def test_long_routes_are_learned_and_forgotten():
--- a/waxwingsaddle/hedge.py
+++ b/waxwingsaddle/hedge.py
@@ -7,6 +7,9 @@
 
 _PERCENT = 100
 _LATE_SMOOTHING = 0.02
+# With 5 % the delay doubled within the first 20 calls to a slowed upstream,
+# and hedges came too late for the rest of the slowdown.
+_QUANTILE_STEP = 0.01
 # When so many calls are late, everything is slow, and a second attempt adds
 # load without finding a faster upstream.
 _MOST_LATE_SHARE = 0.4
@@ -57,7 +60,7 @@
         """Takes in the time until the first attempt answered or was dropped."""
         quantile = self._routes.get(route)
         if quantile is None:
-            quantile = Quantile(self._share)
+            quantile = Quantile(self._share, _QUANTILE_STEP)
             self._routes[route] = quantile
         if quantile.is_settled:
             is_late = took_s > quantile.estimate
--- a/waxwingsaddle/lanes.py
+++ b/waxwingsaddle/lanes.py
@@ -13,9 +13,9 @@
 # The baseline hardly follows run times far above it, so that a slowdown of
 # seconds does not become the new normal. Below that it is a plain mean: one
 # that falls faster than it rises made a healthy upstream look slow.
-_BASELINE_SMOOTHING = 0.01
-_OUTLIER_SMOOTHING = 0.0003
-_OUTLIER_RATIO = 3
+_BASELINE_SMOOTHING = 0.003
+_OUTLIER_SMOOTHING = 0.0002
+_OUTLIER_RATIO = 2
 # The first answers count more, so that an unusual first one does not stay.
 _WARM_UP = 4
 # A route leaves the long lane at half the ratio at which it entered.
