Claim idempotency keys before calls are sent

A keyed call is claimed at its keepers, carries the claim to the guard, and the guard reports it done with the answer. A call that did not run is answered so only after the claim was released. A planned stop hands its claims over.

Tests: test.test_keyed over two real nodes.

--- a/test/fixed_node.py
+++ b/test/fixed_node.py
@@ -19,8 +19,9 @@
 class FixedDirectory:
     """Own announcements, and fixed upstreams of other nodes."""
 
-    def __init__(self, settings, kernel, others):
+    def __init__(self, settings, kernel, others, nodes):
         self._settings = settings
+        self._nodes = tuple(SimpleNamespace(**one) for one in nodes)
         self._kernel = kernel
         self._others = others
         self._entries = {}
@@ -49,8 +50,8 @@
         return self._entries[service]
 
     def nodes_of(self, _zone):
-        """Returns no node: these tests claim no keys."""
-        return ()
+        """Returns the nodes that keep claims."""
+        return self._nodes
 
 
 def subscribe(kernel, settings):
@@ -64,7 +65,7 @@
     kernel.provide('configuration', SimpleNamespace(current=current))
     kernel.provide(
         'directory',
-        FixedDirectory(settings, kernel, fixed['others']),
+        FixedDirectory(settings, kernel, fixed['others'], fixed['nodes']),
     )
 
 
--- a/test/nodes.py
+++ b/test/nodes.py
@@ -95,6 +95,7 @@
         self.settings = {
             'host': host,
             'availability_zone': 'zone-1',
+            'availability_zones': ['zone-1'],
             'site': 'north',
             'http_address': self.http_address,
             'call_address': self.call_address,
@@ -125,7 +126,16 @@
             'started_ms_ago': 3_600_000,
         }
 
-    def start(self, others=(), base=BASE):
+    def as_node(self):
+        """Returns the directory entry of this node."""
+        return {
+            'host': self.host,
+            'availability_zone': 'zone-1',
+            'call_address': self.call_address,
+            'incarnation': 1,
+        }
+
+    def start(self, others=(), nodes=(), base=BASE):
         """Writes the files, starts the node and waits until it is ready."""
         lines = [
             f'{key} = {json.dumps(value)}'
@@ -133,7 +143,8 @@
         ]
         text = '\n'.join(['[node]', *lines, 'controls = []'])
         (self.folder / 'node.toml').write_text(text, 'utf-8')
-        fixed = {'base': base, 'others': list(others)}
+        keepers = [one.as_node() for one in nodes or (self,)]
+        fixed = {'base': base, 'others': list(others), 'nodes': keepers}
         (self.folder / 'fixed.json').write_text(json.dumps(fixed), 'utf-8')
         self.process.start()
         wait_until(lambda: is_ready(self.http_address), self.host)
@@ -172,11 +183,15 @@
         self.folder = folder
         self.processes = []
 
-    def node(self, host='host-1', others=(), base=BASE, **settings):
-        """Starts a node."""
+    def new_node(self, host, **settings):
+        """Returns a node that is not started."""
         node = FixedNode(self.folder, host, **settings)
         self.processes.append(node.process)
-        return node.start(others, base)
+        return node
+
+    def node(self, host='host-1', others=(), base=BASE, **settings):
+        """Starts a node."""
+        return self.new_node(host, **settings).start(others, base=base)
 
     def upstream(self, name='up-1', slots=6):
         """Starts an upstream."""
@@ -187,9 +202,11 @@
     def pair(self, slots=6, **settings):
         """Starts an entry node and a guarding node with one upstream."""
         upstream = self.upstream(slots=slots)
-        guard = self.node('guard', **settings)
+        guard = self.new_node('guard', **settings)
+        entry = self.new_node('entry', **settings)
+        guard.start(nodes=(entry, guard))
         guard.announce(upstream)
-        entry = self.node('entry', [guard.entry(upstream)], **settings)
+        entry.start([guard.entry(upstream)], nodes=(entry, guard))
         return entry, guard, upstream
 
 
--- /dev/null
+++ b/test/test_keyed.py
@@ -0,0 +1,58 @@
+"""Calls with an idempotency key through real nodes."""
+
+from test.nodes import call, setting
+from test.processes import wait_until
+from test.test_node_failures import Caller
+
+KEY = {'Idempotency-Key': 'zone-1.k1'}
+
+
+def _post(node, target, headers=KEY):
+    status, fields, body = call(node.http_address, 'POST', target, b'', headers)
+    return status, fields['Waxwing-Outcome'], body
+
+
+def _settled(node):
+    # A keeper grants only once it has asked the others for their claims.
+    probe = {'Idempotency-Key': 'zone-1.probe'}
+    wait_until(
+        lambda: _post(node, '/orders?id=probe', probe)[1] == 'ran',
+        'keepers ready',
+    )
+
+
+def test_resend_gets_the_stored_answer():
+    """Guards against a resent order that runs twice."""
+    with setting() as started:
+        entry, guard, upstream = started.pair()
+        _settled(entry)
+        assert _post(entry, '/orders?id=r1') == (200, 'ran', b'r1')
+        for node in (entry, guard, entry):
+            assert _post(node, '/orders?id=r1') == (200, 'ran', b'r1')
+        assert upstream.count('begin', 'r1') == 1
+
+
+def test_key_of_an_unknown_call_is_not_run_again():
+    """Guards against a second run after an answer was lost."""
+    with setting() as started:
+        entry, _, upstream = started.pair()
+        _settled(entry)
+        headers = {**KEY, 'Waxwing-Deadline-Ms': '300'}
+        target = '/orders?id=u1&wait_ms=2000'
+        assert _post(entry, target, headers)[:2] == (502, 'unknown')
+        assert _post(entry, target, headers)[:2] == (502, 'unknown')
+        assert upstream.count('begin', 'u1') == 1
+
+
+def test_key_of_a_refused_call_can_run():
+    """Guards against a key that is lost with a call that did not run."""
+    with setting() as started:
+        entry, _, upstream = started.pair(slots=1)
+        _settled(entry)
+        busy = Caller(entry, '/orders?id=b1&wait_ms=1500')
+        wait_until(lambda: upstream.count('begin', 'b1'), 'b1')
+        headers = {**KEY, 'Waxwing-Deadline-Ms': '200'}
+        assert _post(entry, '/orders?id=f1', headers)[1] == 'not-run'
+        assert busy.outcome()[1] == 'ran'
+        assert _post(entry, '/orders?id=f1') == (200, 'ran', b'f1')
+        assert upstream.count('begin', 'f1') == 1
--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -42,6 +42,7 @@
         request: What to send.
         deadline_s: When the caller gives up.
         is_cancelled: Whether the caller is gone.
+        claim: Encoded claim of the idempotency key; empty without one.
         running: Attempts in flight: call identifier and upstream.
         number: Attempts made so far.
     """
@@ -50,6 +51,7 @@
     request: Request
     deadline_s: float
     is_cancelled: bool = False
+    claim: bytes = b''
     running: dict[str, Upstream] = field(default_factory=dict)
     number: int = 0
 
@@ -112,6 +114,8 @@
         Returns:
             How the call ended; its `stream` must be closed.
         """
+        if task.is_cancelled:
+            return not_run('cancelled')
         policies = self._policies_of(task.match)
         policies.retries.call_started()
         tried: set[Key] = set()
@@ -243,7 +247,7 @@
         task.running[call.call_id] = upstream
         answer = None
         try:
-            answer = self._send(call, upstream, task.request)
+            answer = self._send(call, upstream, task)
         finally:
             task.running.pop(call.call_id, None)
             policies.choice.finished(
@@ -252,15 +256,21 @@
             )
         return answer
 
-    def _send(self, call: Call, upstream: Upstream, request: Request) -> Answer:
+    def _send(self, call: Call, upstream: Upstream, task: Task) -> Answer:
         if upstream.host != self._host:
             return self._remote.run(
                 upstream.call_address,
                 upstream.name,
                 call,
-                request,
+                task.request,
+                task.claim,
             )
-        answer = self._guarding.run(upstream.name, call, request)
+        answer = self._guarding.run(
+            upstream.name,
+            call,
+            task.request,
+            task.claim,
+        )
         return answer or unknown('duplicate')
 
     def _cancel(self, call_id: str, upstream: Upstream) -> None:
--- a/waxwingsaddle/entry.py
+++ b/waxwingsaddle/entry.py
@@ -6,6 +6,7 @@
 from waxwingsaddle import metrics
 from waxwingsaddle.calls import (
     DEADLINE_HEADER,
+    KEY_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
     RETRY_AFTER_HEADER,
@@ -15,7 +16,8 @@
     passed_on,
 )
 from waxwingsaddle.config import MAX_TIMEOUT_MS
-from waxwingsaddle.dispatch import Dispatch, Task
+from waxwingsaddle.dispatch import Task
+from waxwingsaddle.keyed import KeyedCalls
 from waxwingsaddle.presence import Presence
 from waxwingsaddle.retry import RETRIED_HEADER
 from waxwingsaddle.routing import Match, Routing
@@ -23,6 +25,7 @@
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.web import Environ, StartResponse
 
+_KEY = KEY_HEADER.lower()
 _DEADLINE_KEY = DEADLINE_HEADER.lower()
 _STATUS_BY_REASON = {
     'no-route': 404,
@@ -57,7 +60,7 @@
 
     Args:
         routing: Finds the route of a call.
-        dispatch: Runs calls.
+        calls: Runs calls.
         presence: Notices callers that go away.
         body_limit_bytes: Largest request body.
         clock: Monotonic seconds.
@@ -66,13 +69,13 @@
     def __init__(
         self,
         routing: Routing,
-        dispatch: Dispatch,
+        calls: KeyedCalls,
         presence: Presence,
         body_limit_bytes: int,
         clock: Callable[[], float],
     ) -> None:
         self._routing = routing
-        self._dispatch = dispatch
+        self._calls = calls
         self._presence = presence
         self._body_limit_bytes = body_limit_bytes
         self._clock = clock
@@ -118,12 +121,13 @@
         sock = environ['wsgi.input'].get_socket()
         watched = self._presence.watch(sock, lambda: self._cancel(task))
         try:
-            return self._dispatch.run(task)
+            key = environ['waxwing.head'].fields.get(_KEY, '')
+            return self._calls.run(task, key)
         finally:
             self._presence.forget(watched)
 
     def _cancel(self, task: Task) -> None:
-        self._dispatch.cancel(task)
+        self._calls.cancel(task)
 
     def _body(self, environ: Environ) -> bytes | Answer:
         stream = environ['wsgi.input']
--- a/waxwingsaddle/guarding.py
+++ b/waxwingsaddle/guarding.py
@@ -64,6 +64,7 @@
         upstreams: The announced upstreams.
         configuration: Service with `current`, for the tunables of guards.
         policy: Tunables of the HTTP legs.
+        report_done: Takes the claim and the answer of each keyed call that ran.
         call_ids_kept_s: How long call identifiers are remembered.
         drain_wait_s: How long a draining upstream takes calls of nodes that
             have not heard of the drain yet.
@@ -75,6 +76,7 @@
         upstreams: Upstreams,
         configuration,
         policy: LegPolicy,
+        report_done: Callable[[bytes, Answer], None],
         call_ids_kept_s: float,
         drain_wait_s: float,
         clock: Callable[[], float],
@@ -82,6 +84,7 @@
         self._upstreams = upstreams
         self._configuration = configuration
         self._policy = policy
+        self._report_done = report_done
         self._drain_wait_s = drain_wait_s
         self._clock = clock
         self._guarded: dict[str, _Guarded] = {}
@@ -109,13 +112,20 @@
         for name, announcement in announced.items():
             self._adopt(name, announcement)
 
-    def run(self, upstream: str, call: Call, request: Request) -> Answer | None:
+    def run(
+        self,
+        upstream: str,
+        call: Call,
+        request: Request,
+        claim: bytes = b'',
+    ) -> Answer | None:
         """Runs a call; blocks its green thread.
 
         Args:
             upstream: Name of the upstream.
             call: The call as the guard sees it.
             request: What to send.
+            claim: Encoded claim of the idempotency key; empty without one.
 
         Returns:
             How the call ended; its `stream` must be closed. None if a call
@@ -136,6 +146,8 @@
             raise
         if answer.stream is None:
             self._jobs.pop(call.call_id, None)
+        if claim and answer.outcome is Outcome.RAN:
+            self._report_done(claim, answer)
         answer.load = guarded.guard.load()
         return answer
 
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from functools import partial
 
+from waxwingsaddle import keepers
 from waxwingsaddle.dispatch import Dispatch
 from waxwingsaddle.entry import Entry
 from waxwingsaddle.events import Timeline
@@ -11,6 +13,7 @@
 from waxwingsaddle.hop import Hop
 from waxwingsaddle.http_leg import LegPolicy
 from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.keyed import KeyedCalls, report_done
 from waxwingsaddle.lean_http import LeanProtocol
 from waxwingsaddle.link import LinkPolicy
 from waxwingsaddle.node_settings import NodeSettings
@@ -57,7 +60,7 @@
     kernel.provide('presence', presence)
     entry = Entry(
         Routing(kernel.find('configuration')),
-        dispatch,
+        KeyedCalls(dispatch, kernel.find('keepers')),
         presence,
         settings.request_body_limit_bytes,
         monotonic_s,
@@ -95,6 +98,7 @@
             chunk_bytes=settings.chunk_bytes,
             stall_timeout_s=settings.stall_timeout_ms / MS_PER_S,
         ),
+        partial(report_done, keepers.attach(kernel, settings)),
         settings.call_ids_kept_s,
         settings.drain_wait_ms / MS_PER_S,
         monotonic_s,
@@ -156,6 +160,7 @@
         GracefulServer(settings.http_address, probed, LeanProtocol),
         kernel.find('serving'),
         kernel.find('guarding'),
+        kernel.find('keepers'),
         settings.drain_wait_ms,
         settings.stop_limit_ms,
     )
--- a/waxwingsaddle/remote.py
+++ b/waxwingsaddle/remote.py
@@ -93,6 +93,7 @@
         upstream: str,
         call: Call,
         request: Request,
+        claim: bytes = b'',
     ) -> Answer:
         """Runs a call at another node; blocks its green thread.
 
@@ -101,6 +102,7 @@
             upstream: Name of the upstream there.
             call: The call.
             request: What to send.
+            claim: Encoded claim of the idempotency key.
 
         Returns:
             How the call ended; its `stream` must be closed.
@@ -113,7 +115,7 @@
         left_s = call.deadline_s - self._clock()
         if left_s <= 0:
             return not_run('deadline')
-        message = _message(upstream, call, request, left_s)
+        message = _message(upstream, call, request, claim, left_s)
         pending = _Pending(link)
         self._pending[call.call_id] = pending
         try:
@@ -258,6 +260,7 @@
     upstream: str,
     call: Call,
     request: Request,
+    claim: bytes,
     left_s: float,
 ) -> CallRequest:
     return CallRequest(
@@ -271,4 +274,5 @@
         method=request.method,
         target=request.target,
         headers=request.headers,
+        claim=claim,
     )
--- a/waxwingsaddle/serving.py
+++ b/waxwingsaddle/serving.py
@@ -139,6 +139,7 @@
                 message.upstream,
                 message.call(deadline_s),
                 request,
+                message.claim,
             )
             if answer is not None:
                 self._answer(received.sender, call_id, answer)
--- a/waxwingsaddle/shutdown.py
+++ b/waxwingsaddle/shutdown.py
@@ -7,11 +7,14 @@
 from waxwingsaddle import logs
 from waxwingsaddle.graceful import GracefulServer
 from waxwingsaddle.guarding import Guarding
+from waxwingsaddle.keepers import Keepers
 from waxwingsaddle.serving import Serving
 from waxwingsaddle.upstreams import Upstreams
 from waxwingsaddle.util.clock import MS_PER_S
 
 _POLL_S = 0.02
+# Claims not copied by then are still with their two other keepers.
+_HAND_OVER_S = 1
 
 
 class Shutdown:
@@ -24,6 +27,7 @@
         server: Serves callers.
         serving: Serves other nodes.
         guarding: Runs calls at the upstreams.
+        keepers: Keeps claims of idempotency keys.
         drain_wait_ms: Time in which other nodes learn of the drain.
         stop_limit_ms: Longest time for calls in flight afterwards.
     """
@@ -34,6 +38,7 @@
         server: GracefulServer,
         serving: Serving,
         guarding: Guarding,
+        keepers: Keepers,
         drain_wait_ms: int,
         stop_limit_ms: int,
     ) -> None:
@@ -41,6 +46,7 @@
         self._server = server
         self._serving = serving
         self._guarding = guarding
+        self._keepers = keepers
         self._drain_wait_s = drain_wait_ms / MS_PER_S
         self._stop_limit_s = stop_limit_ms / MS_PER_S
         self.is_draining = False
@@ -59,6 +65,9 @@
         cut_callers = self._server.finish(self._stop_limit_s)
         while time.monotonic() < end_s and self._is_busy():
             eventlet.sleep(_POLL_S)
+        lost_claims = self._keepers.hand_over(_HAND_OVER_S)
+        if lost_claims:
+            logs.logger().warning('claims not handed over', claims=lost_claims)
         cut_nodes = self._serving.pending
         if cut_callers or cut_nodes:
             logs.logger().warning(
