--- a/test/nodes.py
+++ b/test/nodes.py
@@ -113,6 +113,23 @@
             ('--settings', str(settings_file)),
         )
 
+    def start_program(self, control):
+        """Starts `waxwing-node` with one control host, until it is ready."""
+        lines = [
+            f'{key} = {json.dumps(value)}'
+            for key, value in self.settings.items()
+        ]
+        fields = ('host', 'availability_zone', 'node_address')
+        control_lines = [
+            f'{name} = {json.dumps(getattr(control, name))}' for name in fields
+        ]
+        text = '\n'.join(
+            ['[node]', *lines, '[[node.controls]]', *control_lines],
+        )
+        self.process.settings_file.write_text(text, 'utf-8')
+        Process.start(self.process)
+        wait_until(lambda: is_ready(self.http_address), self.host)
+
     def entry(self, upstream):
         """Returns the directory entry of an upstream behind this node."""
         return {
