--- a/test/fake_control.py
+++ b/test/fake_control.py
@@ -1,27 +1,31 @@
 """A control host on fakes: the real administration API over HTTP."""
 
-import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
-from socketserver import ThreadingMixIn
 from tempfile import TemporaryDirectory
 from types import SimpleNamespace
-from wsgiref.simple_server import WSGIRequestHandler, WSGIServer, make_server
 
-from waxwingsaddle import api, settings
+from test import processes
+from waxwingsaddle import api, green, settings
 from waxwingsaddle.config import SourceSet, check_sources
 from waxwingsaddle.control_settings import ControlSettings
 from waxwingsaddle.events import Timeline
 from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.membership import Change, changed
 from waxwingsaddle.outcomes import (
     Accepted,
     Conflict,
     Edit,
+    MembersChanged,
     Refused,
     Unavailable,
 )
+from waxwingsaddle.raft_messages import Members, Replica
+from waxwingsaddle.web import Server
+
+green.patch()
 
 BASE = """version = 1
 [services.orders]
@@ -76,6 +80,12 @@
         return SimpleNamespace(sources=files, sites=checked.sites)
 
 
+MEMBERS = Members(
+    (Replica('c1.1', 'c1'), Replica('c2.1', 'c2')),
+    (Replica('c2.2', 'c2'), Replica('c3.1', 'c3')),
+)
+
+
 @dataclass
 class FakeReplication:
     """Accepts edits at once.
@@ -89,7 +99,8 @@
     lost_answers: int = 0
     is_available: bool = True
     submitted: list[Edit] = field(default_factory=list)
-    changes: list = field(default_factory=list)
+    leader: str = 'c1'
+    held: Members = MEMBERS
 
     def submit(self, edit: Edit):
         """Accepts an edit, or says why not."""
@@ -135,21 +146,14 @@
         """Returns the time since contact with a majority."""
         return 12
 
-    def members(self) -> tuple[SimpleNamespace, ...]:
-        """Returns one leader."""
-        return (
-            SimpleNamespace(
-                host='c1',
-                availability_zone='a',
-                is_voter=True,
-                identity='one',
-                is_leader=True,
-            ),
-        )
+    def members(self) -> Members:
+        """Returns a leader, a lost disk and its learner."""
+        return self.held
 
-    def change_members(self, change):
-        """Notes a change."""
-        self.changes.append(change)
+    def change_members(self, change: Change) -> MembersChanged:
+        """Makes a change at once."""
+        self.held = changed(change, self.held)
+        return MembersChanged(members=self.held)
 
 
 @dataclass
@@ -219,46 +223,17 @@
     return made
 
 
-class _Server(ThreadingMixIn, WSGIServer):
-    daemon_threads = True
-
-
-class _QuietHandler(WSGIRequestHandler):
-    def log_message(self, *_args) -> None:
-        """Writes no line a request."""
-
-
 @contextmanager
-def serving(port: int = 0, **given) -> Iterator[FakeControl]:
-    """Runs a control host on fakes in a thread."""
+def serving(**given) -> Iterator[FakeControl]:
+    """Runs a control host on fakes in a green thread."""
     made = control(**given)
-    with served(made, port):
-        yield made
-
-
-@contextmanager
-def served(made: FakeControl, port: int = 0) -> Iterator[None]:
-    """Serves the API of a control host on fakes."""
-    server = make_server(
-        '127.0.0.1',
-        port,
-        made.application,
-        _Server,
-        _QuietHandler,
-    )
-    made.address = f'127.0.0.1:{server.server_port}'
-    thread = threading.Thread(target=server.serve_forever, args=(0.02,))
-    thread.start()
+    made.address = processes.free_address()
+    server = Server(made.address, made.application)
+    server.start()
     try:
-        yield
+        yield made
     finally:
-        _close(server, thread)
-
-
-def _close(server: _Server, thread: threading.Thread) -> None:
-    server.shutdown()
-    thread.join()
-    server.server_close()
+        server.stop()
 
 
 @contextmanager
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -2,26 +2,31 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from functools import partial
 
+from waxwingsaddle import keepers
 from waxwingsaddle.dispatch import Dispatch
 from waxwingsaddle.entry import Entry
 from waxwingsaddle.events import Timeline
+from waxwingsaddle.graceful import GracefulServer
 from waxwingsaddle.guarding import Guarding
 from waxwingsaddle.hop import Hop
 from waxwingsaddle.http_leg import LegPolicy
 from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.keyed import KeyedCalls, report_done
+from waxwingsaddle.lean_http import LeanProtocol
 from waxwingsaddle.link import LinkPolicy
 from waxwingsaddle.node_settings import NodeSettings
 from waxwingsaddle.presence import Presence
 from waxwingsaddle.remote import RemoteCalls, RemotePolicy
 from waxwingsaddle.routing import Routing
 from waxwingsaddle.serving import Serving
+from waxwingsaddle.shutdown import Shutdown
 from waxwingsaddle.upstreams import PATH, Upstreams
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
 from waxwingsaddle.web import (
     Environ,
     Probes,
-    Server,
     StartResponse,
 )
 
@@ -55,12 +60,12 @@
     kernel.provide('presence', presence)
     entry = Entry(
         Routing(kernel.find('configuration')),
-        dispatch,
+        KeyedCalls(dispatch, kernel.find('keepers')),
         presence,
         settings.request_body_limit_bytes,
         monotonic_s,
     )
-    kernel.provide('http', _server(kernel, settings, entry))
+    _provide_server(kernel, settings, entry)
     return kernel
 
 
@@ -93,7 +98,9 @@
             chunk_bytes=settings.chunk_bytes,
             stall_timeout_s=settings.stall_timeout_ms / MS_PER_S,
         ),
+        partial(report_done, keepers.attach(kernel, settings)),
         settings.call_ids_kept_s,
+        settings.drain_wait_ms / MS_PER_S,
         monotonic_s,
     )
     kernel.subscribe('upstreams-changed', guarding.refresh)
@@ -137,13 +144,27 @@
     return dispatch
 
 
-def _server(kernel: Kernel, settings: NodeSettings, entry: Entry) -> Server:
+def _provide_server(
+    kernel: Kernel,
+    settings: NodeSettings,
+    entry: Entry,
+) -> None:
     configuration = kernel.find('configuration')
+    upstreams = kernel.find('upstreams')
     probed = Probes(
-        _Paths(kernel.find('upstreams'), entry),
-        lambda: configuration.current is not None,
+        _Paths(upstreams, entry),
+        lambda: configuration.current is not None and not shutdown.is_draining,
+    )
+    shutdown = Shutdown(
+        upstreams,
+        GracefulServer(settings.http_address, probed, LeanProtocol),
+        kernel.find('serving'),
+        kernel.find('guarding'),
+        kernel.find('keepers'),
+        settings.drain_wait_ms,
+        settings.stop_limit_ms,
     )
-    return Server(settings.http_address, probed)
+    kernel.provide('shutdown', shutdown)
 
 
 def _link_policy(settings: NodeSettings) -> LinkPolicy:
--- a/waxwingsaddle/settings_page.py
+++ b/waxwingsaddle/settings_page.py
@@ -67,11 +67,14 @@
     reasons: Mapping[tuple[str, str], str],
 ) -> Iterator[str]:
     texts = _attribute_texts(model)
+    beside = {
+        key: text for (owner, key), text in reasons.items() if owner == table
+    }
+    meanings = {**texts, **beside}
     defaults = settings.defaults(table) if table else {}
     for field in structs.fields(model):
         # The comment beside a default also gives the reason for its value.
-        place = (table, field.name)
-        meaning = reasons[place] if place in reasons else texts[field.name]
+        meaning = meanings[field.name]
         default = _default(field, defaults)
         yield (
             f'| `{field.name}` | {_type_name(field.type)} | {default} | '
