Serve the administration API on real control hosts

The API takes the outcomes, versions and members of the replicated log, and edits gain a restore that begins an empty log under any version, so that no node is ahead of a log restored after all disks are lost. waxwingctl members lists and changes members.

--- a/test/clusters.py
+++ b/test/clusters.py
@@ -12,6 +12,7 @@
 
 from test.processes import Process, free_address, get_json, is_ready, wait_until
 
+HISTORY_LIMIT = 1000
 REQUEST_LIMIT_S = 30
 LOG_SHOWN = 3000
 
@@ -80,8 +81,14 @@
             raise AssertionError(f'{error}\n{log}') from None
 
     def status(self, host: str) -> dict:
-        """Returns the status document of a host."""
-        return get_json(self.address(host), '/v1/status')
+        """Returns status, members and history as a host knows them."""
+        address = self.address(host)
+        history = get_json(address, f'/v1/edits?limit={HISTORY_LIMIT}')
+        return {
+            **get_json(address, '/v1/status'),
+            **get_json(address, '/v1/members'),
+            'history': list(reversed(history['versions'])),
+        }
 
     def leader(self, besides: str | None = None) -> str:
         """Waits until some host leads and returns its name."""
@@ -111,14 +118,15 @@
         """
         request = Request(
             f'http://{self.address(host)}/v1/edits',
-            json.dumps(edit).encode(),
+            json.dumps({**edit['sources'], 'author': edit['author']}).encode(),
             {'Content-Type': 'application/json'},
         )
         try:
             with urlopen(request, timeout=REQUEST_LIMIT_S) as got:
-                return json.load(got)
+                return {'type': 'accepted', **json.load(got)}
         except HTTPError as error:
-            return json.load(error)
+            failure = json.load(error)
+            return {'type': failure['kind'], **failure}
 
     def wipe(self, host: str) -> None:
         """Kills a host, loses its disk and starts it again."""
--- a/test/fake_control.py
+++ b/test/fake_control.py
@@ -146,6 +146,17 @@
         """Returns the time since contact with a majority."""
         return 12
 
+    def status(self) -> SimpleNamespace:
+        """Returns the state of the log."""
+        return SimpleNamespace(
+            identity='c1.1',
+            is_leader=True,
+            leader='c1',
+            term=1,
+            version=self.state.version,
+            problem=None,
+        )
+
     def members(self) -> Members:
         """Returns a leader, a lost disk and its learner."""
         return self.held
--- a/test/meshes.py
+++ b/test/meshes.py
@@ -78,7 +78,8 @@
         """Submits an edit through the first control host that answers."""
         base = BASE.format(version=version, timeout_ms=timeout_ms)
         document = {
-            'sources': {'base': base, 'overlays': {deployment.SITE: ''}},
+            'base': base,
+            'overlays': {deployment.SITE: ''},
             'author': 'test',
         }
         return wait_until(
@@ -89,7 +90,7 @@
     def versions(self) -> dict[str, int]:
         """Returns the version in force by node."""
         address = self.written.http_addresses('control')[0]
-        nodes = get_json(address, '/v1/status')['nodes']
+        nodes = get_json(address, '/v1/status?nodes=true')['nodes']
         return {node['host']: node['version'] for node in nodes}
 
     def wait_version(self, version: int, nodes: int) -> float:
--- a/test/test_api.py
+++ b/test/test_api.py
@@ -135,7 +135,7 @@
     control = _accepted(2)
     control.set_nodes(2, 1, 2, 0)
     _, status = ask(control, 'GET', '/v1/status')
-    assert (status['nodes'], status['in_force']) == (4, 2)
+    assert (status['node_count'], status['in_force']) == (4, 2)
     assert [node['host'] for node in status['lagging']] == ['n3', 'n1']
 
 
--- a/test/test_edits.py
+++ b/test/test_edits.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec import structs
 
 from waxwingsaddle.config import SourceSet, check_sources
 from waxwingsaddle.edits import EditState
@@ -33,7 +34,7 @@
 
 def _apply(state, edit, taken_ms=5):
     checked = check_sources(edit.sources)
-    verdict = state.verdict(checked.version, checked.digest)
+    verdict = state.verdict(checked.version, checked.digest, edit.is_restore)
     if verdict is not None:
         return verdict
     return state.apply(state.entry(edit, checked, taken_ms))
@@ -127,3 +128,20 @@
 def test_splices_turn_old_text_into_new(old, new):
     """Guards against source files that are given back changed."""
     assert texts.apply(old, texts.difference(old, new)) == new
+
+
+def test_restored_log_begins_at_any_version():
+    """Guards against nodes that are ahead of a log restored from a backup."""
+    state = _state()
+    begin = structs.replace(_edit(412), is_restore=True)
+    assert isinstance(_apply(state, begin), Accepted)
+    assert isinstance(_apply(state, _edit(413, 1200)), Accepted)
+    again = structs.replace(_edit(500), is_restore=True)
+    assert isinstance(_apply(state, again), Refused)
+    copy = _state()
+    copy.load(state.dump())
+    for one in (state, copy):
+        assert one.version == 413
+        assert one.at(412).sources == begin.sources
+        assert one.at(411) is None
+        assert [entry.version for entry in one.history()] == [412, 413]
--- a/test/test_replication.py
+++ b/test/test_replication.py
@@ -45,16 +45,8 @@
 
 def _history(cluster, host):
     return [
-        {
-            'type': 'accepted',
-            'version': version,
-            'digest': digest,
-            'author': author,
-            'accepted_ms': accepted_ms,
-        }
-        for version, digest, author, accepted_ms in cluster.status(host)[
-            'history'
-        ]
+        {'type': 'accepted', **entry}
+        for entry in cluster.status(host)['history']
     ]
 
 
@@ -116,7 +108,7 @@
         cluster.processes[frozen].signal(signal.SIGCONT)
         stale = _submit(cluster, edit(2, 3333, author='late'), [frozen])
         assert stale['type'] == 'conflict', stale
-        assert stale['winner_digest'] == second['digest']
+        assert stale['digest'] == second['digest']
         third = _submit(cluster, edit(3, 1003), [frozen])
         _assert_kept(cluster, [*first, second, third])
 
@@ -146,16 +138,18 @@
             assert kinds == ['accepted', 'conflict'], outcomes
             won = next(one for one in outcomes if one['type'] == 'accepted')
             lost = next(one for one in outcomes if one['type'] == 'conflict')
-            assert lost['winner_digest'] == won['digest']
-            assert lost['winner_author'] == won['author']
+            assert lost['digest'] == won['digest']
+            assert lost['author'] == won['author']
             winners.append(won)
         _assert_kept(cluster, winners)
 
 
 def _is_repaired(cluster, host):
     status = cluster.status(host)
-    voters = status['members'][1]
-    return status['replication']['identity'] in {one[0] for one in voters}
+    voters = {
+        member['identity'] for member in status['members'] if member['is_voter']
+    }
+    return status['replication']['identity'] in voters
 
 
 def test_lost_disk_is_repaired_and_a_second_host_may_fail():
--- a/waxwingsaddle/api_fleet.py
+++ b/waxwingsaddle/api_fleet.py
@@ -6,6 +6,7 @@
 from waxwingsaddle.api_models import (
     Events,
     NodeVersion,
+    ReplicationStatus,
     Status,
     Upstream,
     Upstreams,
@@ -29,7 +30,7 @@
         self._kernel = kernel
         self._host = settings.host
 
-    def get_status(self, _request: Request) -> Status:
+    def get_status(self, request: Request) -> Status:
         """Returns versions in force and the nodes that lag."""
         replication = self._kernel.find('replication')
         fleet = self._kernel.find('distribution').fleet_status()
@@ -41,7 +42,7 @@
             version=version,
             digest=replication.state.digest,
             majority_age_ms=replication.majority_age_ms(),
-            nodes=len(fleet.nodes),
+            node_count=len(fleet.nodes),
             in_force=sum(node.version >= version for node in fleet.nodes),
             versions=tuple(
                 VersionCount(version=known, nodes=counts[known])
@@ -53,6 +54,12 @@
                 if node.version < version
             ),
             missing_hosts=tuple(fleet.missing_hosts),
+            nodes=tuple(
+                _node_version(node)
+                for node in fleet.nodes
+                if request.query['nodes']
+            ),
+            replication=_replication_status(replication.status()),
         )
 
     def get_upstreams(self, request: Request) -> Upstreams:
@@ -74,6 +81,7 @@
 ) -> tuple[Endpoint, ...]:
     """Returns the endpoints about the fleet."""
     handlers = FleetHandlers(kernel, settings)
+    nodes = Parameter('nodes', bool, False, 'Lists all nodes, too.')
     service = Parameter('service', str, '', 'Only upstreams of this service.')
     return (
         Endpoint(
@@ -82,6 +90,7 @@
             'Returns versions in force and the nodes that lag.',
             handlers.get_status,
             Status,
+            query=(nodes,),
         ),
         Endpoint(
             'GET',
@@ -119,6 +128,17 @@
     return Events(recorded=timeline.recorded, lost=lost, events=events)
 
 
+def _replication_status(status) -> ReplicationStatus:
+    return ReplicationStatus(
+        identity=status.identity,
+        is_leader=status.is_leader,
+        leader=status.leader,
+        term=status.term,
+        version=status.version,
+        problem=status.problem,
+    )
+
+
 def _node_version(node) -> NodeVersion:
     return NodeVersion(
         host=node.host,
--- a/waxwingsaddle/api_members.py
+++ b/waxwingsaddle/api_members.py
@@ -100,16 +100,18 @@
         )
     if body.action == 'replace':
         return _replacement(body, members)
-    learners_only = body.action == 'promote'
-    found = [
-        replica
-        for replica in (members.learners if learners_only else members)
-        if replica.host == body.host and body.identity in {'', replica.identity}
-    ]
+    is_promotion = body.action == 'promote'
+    candidates = members.learners if is_promotion else tuple(members)
+    found = [one for one in candidates if _is_meant(body, one)]
     if len(found) != 1:
-        return _not_one(body, found, 'learners' if learners_only else 'members')
-    kind = Promote if learners_only else Remove
-    return kind(found[0].identity)
+        return _not_one(body, found, 'replicas that can do this')
+    identity = found[0].identity
+    return Promote(identity) if is_promotion else Remove(identity)
+
+
+def _is_meant(body: MemberBody, replica: Replica) -> bool:
+    is_named = body.identity in {'', replica.identity}
+    return is_named and replica.host == body.host
 
 
 def _replacement(body: MemberBody, members: LogMembers) -> Change | Failure:
--- a/waxwingsaddle/api_models.py
+++ b/waxwingsaddle/api_models.py
@@ -186,6 +186,26 @@
     age_ms: int
 
 
+class ReplicationStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """State of the log as one control host sees it.
+
+    Attributes:
+        identity: Identity of its replica.
+        is_leader: Whether it leads and can write.
+        leader: Name of the leading host, when known.
+        term: Newest term seen.
+        version: Newest accepted version known here.
+        problem: Why the replica stands still, if it does.
+    """
+
+    identity: str
+    is_leader: bool
+    leader: str | None
+    term: int
+    version: int
+    problem: str | None
+
+
 class VersionCount(msgspec.Struct, frozen=True, kw_only=True):
     """How many nodes have a version in force."""
 
@@ -202,23 +222,27 @@
         digest: Its digest.
         majority_age_ms: Time since contact with a majority was proven; the
             answer may be out of date when this is more than 2 s.
-        nodes: Number of known nodes.
+        node_count: Number of known nodes.
         in_force: Number of nodes with the accepted version in force.
         versions: Number of nodes for each version, newest first.
         lagging: Nodes behind the accepted version.
         missing_hosts: Control hosts that did not answer, so that their nodes
             may be missing.
+        nodes: All known nodes, when asked for.
+        replication: State of the log on the answering host.
     """
 
     host: str
     version: int
     digest: str
     majority_age_ms: float
-    nodes: int
+    node_count: int
     in_force: int
     versions: tuple[VersionCount, ...]
     lagging: tuple[NodeVersion, ...]
     missing_hosts: tuple[str, ...] = ()
+    nodes: tuple[NodeVersion, ...] = ()
+    replication: ReplicationStatus | None = None
 
 
 class Upstream(msgspec.Struct, frozen=True, kw_only=True):
--- a/waxwingsaddle/deciding.py
+++ b/waxwingsaddle/deciding.py
@@ -5,6 +5,7 @@
 from eventlet import greenthread
 
 from waxwingsaddle import config
+from waxwingsaddle.edits import EditState
 from waxwingsaddle.membership import Change, MembershipError
 from waxwingsaddle.outcomes import (
     Edit,
@@ -41,13 +42,13 @@
         if not self._is_settled_by(deadline_s):
             return NOT_LEADER
         state = self._driver.state
-        verdict = state.verdict(checked.version, checked.digest)
+        verdict = _verdict(state, edit, checked)
         if isinstance(verdict, Refused):
             # A leader that was replaced unawares may not know the newest
             # version; what it knows as accepted stays true.
             if not self._leads_beyond(monotonic_s(), deadline_s):
                 return Unavailable(reason='no contact with a majority')
-            verdict = state.verdict(checked.version, checked.digest)
+            verdict = _verdict(state, edit, checked)
         if verdict is not None:
             return verdict
         command = state.entry(edit, checked, wall_ms())
@@ -97,6 +98,14 @@
         return self._is_settled() and majority_s >= asked_s
 
 
+def _verdict(
+    state: EditState,
+    edit: Edit,
+    checked: config.CheckedSources,
+) -> Outcome | None:
+    return state.verdict(checked.version, checked.digest, edit.is_restore)
+
+
 def wait_until(condition: Callable[[], bool], limit_s: float) -> bool:
     """Waits in this green thread; false when the condition never held."""
     deadline_s = monotonic_s() + limit_s
--- a/waxwingsaddle/edits.py
+++ b/waxwingsaddle/edits.py
@@ -94,17 +94,26 @@
             return self._versions[offset]
         return None
 
-    def verdict(self, version: int, edit_digest: str) -> Outcome | None:
+    def verdict(
+        self,
+        version: int,
+        edit_digest: str,
+        is_restore: bool = False,
+    ) -> Outcome | None:
         """Returns the outcome that the version wanted alone decides.
 
         Args:
             version: Version that an edit wants.
             edit_digest: Digest of its merged sites.
+            is_restore: Whether the edit begins a restored log, which takes
+                up any version so that no node is ahead of it.
 
         Returns:
             None when the edit wants the next version.
         """
         expected = self.version + 1
+        if is_restore and self.version == 0:
+            return None
         if version > expected:
             return Refused(
                 problems=(f'version {version}: expected {expected}',),
@@ -139,7 +148,7 @@
     def apply(self, command: bytes) -> Outcome:
         """Takes an input and returns its outcome."""
         entry = _entries.decode(decompress(command, MAX_ENTRY_BYTES))
-        verdict = self.verdict(entry.version, entry.digest)
+        verdict = self.verdict(entry.version, entry.digest, entry.is_restore)
         return self._accept(entry) if verdict is None else verdict
 
     def dump(self) -> bytes:
@@ -188,7 +197,13 @@
         return _accepted(known)
 
     def _add_version(self, entry: EditEntry) -> None:
-        self._versions.append(follow(self.current, entry))
+        reached = follow(self.current, entry)
+        if entry.version > self.version + 1:
+            # A restored log begins here; versions are kept without gaps.
+            self._versions.clear()
+            self._versions.append(reached)
+            return
+        self._versions.append(reached)
         self._entries.append(entry)
 
     def _known(self, version: int) -> HistoryEntry | None:
--- a/waxwingsaddle/rollout.py
+++ b/waxwingsaddle/rollout.py
@@ -71,7 +71,7 @@
 def _progress(status: Status, version: int, waited_s: float) -> Progress:
     return Progress(
         version=version,
-        nodes=status.nodes,
+        nodes=status.node_count,
         in_force=sum(
             count.nodes for count in status.versions if count.version >= version
         ),
--- a/waxwingsaddle/settings_page.py
+++ b/waxwingsaddle/settings_page.py
@@ -86,13 +86,14 @@
     field: structs.FieldInfo,
     defaults: Mapping[str, Any],
 ) -> str:
-    if field.name in defaults:
-        return f'`{_toml(defaults[field.name])}`'
-    if field.required:
+    beside = defaults.get(field.name, NODEFAULT)
+    if beside is NODEFAULT and field.required:
         return 'none'
-    if field.default is NODEFAULT:
-        return f'`{_toml(field.default_factory())}`'
-    return f'`{_toml(field.default)}`'
+    if beside is NODEFAULT:
+        beside = field.default
+    if beside is NODEFAULT:
+        beside = field.default_factory()
+    return f'`{_toml(beside)}`'
 
 
 def _toml(plain: Any) -> str:
--- a/waxwingsaddle/ui/ctl_fleet.py
+++ b/waxwingsaddle/ui/ctl_fleet.py
@@ -56,7 +56,8 @@
 def _status_lines(status: Status) -> list[str]:
     lines = [
         f'version {status.version} ({status.digest[:12]}) in force on '
-        f'{status.in_force} of {status.nodes} nodes; answer of {status.host}',
+        f'{status.in_force} of {status.node_count} nodes; '
+        f'answer of {status.host}',
     ]
     if status.majority_age_ms > FRESH_MS:
         lines.append(
@@ -65,6 +66,8 @@
         )
     if status.missing_hosts:
         lines.append(f'no answer from {", ".join(status.missing_hosts)}')
+    if status.replication and status.replication.problem:
+        lines.append(f'{status.host}: {status.replication.problem}')
     lines.extend(map(_lagging_line, status.lagging))
     return lines
 
--- a/waxwingsaddle/versions.py
+++ b/waxwingsaddle/versions.py
@@ -40,6 +40,7 @@
         taken_ms: When the leader took it, in milliseconds since the epoch.
         operations: Difference of the merged sites to the version before.
         files: Differences of the source files to the version before.
+        is_restore: Whether an empty log takes it under any version.
     """
 
     version: int
@@ -48,6 +49,7 @@
     taken_ms: int
     operations: tuple[patch.Operation, ...]
     files: tuple[FileChange, ...]
+    is_restore: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +111,7 @@
             dict(checked.sites),
         ),
         files=_file_changes(current.texts, new_texts),
+        is_restore=edit.is_restore,
     )
     # An entry that does not apply would stop every control host.
     reached = follow(current, entry)
