--- a/test/policy_model.py
+++ b/test/policy_model.py
@@ -302,7 +302,9 @@
         took_s = self.loop.now_s - sent.started_s
         sent.node.hedges.observe(sent.kind.route, took_s)
         self.figures.took_s[sent.kind.route].append((sent.started_s, took_s))
-        for call_id, (entry, ticket, sent_s) in sent.flying.items():
+        losers = tuple(sent.flying.items())
+        sent.flying.clear()
+        for call_id, (entry, ticket, sent_s) in losers:
             lost_s = self.loop.now_s - sent_s
             ended = Ended(Evidence.CANCELLED, lost_s)
             sent.node.choice.finished(ticket, ended)
