Answer unknown after an attempt that may have run; start queued calls

A retry or hedge that was refused made the whole call not-run although an earlier attempt had no answer. Guards with more slots now start the queued calls, sheds of a slowed upstream are answered, and a stopping node sends the outcomes of keyed calls before it hands over its claims. The new dispatch test fails without the first change.

--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -28,6 +28,9 @@
     'Attempts of calls at upstreams, the first of each call included.',
     ('kind',),
 )
+# After these, the caller knows whether the attempt ran.
+_EXACT_OUTCOMES = frozenset((Outcome.RAN, Outcome.NOT_RUN))
+
 _first_attempts = _attempts.labels('first')
 _retries = _attempts.labels('retry')
 _hedges = _attempts.labels('hedge')
@@ -45,6 +48,7 @@
         claim: Encoded claim of the idempotency key; empty without one.
         running: Attempts in flight: call identifier and upstream.
         number: Attempts made so far.
+        may_have_run: Whether the outcome of an attempt is unknown.
     """
 
     match: Match
@@ -54,6 +58,7 @@
     claim: bytes = b''
     running: dict[str, Upstream] = field(default_factory=dict)
     number: int = 0
+    may_have_run: bool = False
 
 
 @dataclass(slots=True)
@@ -116,6 +121,19 @@
         """
         if task.is_cancelled:
             return not_run('cancelled')
+        answer = self._run(task)
+        if task.may_have_run and answer.outcome is Outcome.NOT_RUN:
+            # The last attempt did not run, but one before it may have.
+            return unknown(answer.reason)
+        return answer
+
+    def cancel(self, task: Task) -> None:
+        """Withdraws a call whose caller is gone."""
+        task.is_cancelled = True
+        for call_id, upstream in list(task.running.items()):
+            self._cancel(call_id, upstream)
+
+    def _run(self, task: Task) -> Answer:
         policies = self._policies_of(task.match)
         policies.retries.call_started()
         tried: set[Key] = set()
@@ -135,12 +153,6 @@
                 answer.was_retried = answer.was_retried or task.number > 1
                 return answer
 
-    def cancel(self, task: Task) -> None:
-        """Withdraws a call whose caller is gone."""
-        task.is_cancelled = True
-        for call_id, upstream in list(task.running.items()):
-            self._cancel(call_id, upstream)
-
     def _may_retry(
         self,
         policies: _ServicePolicies,
@@ -249,7 +261,7 @@
         try:
             answer = self._send(call, upstream, task)
         finally:
-            task.running.pop(call.call_id, None)
+            _end_attempt(task, call.call_id, answer)
             policies.choice.finished(
                 ticket,
                 _ended(answer, self._clock() - begun_s),
@@ -319,6 +331,12 @@
         return answer.outcome is not Outcome.RAN
 
 
+def _end_attempt(task: Task, call_id: str, answer: Answer | None) -> None:
+    task.running.pop(call_id, None)
+    if answer is None or answer.outcome not in _EXACT_OUTCOMES:
+        task.may_have_run = True
+
+
 def _ended(answer: Answer | None, took_s: float) -> Ended:
     return Ended(
         evidence=_evidence(answer),
--- a/waxwingsaddle/guarding.py
+++ b/waxwingsaddle/guarding.py
@@ -215,7 +215,12 @@
         call_id = job.call.call_id
         self._jobs.pop(call_id, None)
         guard = job.guarded.guard
-        for admitted in guard.finished(call_id, outcome, took_s):
+        self._start(guard.finished(call_id, outcome, took_s))
+        # An upstream that slows has calls queued that it can't reach in time.
+        self._answer_all(guard.expire())
+
+    def _start(self, started: tuple[Admitted, ...]) -> None:
+        for admitted in started:
             self._jobs[admitted.call.call_id].turn.send(admitted)
 
     def _answer_all(self, refusals: tuple[Refused, ...]) -> None:
@@ -238,7 +243,7 @@
         if is_draining and guarded.announcement.state != _DRAINING:
             eventlet.spawn_after(self._drain_wait_s, guarded.guard.drain)
         guarded.announcement = announcement
-        guarded.guard.configure(announcement.slots, policy)
+        self._start(guarded.guard.configure(announcement.slots, policy))
 
     def _service(self, name: str) -> Service:
         current = self._configuration.current
--- a/waxwingsaddle/keepers.py
+++ b/waxwingsaddle/keepers.py
@@ -184,10 +184,14 @@
     def hand_over(self, timeout_s: float) -> int:
         """Copies the claims to their next keepers before a planned stop.
 
+        Outcomes of calls that ran here go out first.
+
         Returns:
-            The number of copies that no next keeper has confirmed in time.
+            The number of copies and outcomes not confirmed in time.
         """
         limit_s = monotonic_s() + timeout_s
+        while self._send_outbox() and monotonic_s() < limit_s:
+            greenthread.sleep(_TICK_S)
         parts = [
             (host, claims[first : first + _HAND_OVER_CLAIMS])
             for host, claims in self._keeper.leave()
@@ -197,7 +201,7 @@
             parts = [part for part in parts if not self._copy(*part)]
             if parts:
                 greenthread.sleep(_TICK_S)
-        return sum(len(claims) for _, claims in parts)
+        return len(self._outbox) + sum(len(claims) for _, claims in parts)
 
     def _copy(self, host: str, claims: tuple[Claim, ...]) -> bool:
         reply = self._runner.request(
@@ -251,8 +255,9 @@
         if isinstance(reply, ClaimSyncReply):
             self._keeper.take_exchange(host, epoch, reply)
 
-    def _send_outbox(self) -> None:
-        for number, message, peers in self._outbox.due():
+    def _send_outbox(self) -> bool:
+        due = self._outbox.due()
+        for number, message, peers in due:
             for peer in peers:
                 self._spawn(
                     (peer.host, -number - 1),
@@ -262,6 +267,8 @@
                     peer,
                 )
 
+        return bool(due)
+
     def _deliver(
         self,
         number: int,
