--- a/waxwingsaddle/estimate.py
+++ b/waxwingsaddle/estimate.py
@@ -7,9 +7,10 @@
 from waxwingsaddle.guard import Load
 from waxwingsaddle.util.clock import MS_PER_S
 
-# Carried load and learned slowness lose weight with this time constant: the
-# swings of section 1.3 last seconds.
+# Carried load loses weight with this time constant.
 _FADE_S = 1.0
+# Slowness is remembered longer: each return to a slow upstream costs a call.
+_RATIO_FADE_S = 4.0
 _RATIO_SMOOTHING = 0.5
 # Weight of load that does not make a call wait: spreads calls when idle.
 _IDLE_WEIGHT = 0.1
@@ -104,7 +105,9 @@
         return local + others * exp((self._load_s - now_s) / _FADE_S)
 
     def _faded_ratio(self, now_s: float) -> float:
-        return 1 + (self._ratio - 1) * exp((self._ratio_s - now_s) / _FADE_S)
+        return 1 + (self._ratio - 1) * exp(
+            (self._ratio_s - now_s) / _RATIO_FADE_S
+        )
 
     def _slowness(self, now_s: float) -> float:
         oldest = next(iter(self.running.values()), None)
--- a/waxwingsaddle/hedge.py
+++ b/waxwingsaddle/hedge.py
@@ -10,6 +10,8 @@
 # With 5 % the delay doubled within the first 20 calls to a slowed upstream,
 # and hedges came too late for the rest of the slowdown.
 _QUANTILE_STEP = 0.01
+# Enough for all calls in flight to an upstream that slows suddenly.
+_MOST_TOKENS = 30
 # When so many calls are late, everything is slow, and a second attempt adds
 # load without finding a faster upstream.
 _MOST_LATE_SHARE = 0.4
@@ -24,7 +26,7 @@
 
     def __init__(self, service: config.Service) -> None:
         self._share = service.hedge_quantile_percent / _PERCENT
-        self._budget = CallBudget(service.hedge_percent, capacity=10)
+        self._budget = CallBudget(service.hedge_percent, capacity=_MOST_TOKENS)
         self._routes: dict[str, Quantile] = {}
         self._late_share = 0.0
 
