Poll for the connection of a link in place of a blocking send

Cause: in eventlet's zmq a receiver that takes the wake-up of a socket does not pass it on to a sender that blocks on the same socket, so a question to a control host was now and then lost. Change: sends never block; the connection is polled every 5 ms. A node whose questions got no answer at all asks again soon. Tests: questions that all have to be answered, no service below the floor, chains of long steps, a restarted control host that could not recover.

--- a/test/test_directory_exchange.py
+++ b/test/test_directory_exchange.py
@@ -27,10 +27,11 @@
         super().__init__(host, network)
         self.sent = Counter()
         self.lost = set()
+        self.lost_types = set()
 
     def send(self, host, message):
         self.sent[host, type(message)] += 1
-        if host in self.lost:
+        if host in self.lost or type(message) in self.lost_types:
             return False
         return super().send(host, message)
 
@@ -156,6 +157,19 @@
     assert all(rig.listed(host) == everyone - {'n0'} for host in HOSTS)
 
 
+def test_control_host_that_could_not_recover():
+    """Guards against the empty list of a restarted host ending its nodes."""
+    rig = fleet()
+    everyone = rig.listed('c2')
+    rig.leases['c1'] = set()
+    rig.hosts['c1'] = rig.start('c1')
+    for host in ('c2', 'c3'):
+        rig.peers[host].lost_types.add(DirectoryChanges)
+    rig.run(6)
+    assert rig.peers['c2'].sent['c1', DirectoryPull]
+    assert rig.listed('c2') == everyone
+
+
 def test_unreachable_control_host():
     """Guards against entries lost for good, or kept, when a zone is cut off."""
     rig = fleet()
--- a/test/test_distribution.py
+++ b/test/test_distribution.py
@@ -15,6 +15,13 @@
     control_hosts,
     trees,
 )
+from waxwingsaddle.control_link import ask_versions
+from waxwingsaddle.node_messages import (
+    FloorQuery,
+    FloorReply,
+    WholeQuery,
+    WholeReply,
+)
 from waxwingsaddle.util.clock import monotonic_s
 
 STEP_S = 0.02
@@ -161,7 +168,10 @@
 
 def test_draining_upstream_is_seen_within_2_s():
     """Guards against new work for an upstream that leaves."""
-    with fleet(ZONES, nodes=4) as (_controls, nodes):
+    # Renewals alone would be too late.
+    slow = {'lease_renew_ms': 60_000}
+    options = {'node_options': slow, 'lease_ttl_ms': 180_000}
+    with fleet(ZONES, nodes=4, **options) as (_controls, nodes):
         far = Node('node-b', nodes[0].hosts, 'zone-b')
         everyone = (*nodes, far)
         nodes[0].announce(announcement('u', 's0'))
@@ -194,7 +204,8 @@
 
 def test_lost_directory_change_is_sent_again():
     """Guards against a node that misses a change for good."""
-    with fleet(nodes=2) as (controls, nodes):
+    # The whole directory, sent after settling, would hide the fault.
+    with fleet(nodes=2, directory_settle_ms=60_000) as (controls, nodes):
         server = controls[0].service._server
         send_all = server.send_all
         server.send_all = lambda targets, message: (
@@ -252,6 +263,39 @@
     assert node.seen == [2]
 
 
+def test_no_service_below_the_floor():
+    """Guards against a restarted node that serves what it gets first."""
+    hosts = control_hosts(ZONES[:1])
+    control = Control(hosts[0], hosts, {})
+    control.accept(1)
+    control.replication.majority_age_ms = lambda: 9000
+    hop_network = {}
+    neighbour = FakeHop('127.0.0.1:7', hop_network)
+    neighbour.subscribe(FloorQuery, lambda query: FloorReply(2))
+    neighbour.subscribe(WholeQuery, lambda query: WholeReply(0, '', b''))
+    node = Node(
+        'node-1',
+        hosts,
+        options={'neighbours': ['127.0.0.1:7'], 'floor_wait_ms': 200},
+        hop=FakeHop('127.0.0.1:8', hop_network),
+    )
+    until(lambda: node.service._held.version == 1, 'an old version')
+    control.accept(2)
+    until(lambda: node.version == 2, 'the floor')
+    assert node.seen == [2]
+    node.kernel.stop()
+    control.kernel.stop()
+
+
+def test_questions_are_answered():
+    """Guards against a lost wake-up between sender and receiver of a link."""
+    with fleet() as (_controls, nodes):
+        control = nodes[0].service.session.control
+        for _ in range(20):
+            answers = ask_versions((control,) * 10, 'north', 2000)
+            assert len(answers) == 10
+
+
 def test_admission_spreads_a_storm():
     """Guards against a control host that is busy with one storm."""
     options = {'hello_rate_per_s': 20, 'hello_burst': 1}
--- a/test/test_site_encodings.py
+++ b/test/test_site_encodings.py
@@ -75,13 +75,28 @@
     assert held.snapshot.tree == site.tree
 
 
+def test_whole_where_the_steps_are_longer():
+    """Guards against a chain of large deltas to a node that is behind."""
+    held = HeldConfiguration(SITE)
+    site = SiteEncodings(SITE, 64)
+    for version in range(1, 41):
+        tree = trees(version, services=2 + version % 2 * 20)[SITE]
+        site.accept(version, tree)
+        if version == 1:
+            receive(held, site)
+    assert receive(held, site) == ('ConfigWhole', Applied.IN_FORCE)
+
+
 def test_delta_that_overlaps_what_is_in_force():
     """Guards against a misfit when an edit follows before the last ack."""
     held = HeldConfiguration(SITE)
-    site = site_at(2, held)
+    site = SiteEncodings(SITE, 64)
+    site.accept(1, trees(1, services=40)[SITE])
+    receive(held, site)
+    site.accept(2, trees(2, services=39)[SITE])
     late = site.message_for(1, held.short_digest)
     receive(held, site)
-    site.accept(3, trees(3, timeout_ms=3)[SITE])
+    site.accept(3, trees(3, services=39, timeout_ms=3)[SITE])
     sent_before_ack = site.message_for(1, site.digest_of(1))
     for message in (sent_before_ack, late):
         held.apply_delta(decode_from_control(message.frames[0]))
--- a/waxwingsaddle/control_link.py
+++ b/waxwingsaddle/control_link.py
@@ -18,12 +18,14 @@
     FromControl,
     decode_from_control,
 )
-from waxwingsaddle.util.clock import MS_PER_S
+from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
 from waxwingsaddle.util.codec import pack
 
 # Bounds of the delay before zmq opens a lost connection again.
 RECONNECT_MS = 100
 RECONNECT_LIMIT_MS = 2000
+# A loopback connection takes 1 ms, one between zones up to 20 ms.
+CONNECT_POLL_S = 0.005
 
 BAD_MESSAGES = metrics.counter(
     'control_messages_bad',
@@ -94,20 +96,28 @@
         try:
             self._socket.send(pack(message), zmq.NOBLOCK)
         except zmq.Again:
+            # The failed call may have taken the wake-up of the receiver;
+            # reading the events gives it back.
+            self._socket.getsockopt(zmq.EVENTS)
             return False
         return True
 
     def send_connected(self, message: msgspec.Struct, wait_ms: int) -> bool:
         """Queues a message once connected, and says whether it did.
 
+        A blocking send would miss the connection now and then: in eventlet's
+        zmq a receiver that takes the wake-up does not pass it on to a sender.
+
         Args:
             message: The message.
             wait_ms: Longest wait for the connection.
         """
-        with Timeout(wait_ms / MS_PER_S, exception=False):
-            self._socket.send(pack(message))
-            return True
-        return False
+        limit_s = monotonic_s() + wait_ms / MS_PER_S
+        while not self.send(message):
+            if self._socket is None or monotonic_s() > limit_s:
+                return False
+            greenthread.sleep(CONNECT_POLL_S)
+        return True
 
     def _receive_all(self) -> None:
         while self._socket is not None:
--- a/waxwingsaddle/subscription.py
+++ b/waxwingsaddle/subscription.py
@@ -177,16 +177,18 @@
 
     def _leave_isolated(self) -> None:
         greenthread.sleep(self._rng.uniform(0, ASK_SPREAD_S))
+        answers = self._inquiry.others(self.session.control, HOSTS_ASKED)
         better = [
             answer
-            for answer in self._inquiry.others(
-                self.session.control, HOSTS_ASKED
-            )
+            for answer in answers
             if is_worth_moving(answer, self._held.version, self._limit_ms)
         ]
         best = best_control(better, self._zone, self._limit_ms, self._rng)
-        if best is not None:
-            self._join(best, 'isolated')
+        is_failed = best is not None and not self._join(best, 'isolated')
+        if is_failed or not answers:
+            # Asks again soon: a full interval would be too long here.
+            self._pause()
+            self.session.attention.set()
 
     def _return_home(self) -> None:
         if monotonic_s() < self._home_due_s:
