--- a/test/test_directory_exchange.py
+++ b/test/test_directory_exchange.py
@@ -27,11 +27,11 @@
         super().__init__(host, network)
         self.sent = Counter()
         self.lost = set()
-        self.lost_types = set()
+        self.lost_types = ()
 
     def send(self, host, message):
         self.sent[host, type(message)] += 1
-        if host in self.lost or type(message) in self.lost_types:
+        if host in self.lost or isinstance(message, self.lost_types):
             return False
         return super().send(host, message)
 
@@ -164,7 +164,7 @@
     rig.leases['c1'] = set()
     rig.hosts['c1'] = rig.start('c1')
     for host in ('c2', 'c3'):
-        rig.peers[host].lost_types.add(DirectoryChanges)
+        rig.peers[host].lost_types = (DirectoryChanges,)
     rig.run(6)
     assert rig.peers['c2'].sent['c1', DirectoryPull]
     assert rig.listed('c2') == everyone
--- a/test/test_distribution.py
+++ b/test/test_distribution.py
@@ -151,7 +151,7 @@
             limit_s=3,
         )
         assert all(node.seen == [1, 2] for node in nodes)
-        controls[0].replication.majority_age_ms = lambda: 0
+        del controls[0].replication.majority_age_ms
         eventlet.sleep(0.5)
         assert all(node.version == 2 for node in nodes)
 
--- a/waxwingsaddle/distribution_bench.py
+++ b/waxwingsaddle/distribution_bench.py
@@ -94,7 +94,8 @@
 
     Attributes:
         control: HTTP address of the control host.
-        fleets: HTTP addresses of the stand-in fleets.
+        fleets: HTTP addresses of the stand-in fleets; the first is a single
+            node.
         version: Accepted version.
     """
 
@@ -137,21 +138,20 @@
 
 def base_file(version: int, services: int) -> str:
     """Returns a base file; a time limit of it follows the version."""
-    lines = [f'version = {version}']
-    for number in range(services):
-        lines += [
-            f'[services.s{number}]',
-            f'timeout_ms = {1000 + version * (number == 0)}',
-            'retention_s = 86400',
-            'hedge_percent = 5',
-            f'[routes.s{number}]',
-            f'path_prefix = "/service-{number}"',
-            'methods = ["GET", "POST"]',
-            f'service = "s{number}"',
-            'work = "learned"',
-            'priority = "normal"',
-        ]
-    return '\n'.join(lines)
+    entries = (
+        f'[services.s{number}]\n'
+        f'timeout_ms = {1000 + version * (number == 0)}\n'
+        'retention_s = 86400\n'
+        'hedge_percent = 5\n'
+        f'[routes.s{number}]\n'
+        f'path_prefix = "/service-{number}"\n'
+        'methods = ["GET", "POST"]\n'
+        f'service = "s{number}"\n'
+        'work = "learned"\n'
+        'priority = "normal"'
+        for number in range(services)
+    )
+    return '\n'.join((f'version = {version}', *entries))
 
 
 def ask(address: str, path: str, body: Any = None) -> Any:
@@ -216,6 +216,15 @@
     )
 
 
+def process_sizes(nodes: int) -> list[int]:
+    """Returns the nodes of each process; the first process has one."""
+    rest = nodes - 1
+    return [1] + [
+        min(NODES_PER_PROCESS, rest - first)
+        for first in range(0, rest, NODES_PER_PROCESS)
+    ]
+
+
 @contextmanager
 def rig(plan: Plan, nodes: int):
     """Runs a control host and a fleet while the context is open."""
@@ -227,11 +236,11 @@
             processes.append(start('standin_control', text, folder))
             wait_for(lambda: ask(http_address, '/v1/usage'))
             running.accept(plan)
-            for first in range(0, nodes, NODES_PER_PROCESS):
+            for number, size in enumerate(process_sizes(nodes)):
                 address = free_address()
                 table = fleet_table(
-                    f'fleet-{first}',
-                    min(NODES_PER_PROCESS, nodes - first),
+                    f'fleet-{number}',
+                    size,
                     plan,
                     node_address,
                 )
@@ -283,6 +292,7 @@
         spans_ms = [span_ms(running, plan, nodes) for _ in range(plan.edits)]
         edits = running.usage().minus(before)
         rss_bytes = running.usage().rss_bytes
+        node_rss_bytes = ask(running.fleets[0], '/v1/usage')
         file_bytes = len(base_file(running.version, plan.services))
     idle_share = edits.at_s / idle.at_s
     edit_bytes = edits.link_bytes - idle.link_bytes * idle_share
@@ -298,6 +308,7 @@
         + MESSAGES_PER_S * HEADER_BYTES,
         'idle_cpu_ms_per_s': idle.cpu_s * MS_PER_S / idle.at_s / nodes,
         'control_rss_mb': rss_bytes / MEGABYTE,
+        'node_rss_mb': node_rss_bytes / MEGABYTE,
         'file_bytes': file_bytes,
     }
 
--- a/waxwingsaddle/fleet.py
+++ b/waxwingsaddle/fleet.py
@@ -2,6 +2,8 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
+from pathlib import Path
+from resource import getpagesize
 from typing import Annotated, Literal
 
 import msgspec
@@ -26,6 +28,7 @@
 # Each link has one socket and questions open a few more for a moment.
 SOCKETS_PER_NODE = 5
 SLOTS = 6
+PAGE_BYTES = getpagesize()
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 
@@ -208,6 +211,7 @@
             '/v1/versions': self._versions,
             '/v1/upstreams': self._upstreams,
             '/v1/state': self._set_state,
+            '/v1/usage': _resident_bytes,
         }.get(environ['PATH_INFO'])
         if report is None:
             return reply_json(start_response, '404 Not Found', {})
@@ -252,3 +256,9 @@
     kernel = Kernel()
     kernel.provide('fleet', Fleet(settings))
     return kernel
+
+
+def _resident_bytes(_asked: object) -> int:
+    """Returns the resident memory of this process."""
+    pages = int(Path('/proc/self/statm').read_text().split()[1])
+    return pages * PAGE_BYTES
