--- a/test/test_distribution_processes.py
+++ b/test/test_distribution_processes.py
@@ -9,7 +9,7 @@
 from tempfile import TemporaryDirectory
 
 from test.distribution_fakes import control_hosts
-from test.processes import Process, free_address, wait_until
+from test.processes import Process, free_address, is_ready, wait_until
 from waxwingsaddle.distribution_bench import ask, base_file
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
@@ -29,9 +29,15 @@
 
 
 class Cluster:
-    """Control hosts and two stand-in fleets as processes."""
+    """Control hosts and two stand-in fleets as processes.
 
-    def __init__(self, folder):
+    Args:
+        folder: Folder for settings and state.
+        program: Program of the control hosts.
+    """
+
+    def __init__(self, folder, program):
+        self.program = program
         self.folder = Path(folder)
         self.hosts = control_hosts(ZONES)
         self.controls = [self._control(host) for host in self.hosts]
@@ -44,7 +50,7 @@
     def start(self):
         for process in self.controls:
             process.start()
-        wait_until(self._are_controls_up, 'control hosts')
+        wait_until(self._are_controls_up, 'control hosts', limit_s=40)
         self.accept(1)
         for process in self.fleets.values():
             process.start()
@@ -57,12 +63,17 @@
 
     def accept(self, version, numbers=(0, 1, 2)):
         """Makes a version accepted on some control hosts."""
-        body = {
+        files = {
             'base': base_file(version, SERVICES),
             'overlays': {'north': ''},
         }
+        if self.program == 'control':
+            edit = {'sources': files, 'author': 'test'}
+            answer = ask(self._http(numbers[0]), '/v1/edits', edit)
+            assert answer['type'] == 'accepted', answer
+            return
         for number in numbers:
-            ask(self._http(number), '/v1/accept', body)
+            ask(self._http(number), '/v1/accept', files)
 
     def versions(self, zone):
         return ask(self.addresses[zone], '/v1/versions')
@@ -87,7 +98,7 @@
         return tuple(set(self.versions(zone)))
 
     def _are_controls_up(self):
-        return [ask(host.http_address, '/v1/usage') for host in self.hosts]
+        return all(is_ready(host.http_address) for host in self.hosts)
 
     def _http(self, number):
         return self.hosts[number].http_address
@@ -102,10 +113,10 @@
         )
         text = (
             f'[control]\nhost = "{host.host}"\n'
-            f'data_folder = "{self.folder}"\n'
+            f'data_folder = "{self.folder / host.host}"\n'
             + host_tables('control.hosts', self.hosts, fields)
         )
-        return self._process('standin_control', host.host, text)
+        return self._process(self.program, host.host, text)
 
     def _fleet(self, zone):
         fields = ('host', 'availability_zone', 'node_address')
@@ -124,10 +135,10 @@
 
 
 @contextmanager
-def cluster():
+def cluster(program='standin_control'):
     """Runs a cluster until the end of a test."""
     with TemporaryDirectory() as folder:
-        running = Cluster(folder)
+        running = Cluster(folder, program)
         try:
             running.start()
             yield running
@@ -166,3 +177,17 @@
             lambda: running.know_upstreams(expected),
             'upstreams of both zones after the restart',
         )
+
+
+def test_whole_path_with_replication():
+    """Guards against parts that fit their fakes only."""
+    with cluster('control') as running:
+        running.accept(2, numbers=(2,))
+        running.wait_for(2)
+        running.controls[0].kill()
+        wait_until(
+            lambda: is_ready(running.hosts[2].http_address),
+            'a majority without the killed host',
+        )
+        running.accept(3, numbers=(2,))
+        running.wait_for(3)
