--- a/test/test_ctl.py
+++ b/test/test_ctl.py
@@ -175,3 +175,21 @@
         assert ctl.main() == ExitCode.usage
     assert errors.getvalue().count('\n') == 1, errors.getvalue()
     assert expected in errors.getvalue()
+
+
+def test_members_by_host():
+    """Guards against a change that hits another replica of a host."""
+    with fake_control.serving() as control:
+        code, _, error = run(control, 'members remove', 'c2')
+        assert (code, 'c2.1, c2.2' in error) == (ExitCode.refused, True)
+        assert run(control, 'members replace', 'c2')[0] == ExitCode.done
+        assert run(control, 'members promote', 'c3')[0] == ExitCode.done
+        _, output, _ = run(control, 'members', '--json')
+        voters = {
+            member['identity']: member['is_leader']
+            for member in json.loads(output)['members']
+            if member['is_voter']
+        }
+        assert voters == {'c1.1': True, 'c2.2': False, 'c3.1': False}
+        assert run(control, 'members remove', 'c9')[0] == ExitCode.refused
+        assert run(control, 'members add', 'c9')[0] == ExitCode.refused
--- a/test/test_source.py
+++ b/test/test_source.py
@@ -158,6 +158,12 @@
         assert bench.write(1).state == 'in-step'
 
 
+def test_server_that_never_ran_stops():
+    """Guards against an error when a program stops right after its start."""
+    with fake_control.serving() as control:
+        assert control.address
+
+
 def test_program_reports_a_bad_edit():
     """Guards against a program that hides a bad edit from the probes."""
     with _bench() as bench:
--- a/waxwingsaddle/api_models.py
+++ b/waxwingsaddle/api_models.py
@@ -4,12 +4,14 @@
 
 import msgspec
 
-from waxwingsaddle.addresses import ControlHost, HostName
+from waxwingsaddle.addresses import Address, HostName
 from waxwingsaddle.events import Event
 
 MAX_AUTHOR_LENGTH = 64
+MAX_IDENTITY_LENGTH = 128
 
 Author = Annotated[str, msgspec.Meta(max_length=MAX_AUTHOR_LENGTH)]
+Identity = Annotated[str, msgspec.Meta(max_length=MAX_IDENTITY_LENGTH)]
 FailureKind = Literal[
     'bad-request',
     'too-large',
@@ -62,18 +64,20 @@
 class MemberBody(_Body):
     """One change of the control hosts.
 
+    A host names the replica it has; `identity` decides when a host has two.
+
     Attributes:
-        action: `add` a learner, `promote` it to voter, `remove` a host, or
-            `replace` a voter by a learner that has caught up.
-        host: The host that is added, promoted, removed or replaced.
-        replacement: The learner that takes its place (`replace` only).
-        control_host: Addresses of the host (`add` only).
+        action: `add` a learner, `promote` it to voter, `remove` a replica, or
+            `replace` the vote of an ended identity by the learner of its host.
+        host: Host of the replica.
+        identity: Identity of the replica; required to add one.
+        peer_address: Where it receives messages from control hosts (`add`).
     """
 
     action: Literal['add', 'promote', 'remove', 'replace']
     host: HostName
-    replacement: HostName | None = None
-    control_host: ControlHost | None = None
+    identity: Identity = ''
+    peer_address: Address | None = None
 
 
 class Failure(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -237,17 +241,25 @@
 
 
 class Member(msgspec.Struct, frozen=True, kw_only=True):
-    """One control host as the replicated log holds it."""
+    """One copy of the replicated log.
+
+    Attributes:
+        host: Its control host.
+        identity: Made with an empty data folder; a lost disk ends it.
+        peer_address: Where it receives messages from control hosts.
+        is_voter: Whether it counts for majorities; otherwise it is a learner.
+        is_leader: Whether its host leads, as the answering host knows.
+    """
 
     host: str
-    availability_zone: str
+    identity: str
+    peer_address: str
     is_voter: bool
-    identity: str = ''
-    is_leader: bool = False
+    is_leader: bool
 
 
 class Members(msgspec.Struct, frozen=True, kw_only=True):
-    """The control hosts."""
+    """The members of the replicated log."""
 
     leader: str | None
     members: tuple[Member, ...]
--- a/waxwingsaddle/ui/ctl.py
+++ b/waxwingsaddle/ui/ctl.py
@@ -12,6 +12,7 @@
     ctl_edits,
     ctl_fleet,
     ctl_keys,
+    ctl_members,
     ctl_timeline,
 )
 from waxwingsaddle.ui.ctl_base import ExitCode
@@ -23,6 +24,11 @@
     ctl_edits.HistoryCommand,
     ctl_fleet.StatusCommand,
     ctl_fleet.UpstreamsCommand,
+    ctl_members.MembersCommand,
+    ctl_members.AddCommand,
+    ctl_members.PromoteCommand,
+    ctl_members.RemoveCommand,
+    ctl_members.ReplaceCommand,
     ctl_timeline.TimelineCommand,
     ctl_backup.BackupCommand,
     ctl_backup.RestoreCommand,
--- a/waxwingsaddle/web.py
+++ b/waxwingsaddle/web.py
@@ -137,7 +137,8 @@
         """Closes the listener and idle connections, then waits for calls."""
         if self._thread is None:
             return
-        self._thread.kill(StopServing)
+        # eventlet takes all three parts where the thread has not begun yet.
+        self._thread.kill(StopServing, StopServing(), None)
         with suppress(StopServing):
             self._thread.wait()
         self._thread = None
