--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from waxwingsaddle.access import AccessToken, repeated_name
 from waxwingsaddle.addresses import ControlHost, HostName
 from waxwingsaddle.distribution_settings import DistributionSettings
 from waxwingsaddle.peers import PeerLimits
@@ -50,6 +51,11 @@
         hand_over_ms: How long a stop waits for a new leader.
         ready_majority_age_ms: Age of the last contact with a majority above
             which the host is not ready.
+        tokens: Bearer tokens of the administration API; none for free access.
+        api_body_limit_bytes: Largest body of a request to the administration
+            API.
+        api_restore_limit_bytes: Largest backup to restore.
+        api_catch_up_ms: Longest wait of an edit for the version before it.
         peer_queue_messages: Messages queued for or from one control host.
         peer_message_bytes: Largest message taken from a control host.
         peer_reconnect_ms: First delay before connecting again.
@@ -85,6 +91,10 @@
     forward_timeout_ms: Positive
     hand_over_ms: Positive
     ready_majority_age_ms: Positive
+    tokens: tuple[AccessToken, ...] = ()
+    api_body_limit_bytes: Positive
+    api_restore_limit_bytes: Positive
+    api_catch_up_ms: Positive
     peer_queue_messages: Positive
     peer_message_bytes: Positive
     peer_reconnect_ms: Positive
@@ -134,6 +144,14 @@
     def first_voters(self) -> tuple[str, ...]:
         """Hosts that vote when the first control hosts start, sorted."""
         return tuple(sorted(one.host for one in self.hosts if one.is_voter))
+        """Checks what concerns several tokens.
+
+        Raises:
+            ValueError: Two tokens have one name.
+        """
+        repeated = repeated_name(self.tokens)
+        if repeated:
+            raise ValueError(f'two `tokens` have the name {repeated!r}')
 
     @property
     def peer_limits(self) -> PeerLimits:
--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -28,6 +28,9 @@
     'Attempts of calls at upstreams, the first of each call included.',
     ('kind',),
 )
+# After these, the caller knows whether the attempt ran.
+_EXACT_OUTCOMES = frozenset((Outcome.RAN, Outcome.NOT_RUN))
+
 _first_attempts = _attempts.labels('first')
 _retries = _attempts.labels('retry')
 _hedges = _attempts.labels('hedge')
@@ -42,16 +45,20 @@
         request: What to send.
         deadline_s: When the caller gives up.
         is_cancelled: Whether the caller is gone.
+        claim: Encoded claim of the idempotency key; empty without one.
         running: Attempts in flight: call identifier and upstream.
         number: Attempts made so far.
+        may_have_run: Whether the outcome of an attempt is unknown.
     """
 
     match: Match
     request: Request
     deadline_s: float
     is_cancelled: bool = False
+    claim: bytes = b''
     running: dict[str, Upstream] = field(default_factory=dict)
     number: int = 0
+    may_have_run: bool = False
 
 
 @dataclass(slots=True)
@@ -112,6 +119,21 @@
         Returns:
             How the call ended; its `stream` must be closed.
         """
+        if task.is_cancelled:
+            return not_run('cancelled')
+        answer = self._run(task)
+        if task.may_have_run and answer.outcome is Outcome.NOT_RUN:
+            # The last attempt did not run, but one before it may have.
+            return unknown(answer.reason)
+        return answer
+
+    def cancel(self, task: Task) -> None:
+        """Withdraws a call whose caller is gone."""
+        task.is_cancelled = True
+        for call_id, upstream in list(task.running.items()):
+            self._cancel(call_id, upstream)
+
+    def _run(self, task: Task) -> Answer:
         policies = self._policies_of(task.match)
         policies.retries.call_started()
         tried: set[Key] = set()
@@ -131,12 +153,6 @@
                 answer.was_retried = answer.was_retried or task.number > 1
                 return answer
 
-    def cancel(self, task: Task) -> None:
-        """Withdraws a call whose caller is gone."""
-        task.is_cancelled = True
-        for call_id, upstream in list(task.running.items()):
-            self._cancel(call_id, upstream)
-
     def _may_retry(
         self,
         policies: _ServicePolicies,
@@ -243,24 +259,30 @@
         task.running[call.call_id] = upstream
         answer = None
         try:
-            answer = self._send(call, upstream, task.request)
+            answer = self._send(call, upstream, task)
         finally:
-            task.running.pop(call.call_id, None)
+            _end_attempt(task, call.call_id, answer)
             policies.choice.finished(
                 ticket,
                 _ended(answer, self._clock() - begun_s),
             )
         return answer
 
-    def _send(self, call: Call, upstream: Upstream, request: Request) -> Answer:
+    def _send(self, call: Call, upstream: Upstream, task: Task) -> Answer:
         if upstream.host != self._host:
             return self._remote.run(
                 upstream.call_address,
                 upstream.name,
                 call,
-                request,
+                task.request,
+                task.claim,
             )
-        answer = self._guarding.run(upstream.name, call, request)
+        answer = self._guarding.run(
+            upstream.name,
+            call,
+            task.request,
+            task.claim,
+        )
         return answer or unknown('duplicate')
 
     def _cancel(self, call_id: str, upstream: Upstream) -> None:
@@ -309,6 +331,12 @@
         return answer.outcome is not Outcome.RAN
 
 
+def _end_attempt(task: Task, call_id: str, answer: Answer | None) -> None:
+    task.running.pop(call_id, None)
+    if answer is None or answer.outcome not in _EXACT_OUTCOMES:
+        task.may_have_run = True
+
+
 def _ended(answer: Answer | None, took_s: float) -> Ended:
     return Ended(
         evidence=_evidence(answer),
--- a/waxwingsaddle/fleet.py
+++ b/waxwingsaddle/fleet.py
@@ -2,11 +2,14 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
+from pathlib import Path
+from resource import getpagesize
 from typing import Annotated, Literal
 
 import msgspec
 from eventlet.green import zmq
 
+from waxwingsaddle import settings as checked_settings
 from waxwingsaddle.addresses import Address, HostName, NodeControl
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.node_settings import NodeSettings
@@ -25,6 +28,7 @@
 # Each link has one socket and questions open a few more for a moment.
 SOCKETS_PER_NODE = 5
 SLOTS = 6
+PAGE_BYTES = getpagesize()
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 
@@ -179,22 +183,23 @@
     def _node_settings(self, number: int) -> NodeSettings:
         fleet = self._settings
         zones = fleet.availability_zones
-        shared = {
-            field: getattr(fleet, field)
-            for field in SubscriptionSettings.__struct_fields__
+        tunables = {
+            name: getattr(fleet, name)
+            for name in SubscriptionSettings.__struct_fields__
         }
-        return NodeSettings(
-            host=f'{fleet.host}-{number}',
-            availability_zone=zones[number % len(zones)],
-            site=fleet.site,
-            http_address=fleet.http_address,
-            call_address=fleet.http_address,
-            controls=fleet.controls,
-            log_level=fleet.log_level,
-            log_form=fleet.log_form,
-            events_kept=1,
-            **shared,
-        )
+        given = {
+            'host': f'{fleet.host}-{number}',
+            'availability_zone': zones[number % len(zones)],
+            'site': fleet.site,
+            'http_address': fleet.http_address,
+            'call_address': fleet.http_address,
+            'controls': msgspec.to_builtins(fleet.controls),
+            **tunables,
+        }
+        checked = checked_settings.check('', 'node', given, NodeSettings)
+        if isinstance(checked, checked_settings.SettingsError):
+            raise ValueError(str(checked))
+        return checked
 
     def _answer(
         self,
@@ -206,6 +211,7 @@
             '/v1/versions': self._versions,
             '/v1/upstreams': self._upstreams,
             '/v1/state': self._set_state,
+            '/v1/usage': _resident_bytes,
         }.get(environ['PATH_INFO'])
         if report is None:
             return reply_json(start_response, '404 Not Found', {})
@@ -250,3 +256,9 @@
     kernel = Kernel()
     kernel.provide('fleet', Fleet(settings))
     return kernel
+
+
+def _resident_bytes(_asked: object) -> int:
+    """Returns the resident memory of this process."""
+    pages = int(Path('/proc/self/statm').read_text().split()[1])
+    return pages * PAGE_BYTES
--- a/waxwingsaddle/guarding.py
+++ b/waxwingsaddle/guarding.py
@@ -25,6 +25,7 @@
 from waxwingsaddle.work import Call
 
 _CANCELLED = 'cancelled'
+_DRAINING = 'draining'
 
 _sheds = metrics.counter(
     'waxwing_guard_refused',
@@ -63,7 +64,10 @@
         upstreams: The announced upstreams.
         configuration: Service with `current`, for the tunables of guards.
         policy: Tunables of the HTTP legs.
+        report_done: Takes the claim and the answer of each keyed call that ran.
         call_ids_kept_s: How long call identifiers are remembered.
+        drain_wait_s: How long a draining upstream takes calls of nodes that
+            have not heard of the drain yet.
         clock: Monotonic seconds.
     """
 
@@ -72,12 +76,16 @@
         upstreams: Upstreams,
         configuration,
         policy: LegPolicy,
+        report_done: Callable[[bytes, Answer], None],
         call_ids_kept_s: float,
+        drain_wait_s: float,
         clock: Callable[[], float],
     ) -> None:
         self._upstreams = upstreams
         self._configuration = configuration
         self._policy = policy
+        self._report_done = report_done
+        self._drain_wait_s = drain_wait_s
         self._clock = clock
         self._guarded: dict[str, _Guarded] = {}
         self._jobs: dict[str, _Job] = {}
@@ -104,13 +112,20 @@
         for name, announcement in announced.items():
             self._adopt(name, announcement)
 
-    def run(self, upstream: str, call: Call, request: Request) -> Answer | None:
+    def run(
+        self,
+        upstream: str,
+        call: Call,
+        request: Request,
+        claim: bytes = b'',
+    ) -> Answer | None:
         """Runs a call; blocks its green thread.
 
         Args:
             upstream: Name of the upstream.
             call: The call as the guard sees it.
             request: What to send.
+            claim: Encoded claim of the idempotency key; empty without one.
 
         Returns:
             How the call ended; its `stream` must be closed. None if a call
@@ -131,6 +146,8 @@
             raise
         if answer.stream is None:
             self._jobs.pop(call.call_id, None)
+        if claim and answer.outcome is Outcome.RAN:
+            self._report_done(claim, answer)
         answer.load = guarded.guard.load()
         return answer
 
@@ -198,7 +215,12 @@
         call_id = job.call.call_id
         self._jobs.pop(call_id, None)
         guard = job.guarded.guard
-        for admitted in guard.finished(call_id, outcome, took_s):
+        self._start(guard.finished(call_id, outcome, took_s))
+        # An upstream that slows has calls queued that it can't reach in time.
+        self._answer_all(guard.expire())
+
+    def _start(self, started: tuple[Admitted, ...]) -> None:
+        for admitted in started:
             self._jobs[admitted.call.call_id].turn.send(admitted)
 
     def _answer_all(self, refusals: tuple[Refused, ...]) -> None:
@@ -208,7 +230,7 @@
     def _adopt(self, name: str, announcement: Announcement) -> None:
         guarded = self._guarded.get(name)
         policy = GuardPolicy.of(self._service(announcement.service))
-        if guarded is None or guarded.leg.address != announcement.address:
+        if guarded is None or _is_new(guarded.announcement, announcement):
             if guarded is not None:
                 guarded.leg.close()
             guarded = _Guarded(
@@ -217,8 +239,11 @@
                 UpstreamLeg(announcement.address, self._policy, self._clock),
             )
             self._guarded[name] = guarded
+        is_draining = announcement.state == _DRAINING
+        if is_draining and guarded.announcement.state != _DRAINING:
+            eventlet.spawn_after(self._drain_wait_s, guarded.guard.drain)
         guarded.announcement = announcement
-        guarded.guard.configure(announcement.slots, policy)
+        self._start(guarded.guard.configure(announcement.slots, policy))
 
     def _service(self, name: str) -> Service:
         current = self._configuration.current
@@ -232,6 +257,12 @@
         return sum(one.guard.load().in_flight for one in self._guarded.values())
 
 
+def _is_new(before: Announcement, after: Announcement) -> bool:
+    # A guard that drains stays so; an upstream that is back gets a new one.
+    is_back = before.state == _DRAINING and after.state != _DRAINING
+    return is_back or before.address != after.address
+
+
 class _GuardedStream:
     """Body of a large answer that holds its slot until it ends."""
 
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -46,11 +46,22 @@
         answer_grace_ms: Wait beyond the deadline for the guard to say whether
             the call ran.
         caller_check_ms: Interval at which callers that went away are noticed.
+        drain_wait_ms: Time in which other nodes learn that this one stops.
+        stop_limit_ms: Longest time for calls in flight at a stop; those that
+            last longer are cut off and logged.
         call_ids_kept_s: How long call identifiers are remembered.
         hop_heartbeat_ms: Interval of heartbeats between nodes; a peer that
             misses three is lost.
         hop_queue_messages: Most messages queued on one socket between nodes.
         hop_message_bytes: Largest message between nodes.
+        availability_zones: All zones, the same list on every node; keys
+            without a zone prefix hash over them. Empty: those of `controls`.
+        claim_window_ms: Grants of a key are void this long after they were
+            asked for.
+        claim_grace_ms: Wait for the last keeper once two have granted.
+        claim_pause_ms: Mean pause before a key is asked for again.
+        claims_max_bytes: Size of the claims kept for others from which new
+            keys are refused.
     """
 
     host: HostName
@@ -76,6 +87,13 @@
     answer_grace_ms: Positive
     caller_check_ms: Positive
     call_ids_kept_s: Positive
+    drain_wait_ms: Positive
+    stop_limit_ms: Positive
     hop_heartbeat_ms: Positive
     hop_queue_messages: Positive
     hop_message_bytes: Positive
+    availability_zones: tuple[HostName, ...] = ()
+    claim_window_ms: Positive
+    claim_grace_ms: Positive
+    claim_pause_ms: Positive
+    claims_max_bytes: Positive
