--- a/test/fake_upstream.py
+++ b/test/fake_upstream.py
@@ -13,6 +13,8 @@
 
 from eventlet import Timeout, hubs, listen, wsgi
 
+from waxwingsaddle import green
+
 PIECE = 65_536
 
 
@@ -70,6 +72,7 @@
 
 def main():
     """Serves on the address of the first argument."""
+    green.patch()
     ip, _, port = sys.argv[1].rpartition(':')
     with open(sys.argv[2], 'a', encoding='utf-8') as journal:
         wsgi.server(
--- a/test/nodes.py
+++ b/test/nodes.py
@@ -1,7 +1,5 @@
 """Nodes with fixed configuration and journaling upstreams, for tests."""
 
-from waxwingsaddle import green  # noqa: F401  isort:skip
-
 import json
 import subprocess
 import sys
@@ -11,6 +9,10 @@
 from pathlib import Path
 
 from test.processes import Process, free_address, is_ready, wait_until
+from waxwingsaddle import green
+
+# Tests serve messages of nodes while threads of theirs wait for answers.
+green.patch()
 
 BASE = """
 version = 1
