Wake the receiver of a zmq socket after a failed send

A failed send can take in the edge-triggered event of a message that came in; eventlet's green socket then leaves its receiver asleep.

--- a/waxwingsaddle/hop.py
+++ b/waxwingsaddle/hop.py
@@ -12,7 +12,7 @@
 from eventlet.green import zmq
 
 from waxwingsaddle import logs, metrics
-from waxwingsaddle.link import Frames, Link, LinkPolicy
+from waxwingsaddle.link import Frames, Link, LinkPolicy, process_events
 from waxwingsaddle.util.codec import pack
 
 _Reply = TypeVar('_Reply', bound=msgspec.Struct)
@@ -262,6 +262,7 @@
         try:
             self._router.send_multipart([sender, _PROBE], zmq.NOBLOCK)
         except zmq.ZMQError as error:
+            process_events(self._router)
             return error.errno != zmq.EHOSTUNREACH
         return True
 
@@ -271,6 +272,7 @@
         try:
             self._router.send_multipart(frames, zmq.NOBLOCK)
         except zmq.ZMQError as error:
+            process_events(self._router)
             is_gone = error.errno == zmq.EHOSTUNREACH
             _dropped.labels('peer-gone' if is_gone else 'queue-full').inc()
             return False
--- a/waxwingsaddle/link.py
+++ b/waxwingsaddle/link.py
@@ -107,6 +107,7 @@
         try:
             self._socket.send_multipart(frames, zmq.NOBLOCK)
         except zmq.ZMQError:
+            process_events(self._socket)
             return False
         return True
 
@@ -151,6 +152,16 @@
         self._socket.close(0)
 
 
+def process_events(green_socket: zmq.Socket) -> None:
+    """Wakes the receiver of a socket after a send that failed.
+
+    A failed send may take in the edge-triggered event of a message that came,
+    and the green socket only wakes its receiver after sends that succeed.
+    """
+    if not green_socket.closed:
+        green_socket.getsockopt(zmq.EVENTS)
+
+
 def _monitor(context: zmq.Context, watched: zmq.Socket) -> zmq.Socket:
     # The green socket has no `get_monitor_socket` of its own kind.
     address = f'inproc://monitor-{id(watched)}-{watched.fd}'
