Do not let refused or queued long work turn short calls away

A refusal of long work marked the whole upstream as full, and its queue counted as load for short calls.

--- a/test/test_choice.py
+++ b/test/test_choice.py
@@ -103,6 +103,16 @@
     assert first not in following
 
 
+def test_refused_long_work_does_not_turn_short_work_away():
+    """Guards against short calls that avoid slots reserved for them."""
+    node = Node(Entry('near'), Entry('far', 'b'))
+    long = replace(READ, route='long')
+    refused = Ended(Evidence.REFUSED, 0.001, Load(4, 9, 8, 0), 500)
+    node.send(long, near=refused)
+    assert node.send() == 'near'
+    assert node.send(long) == 'far'
+
+
 def test_cold_upstream_gets_a_growing_share():
     """Guards against full load on a cold upstream, or none ever."""
     cold = Entry('x', started_ms_ago=0)
--- a/waxwingsaddle/choice.py
+++ b/waxwingsaddle/choice.py
@@ -85,7 +85,7 @@
         crossing_ms: Round trip to another zone, in milliseconds.
         service: Tunables.
         clock: Monotonic seconds.
-        rng: Source of random numbers.
+        rng: Draws the candidates.
     """
 
     def __init__(
@@ -181,10 +181,10 @@
             return
         estimate.running.pop(ticket.number, None)
         now_s = self._clock()
-        if ended.load is not None:
+        if ended.load:
             estimate.carry(ended.load, now_s)
         if ended.evidence is Evidence.REFUSED:
-            estimate.refuse(ended.retry_after_ms, now_s)
+            estimate.refuse(ticket.route, ended.retry_after_ms, now_s)
         elif ended.evidence is Evidence.FAILED:
             self._fail(estimate, now_s)
         else:
@@ -224,10 +224,9 @@
             entry for entry in entries if entry.availability_zone != self._zone
         ]
         candidates = [*self._draw(own, now_s), *self._draw(others, now_s)]
-        typical_s = self._typical_s(route)
         return min(
             candidates,
-            key=lambda entry: self._cost_s(entry, typical_s, now_s),
+            key=lambda entry: self._cost_s(entry, route, now_s),
             default=None,
         )
 
@@ -252,20 +251,23 @@
     def _cost_s(
         self,
         entry: Upstream,
-        typical_s: float,
+        route: str,
         now_s: float,
     ) -> float:
-        estimate = self._estimates[key_of(entry)]
-        cost_s = estimate.cost_s(typical_s, self._ramp(entry, now_s), now_s)
+        cost_s = self._estimates[key_of(entry)].cost_s(
+            route,
+            self._typical_s(route),
+            self._ramp(entry, now_s),
+            now_s,
+        )
         if entry.availability_zone == self._zone:
             return cost_s
         return cost_s + self._crossing_s
 
     def _typical_s(self, route: str) -> float:
         typical = self._typical.get(route)
-        if typical is None:
-            return self._service.initial_run_ms / MS_PER_S
-        return typical.estimate
+        initial_s = self._service.initial_run_ms / MS_PER_S
+        return typical.estimate if typical else initial_s
 
     def _observe(
         self,
--- a/waxwingsaddle/estimate.py
+++ b/waxwingsaddle/estimate.py
@@ -53,7 +53,7 @@
     _local_then: int = 0
     _ratio: float = 1
     _ratio_s: float = 0
-    _full_until_s: float = 0
+    _full_until_s: dict[str, float] = field(default_factory=dict)
 
     def carry(self, load: Load, now_s: float) -> None:
         """Takes in the load that came with an answer."""
@@ -61,9 +61,13 @@
         self._load_s = now_s
         self._local_then = len(self.running)
 
-    def refuse(self, retry_after_ms: int, now_s: float) -> None:
-        """Takes in a refusal: a new call would wait about so long."""
-        self._full_until_s = now_s + retry_after_ms / MS_PER_S
+    def refuse(self, route: str, retry_after_ms: int, now_s: float) -> None:
+        """Takes in a refusal: a new call would wait about so long.
+
+        Only calls of the same route are concerned: an upstream that refuses
+        long work has slots for short work.
+        """
+        self._full_until_s[route] = now_s + retry_after_ms / MS_PER_S
 
     def observe(self, ratio: float, now_s: float) -> None:
         """Takes in a round trip over the median one of its route."""
@@ -76,10 +80,17 @@
         age_s = now_s - self.born_s
         return min(1.0, max(_LEAST_RAMP, age_s / slow_start_s))
 
-    def cost_s(self, typical_s: float, ramp: float, now_s: float) -> float:
+    def cost_s(
+        self,
+        route: str,
+        typical_s: float,
+        ramp: float,
+        now_s: float,
+    ) -> float:
         """Returns the expected time to an answer, without the crossing.
 
         Args:
+            route: Name of the route.
             typical_s: Median round trip of the route over all upstreams.
             ramp: Share from slow start.
             now_s: Monotonic seconds.
@@ -88,7 +99,8 @@
         limit = max(1.0, self._limit() * ramp)
         busy = self._busy(now_s)
         wait_s = run_s * max(0.0, busy + 1 - limit) / limit
-        wait_s = max(wait_s, self._full_until_s - now_s)
+        full_until_s = self._full_until_s.get(route, 0)
+        wait_s = max(wait_s, full_until_s - now_s)
         idle_s = _IDLE_WEIGHT * typical_s * busy / limit
         factor = 1 if self.is_healthy else _UNHEALTHY_FACTOR
         return (run_s + wait_s + idle_s) * factor
@@ -100,7 +112,10 @@
         local = len(self.running)
         if self._load is None:
             return local
-        carried = self._load.in_flight + self._load.queued
+        carried = self._load.in_flight
+        # Without a wait for short work, only long work is queued.
+        if self._load.wait_ms:
+            carried += self._load.queued
         others = max(0, carried - self._local_then)
         return local + others * exp((self._load_s - now_s) / _FADE_S)
 
--- a/waxwingsaddle/keepers.py
+++ b/waxwingsaddle/keepers.py
@@ -49,6 +49,7 @@
 _REQUESTS_AT_ONCE = 32
 _HAND_OVER_CLAIMS = 500
 _LIFE_BITS = 64
+_SERVED = (ClaimRequest, ClaimSync, ClaimDone, ClaimRelease, ClaimHandOver)
 
 _claims = metrics.counter(
     'waxwing_claims',
@@ -105,13 +106,7 @@
     def start(self) -> None:
         """Serves other nodes and begins to learn their claims."""
         hop = self._kernel.find('hop')
-        for message_type in (
-            ClaimRequest,
-            ClaimSync,
-            ClaimDone,
-            ClaimRelease,
-            ClaimHandOver,
-        ):
+        for message_type in _SERVED:
             hop.subscribe(message_type, self._handle)
         self._thread = greenthread.spawn(self._run_timers)
 
