--- a/test/test_retry.py
+++ b/test/test_retry.py
@@ -118,6 +118,15 @@
     assert 100 <= fired <= 130
 
 
+def test_spent_hedges_come_later():
+    """Guards against hedges spent on the usual tail before a slowdown."""
+    hedges = _learned(Hedges(SERVICE))
+    early_s = hedges.delay_s(READ)
+    while hedges.may_hedge():
+        hedges.observe('r', 0.01)
+    assert hedges.delay_s(READ) > 1.5 * early_s
+
+
 def test_hedges_stop_when_everything_is_slow():
     """Guards against hedges that add load to a service that is down."""
     hedges = _learned(Hedges(SERVICE))
--- a/waxwingsaddle/hedge.py
+++ b/waxwingsaddle/hedge.py
@@ -50,7 +50,9 @@
         quantile = self._routes.get(call.route)
         if quantile is None or not quantile.is_settled:
             return None
-        return quantile.estimate
+        # With few tokens left, only calls that are much later get one: when an
+        # upstream slows, the usual tail must not have spent them all.
+        return quantile.estimate * (2 - self._budget.level)
 
     def may_hedge(self) -> bool:
         """Decides, once the delay has passed, and spends a token if so."""
--- a/waxwingsaddle/retry.py
+++ b/waxwingsaddle/retry.py
@@ -31,6 +31,11 @@
         self._capacity = capacity
         self._tokens = capacity / 2
 
+    @property
+    def level(self) -> float:
+        """Tokens held, as a share of the capacity."""
+        return self._tokens / self._capacity
+
     def earn(self) -> None:
         """Counts one call."""
         earned = self._tokens + self.percent / _PERCENT
--- a/waxwingsaddle/util/quantile.py
+++ b/waxwingsaddle/util/quantile.py
@@ -2,6 +2,8 @@
 
 # After this many observations the estimate may be relied on.
 ENOUGH = 20
+# Steps shrink with the count until they reach the settled one.
+_WARM_UP = 3
 
 
 class Quantile:
@@ -38,7 +40,7 @@
             self._estimate = sample
             return
         # Larger steps at first make up for a first observation far off.
-        step = max(self._step, 1 / self._count)
+        step = max(self._step, min(1 / 2, _WARM_UP / self._count))
         if sample > self._estimate:
             moved = self._estimate * (1 + step * self._share)
             self._estimate = min(moved, sample)
