--- a/test/test_docs.py
+++ b/test/test_docs.py
@@ -1,5 +1,6 @@
 """Pages that must agree with the code."""
 
+import ast
 import re
 from pathlib import Path
 
@@ -32,3 +33,24 @@
     text = (DOCS / 'operations.md').read_text()
     listed = {int(code) for code in re.findall(r'^\| (\d+) \|', text, re.M)}
     assert listed == {int(code) for code in ExitCode}
+
+
+def _metric_names():
+    """Yields the name in each call such as `metrics.counter('name', ...)`."""
+    for file in (DOCS.parent / 'waxwingsaddle').rglob('*.py'):
+        for node in ast.walk(ast.parse(file.read_text())):
+            is_made = (
+                isinstance(node, ast.Call)
+                and isinstance(node.func, ast.Attribute)
+                and node.func.attr in {'counter', 'gauge', 'histogram'}
+                and ast.unparse(node.func.value) == 'metrics'
+            )
+            if is_made:
+                yield ast.literal_eval(node.args[0])
+
+
+def test_metrics_page_and_code_name_the_same():
+    """Guards against a metric that operators can't look up."""
+    text = (DOCS / 'metrics.md').read_text()
+    rows = re.findall(r'^\| `(\w+)` \| (.+) \| (.+) \|$', text, re.M)
+    assert sorted(name for name, _, _ in rows) == sorted(_metric_names())
