Serve node events, keep every settings and edit error on one line

waxwingctl timeline could not ask nodes, which now answer /v1/events beside the probes. The settings fuzz test found that a quoted key with a line break breaks an error into two lines; messages of settings and edits are now folded into one. The documents about the fleet have a module of their own.

--- a/test/test_borders.py
+++ b/test/test_borders.py
@@ -92,6 +92,22 @@
         assert len(got.problems) == 2, got
 
 
+def test_key_with_a_line_break():
+    """Guards against an error that a key breaks into two lines."""
+    controls = [{'\n': 0}]
+    got = settings.check('f', 'node', {'controls': controls}, MODELS['node'])
+    edit = config.SourceSet(
+        base=f'{BASE}["services"."a\\nb"]\n',
+        overlays={'north': 'remove = ["services.a\\nc"]'},
+    )
+    unread = config.check_sources(edit)
+    unnamed = config.check_sources(
+        config.SourceSet(base=edit.base, overlays={'north': ''}),
+    )
+    for text in (str(got), *unread.problems, *unnamed.problems):
+        assert '\n' not in text
+
+
 @_patient
 @given(
     st.sampled_from(sorted(MODELS)),
--- a/test/test_ctl_processes.py
+++ b/test/test_ctl_processes.py
@@ -11,7 +11,7 @@
 
 from test.fake_control import BASE, SourceSet, write_files
 from test.meshes import mesh
-from test.processes import ROOT
+from test.processes import ROOT, get_json
 
 GOLDEN = Path(__file__).parent / 'golden' / 'ctl_session.txt'
 COMMANDS = (
@@ -51,6 +51,9 @@
         base = BASE.replace('version = 1', 'version = 2')
         write_files(running.folder, SourceSet(base=base, overlays=overlays))
         parts = [_run(running.folder, command) for command in COMMANDS]
+        node = running.written.http_addresses('node')[0]
+        # A node answers with its time line, and does not route the path.
+        assert 'events' in get_json(node, '/v1/events?since=0')
     text = ''.join(parts)
     for pattern, mask in MASKS:
         text = re.sub(pattern, mask, text)
--- a/test/test_timeline.py
+++ b/test/test_timeline.py
@@ -3,8 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from waxwingsaddle.api_models import Events
-from waxwingsaddle.events import Event, Timeline
+from waxwingsaddle.events import Event, Events, Timeline
 from waxwingsaddle.timeline import Selection, gather, parse_since
 from waxwingsaddle.util.clock import HybridClock
 
--- a/waxwingsaddle/api_fleet.py
+++ b/waxwingsaddle/api_fleet.py
@@ -3,8 +3,7 @@
 from collections import Counter
 
 from waxwingsaddle.api_endpoints import Endpoint, Parameter, Request
-from waxwingsaddle.api_models import (
-    Events,
+from waxwingsaddle.api_fleet_models import (
     NodeVersion,
     ReplicationStatus,
     Status,
@@ -13,7 +12,7 @@
     VersionCount,
 )
 from waxwingsaddle.control_settings import ControlSettings
-from waxwingsaddle.events import Timeline
+from waxwingsaddle.events import Events
 from waxwingsaddle.kernel import Kernel
 
 
@@ -115,19 +114,14 @@
         'GET',
         '/v1/events',
         'Returns the events of this process.',
-        lambda request: _events(kernel.find('events'), request.query['since']),
+        lambda request: kernel.find('events').document(
+            request.query['since'],
+        ),
         Events,
         query=(since,),
     )
 
 
-def _events(timeline: Timeline, since: int) -> Events:
-    # A reader may know more events than a process that was restarted.
-    known = since if since <= timeline.recorded else 0
-    events, lost = timeline.since(known)
-    return Events(recorded=timeline.recorded, lost=lost, events=events)
-
-
 def _replication_status(status) -> ReplicationStatus:
     return ReplicationStatus(
         identity=status.identity,
--- /dev/null
+++ b/waxwingsaddle/api_fleet_models.py
@@ -0,0 +1,101 @@
+"""Documents of the administration API about the fleet."""
+
+import msgspec
+
+
+class NodeVersion(msgspec.Struct, frozen=True, kw_only=True):
+    """What one node has in force.
+
+    Attributes:
+        host: Unique name of the host.
+        availability_zone: Its availability zone.
+        site: Site whose configuration it carries.
+        control_host: Control host that holds its lease.
+        version: Version in force; 0 for none yet.
+        age_ms: Time since the node was last heard of, in milliseconds.
+    """
+
+    host: str
+    availability_zone: str
+    site: str
+    control_host: str
+    version: int
+    age_ms: int
+
+
+class ReplicationStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """State of the log as one control host sees it.
+
+    Attributes:
+        identity: Identity of its replica.
+        is_leader: Whether it leads and can write.
+        leader: Name of the leading host, when known.
+        term: Newest term seen.
+        version: Newest accepted version known here.
+        problem: Why the replica stands still, if it does.
+    """
+
+    identity: str
+    is_leader: bool
+    leader: str | None
+    term: int
+    version: int
+    problem: str | None
+
+
+class VersionCount(msgspec.Struct, frozen=True, kw_only=True):
+    """How many nodes have a version in force."""
+
+    version: int
+    nodes: int
+
+
+class Status(msgspec.Struct, frozen=True, kw_only=True):
+    """State of the fleet, as the answering control host knows it.
+
+    Attributes:
+        host: The control host that answers.
+        version: The accepted version.
+        digest: Its digest.
+        majority_age_ms: Time since contact with a majority was proven; the
+            answer may be out of date when this is more than 2 s.
+        node_count: Number of known nodes.
+        in_force: Number of nodes with the accepted version in force.
+        versions: Number of nodes for each version, newest first.
+        lagging: Nodes behind the accepted version.
+        missing_hosts: Control hosts that did not answer, so that their nodes
+            may be missing.
+        nodes: All known nodes, when asked for.
+        replication: State of the log on the answering host.
+    """
+
+    host: str
+    version: int
+    digest: str
+    majority_age_ms: float
+    node_count: int
+    in_force: int
+    versions: tuple[VersionCount, ...]
+    lagging: tuple[NodeVersion, ...]
+    missing_hosts: tuple[str, ...] = ()
+    nodes: tuple[NodeVersion, ...] = ()
+    replication: ReplicationStatus | None = None
+
+
+class Upstream(msgspec.Struct, frozen=True, kw_only=True):
+    """One upstream in the directory."""
+
+    name: str
+    service: str
+    host: str
+    availability_zone: str
+    call_address: str
+    slots: int
+    state: str
+    started_ms_ago: int
+
+
+class Upstreams(msgspec.Struct, frozen=True, kw_only=True):
+    """Upstreams that the answering control host knows."""
+
+    upstreams: tuple[Upstream, ...]
--- a/waxwingsaddle/api_models.py
+++ b/waxwingsaddle/api_models.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from waxwingsaddle.addresses import Address, HostName
-from waxwingsaddle.events import Event
 
 MAX_AUTHOR_LENGTH = 64
 MAX_IDENTITY_LENGTH = 128
@@ -166,104 +165,6 @@
     changes: tuple[Change, ...]
 
 
-class NodeVersion(msgspec.Struct, frozen=True, kw_only=True):
-    """What one node has in force.
-
-    Attributes:
-        host: Unique name of the host.
-        availability_zone: Its availability zone.
-        site: Site whose configuration it carries.
-        control_host: Control host that holds its lease.
-        version: Version in force; 0 for none yet.
-        age_ms: Time since the node was last heard of, in milliseconds.
-    """
-
-    host: str
-    availability_zone: str
-    site: str
-    control_host: str
-    version: int
-    age_ms: int
-
-
-class ReplicationStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """State of the log as one control host sees it.
-
-    Attributes:
-        identity: Identity of its replica.
-        is_leader: Whether it leads and can write.
-        leader: Name of the leading host, when known.
-        term: Newest term seen.
-        version: Newest accepted version known here.
-        problem: Why the replica stands still, if it does.
-    """
-
-    identity: str
-    is_leader: bool
-    leader: str | None
-    term: int
-    version: int
-    problem: str | None
-
-
-class VersionCount(msgspec.Struct, frozen=True, kw_only=True):
-    """How many nodes have a version in force."""
-
-    version: int
-    nodes: int
-
-
-class Status(msgspec.Struct, frozen=True, kw_only=True):
-    """State of the fleet, as the answering control host knows it.
-
-    Attributes:
-        host: The control host that answers.
-        version: The accepted version.
-        digest: Its digest.
-        majority_age_ms: Time since contact with a majority was proven; the
-            answer may be out of date when this is more than 2 s.
-        node_count: Number of known nodes.
-        in_force: Number of nodes with the accepted version in force.
-        versions: Number of nodes for each version, newest first.
-        lagging: Nodes behind the accepted version.
-        missing_hosts: Control hosts that did not answer, so that their nodes
-            may be missing.
-        nodes: All known nodes, when asked for.
-        replication: State of the log on the answering host.
-    """
-
-    host: str
-    version: int
-    digest: str
-    majority_age_ms: float
-    node_count: int
-    in_force: int
-    versions: tuple[VersionCount, ...]
-    lagging: tuple[NodeVersion, ...]
-    missing_hosts: tuple[str, ...] = ()
-    nodes: tuple[NodeVersion, ...] = ()
-    replication: ReplicationStatus | None = None
-
-
-class Upstream(msgspec.Struct, frozen=True, kw_only=True):
-    """One upstream in the directory."""
-
-    name: str
-    service: str
-    host: str
-    availability_zone: str
-    call_address: str
-    slots: int
-    state: str
-    started_ms_ago: int
-
-
-class Upstreams(msgspec.Struct, frozen=True, kw_only=True):
-    """Upstreams that the answering control host knows."""
-
-    upstreams: tuple[Upstream, ...]
-
-
 class Member(msgspec.Struct, frozen=True, kw_only=True):
     """One copy of the replicated log.
 
@@ -289,20 +190,6 @@
     members: tuple[Member, ...]
 
 
-class Events(msgspec.Struct, frozen=True, kw_only=True):
-    """Events of one process.
-
-    Attributes:
-        recorded: Pass this as `since` to get only later events.
-        lost: Events that left the buffer before this request.
-        events: Oldest first.
-    """
-
-    recorded: int
-    lost: int
-    events: tuple[Event, ...]
-
-
 class Backup(msgspec.Struct, frozen=True, kw_only=True):
     """Accepted configurations, to be kept outside the system.
 
--- a/waxwingsaddle/client.py
+++ b/waxwingsaddle/client.py
@@ -7,24 +7,23 @@
 import msgspec
 import urllib3
 
+from waxwingsaddle.api_fleet_models import Status, Upstreams
 from waxwingsaddle.api_models import (
     Backup,
     CheckedEdit,
     Difference,
     EditBody,
-    Events,
     Failure,
     History,
     MemberBody,
     Members,
     Restored,
     RollForwardBody,
-    Status,
-    Upstreams,
     VersionEntry,
     VersionSources,
 )
 from waxwingsaddle.config import SourceSet
+from waxwingsaddle.events import Events
 from waxwingsaddle.util.codec import pack_json
 
 MS_PER_S = 1000
--- a/waxwingsaddle/config.py
+++ b/waxwingsaddle/config.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from waxwingsaddle.util.codec import Tree, digest
+from waxwingsaddle.util.lines import one_line
 
 MAX_FILE_BYTES = 1_048_576
 MAX_DEPTH = 8
@@ -197,7 +198,7 @@
         base, overlays = _parse_all(sources)
         version = _pop_version(base)
     except _ConfigError as error:
-        return Refused((str(error),))
+        return Refused((one_line(str(error)),))
     sites: dict[str, Tree] = {}
     problems: list[str] = []
     for site, overlay in sorted(overlays.items()):
@@ -208,7 +209,7 @@
             continue
         problems.extend(_site_problems(site, sites[site]))
     if problems:
-        return Refused(tuple(problems))
+        return Refused(tuple(map(one_line, problems)))
     return CheckedSources(version, digest(sites), sites)
 
 
--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -113,11 +113,7 @@
             raise ValueError('election_max_ms is below election_min_ms')
         if self.heartbeat_ms * 2 > self.election_min_ms:
             raise ValueError('election_min_ms is below two heartbeats')
-        names = [one.host for one in self.hosts]
-        if len(set(names)) < len(names):
-            raise ValueError('hosts names a host twice')
-        if self.host not in names:
-            raise ValueError(f'hosts has no entry for {self.host!r}')
+        self._check_hosts()
 
     @property
     def timing(self) -> Timing:
@@ -169,3 +165,10 @@
             if control_host.host == self.host:
                 return control_host
         raise LookupError(f'control.hosts has no entry for {self.host!r}')
+
+    def _check_hosts(self) -> None:
+        names = [one.host for one in self.hosts]
+        if len(set(names)) < len(names):
+            raise ValueError('hosts names a host twice')
+        if self.host not in names:
+            raise ValueError(f'hosts has no entry for {self.host!r}')
--- a/waxwingsaddle/events.py
+++ b/waxwingsaddle/events.py
@@ -28,6 +28,20 @@
     details: dict[str, str]
 
 
+class Events(msgspec.Struct, frozen=True, kw_only=True):
+    """Events of one process, as `/v1/events` returns them.
+
+    Attributes:
+        recorded: Pass this as `since` to get only later events.
+        lost: Events that left the buffer before this request.
+        events: Oldest first.
+    """
+
+    recorded: int
+    lost: int
+    events: tuple[Event, ...]
+
+
 class Timeline:
     """Bounded buffer of the events of one process."""
 
@@ -84,6 +98,16 @@
         first = len(self._events) - held
         return tuple(islice(self._events, first, None)), wanted - held
 
+    def document(self, since: int) -> Events:
+        """Returns the events after the first `since` as a document.
+
+        A reader that knows more events than were recorded has outlived a
+        restart of the process and gets all of them.
+        """
+        known = since if since <= self._recorded else 0
+        events, lost = self.since(known)
+        return Events(recorded=self._recorded, lost=lost, events=events)
+
     def observe(self, wall_ms: int, counter: int) -> None:
         """Moves the clock past a stamp received from another process."""
         self.clock.observe(Stamp(wall_ms, counter))
--- a/waxwingsaddle/rollout.py
+++ b/waxwingsaddle/rollout.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from waxwingsaddle.api_models import Failure, NodeVersion, Status
+from waxwingsaddle.api_fleet_models import NodeVersion, Status
+from waxwingsaddle.api_models import Failure
 from waxwingsaddle.client import Client
 
 
--- a/waxwingsaddle/settings.py
+++ b/waxwingsaddle/settings.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from waxwingsaddle.util.lines import one_line
+
 _Model = TypeVar('_Model', bound=msgspec.Struct)
 
 DEFAULTS_FILE = Path(__file__).with_name('default_settings.toml')
@@ -48,7 +50,7 @@
             '',
         )
         place = f'{self.file}: {self.key}' if self.key else self.file
-        return f'{place}{unit}: {self.problem}'
+        return one_line(f'{place}{unit}: {self.problem}')
 
 
 def load(path: Path, table: str, model: type[_Model]) -> _Model | SettingsError:
--- a/waxwingsaddle/timeline.py
+++ b/waxwingsaddle/timeline.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from datetime import UTC, datetime
 
-from waxwingsaddle.api_models import Events, Failure
-from waxwingsaddle.events import Event
+from waxwingsaddle.api_models import Failure
+from waxwingsaddle.events import Event, Events
 
 MS_PER_S = 1000
 _SECONDS_OF = {'s': 1, 'm': 60, 'h': 3600, 'd': 86_400}
--- a/waxwingsaddle/ui/ctl_fleet.py
+++ b/waxwingsaddle/ui/ctl_fleet.py
@@ -4,7 +4,11 @@
 
 from cleo.helpers import option
 
-from waxwingsaddle.api_models import NodeVersion, Status, Upstream
+from waxwingsaddle.api_fleet_models import (
+    NodeVersion,
+    Status,
+    Upstream,
+)
 from waxwingsaddle.ui.ctl_base import CtlCommand, ExitCode
 
 MS_PER_S = 1000
--- a/waxwingsaddle/web.py
+++ b/waxwingsaddle/web.py
@@ -8,7 +8,9 @@
 from greenlet import GreenletExit
 
 from waxwingsaddle import metrics
+from waxwingsaddle.events import Timeline
 from waxwingsaddle.util.codec import pack_json
+from waxwingsaddle.util.numbers import parse_number
 
 Environ = dict[str, Any]
 StartResponse = Callable[..., Any]
@@ -16,6 +18,7 @@
 
 LISTEN_BACKLOG = 1024
 JSON_TYPE = 'application/json'
+EVENTS_PATH = '/v1/events'
 
 
 class StopServing(GreenletExit):
@@ -51,6 +54,12 @@
     return [encoded]
 
 
+def parse_since(query: str) -> int:
+    """Returns the number in `since=NUMBER`; 0 for any other query."""
+    name, _, given = query.partition('=')
+    return (parse_number(given) or 0) if name == 'since' else 0
+
+
 class Probes:
     """Serves `/metrics`, `/healthz` and `/readyz` before an application.
 
@@ -58,6 +67,8 @@
         application: Serves all other paths.
         is_ready: Whether the program can do its work now.
         detail: Named values that `/readyz` adds, such as the last problem.
+        timeline: Events that `/v1/events` returns; without it the path goes
+            to the application.
     """
 
     def __init__(
@@ -65,10 +76,12 @@
         application: Application,
         is_ready: Callable[[], bool],
         detail: Callable[[], dict[str, Any]] = dict,
+        timeline: Timeline | None = None,
     ) -> None:
         self._application = application
         self._is_ready = is_ready
         self._detail = detail
+        self._timeline = timeline
 
     def __call__(
         self,
@@ -94,6 +107,10 @@
             status = '200 OK' if is_ready else '503 Service Unavailable'
             body = {**self._detail(), 'ready': is_ready}
             return reply_json(start_response, status, body)
+        if path == EVENTS_PATH and self._timeline:
+            since = parse_since(environ.get('QUERY_STRING', ''))
+            document = self._timeline.document(since)
+            return reply_json(start_response, '200 OK', document)
         return self._application(environ, start_response)
 
 
