Test the whole path with real processes

Cause: parts were tested one by one only. Change: test_mesh submits an edit, sends calls through every node and sends one keyed call through six nodes of three zones.

--- a/test/meshes.py
+++ b/test/meshes.py
@@ -78,7 +78,8 @@
         """Submits an edit through the first control host that answers."""
         base = BASE.format(version=version, timeout_ms=timeout_ms)
         document = {
-            'sources': {'base': base, 'overlays': {deployment.SITE: ''}},
+            'base': base,
+            'overlays': {deployment.SITE: ''},
             'author': 'test',
         }
         return wait_until(
@@ -86,17 +87,23 @@
             f'version {version} is accepted',
         )
 
-    def versions(self) -> dict[str, int]:
-        """Returns the version in force by node."""
-        address = self.written.http_addresses('control')[0]
-        nodes = get_json(address, '/v1/status')['nodes']
-        return {node['host']: node['version'] for node in nodes}
+    def status(self) -> dict:
+        """Returns the state of the fleet, as a control host sees it."""
+        return get_json(
+            self.written.http_addresses('control')[0],
+            '/v1/status',
+        )
+
+    def is_in_force(self, version: int, nodes: int) -> bool:
+        """Says whether a version is in force on so many nodes."""
+        status = self.status()
+        return status['version'] == version and status['in_force'] >= nodes
 
     def wait_version(self, version: int, nodes: int) -> float:
         """Waits until a version is in force, and returns the seconds taken."""
         started_s = time.monotonic()
         wait_until(
-            lambda: list(self.versions().values()).count(version) >= nodes,
+            partial(self.is_in_force, version, nodes),
             f'version {version} on {nodes} nodes',
         )
         return time.monotonic() - started_s
--- /dev/null
+++ b/test/test_mesh.py
@@ -0,0 +1,55 @@
+"""The whole path through real processes."""
+
+import json
+from functools import partial
+from urllib.request import Request, urlopen
+
+from test.meshes import mesh
+from test.processes import wait_until
+from waxwingsaddle.standin import is_whole_answer
+
+
+def _call(address, method, path, call_id, key=''):
+    headers = {'X-Call-Id': call_id, 'Waxwing-Deadline-Ms': '3000'}
+    if key:
+        headers['Idempotency-Key'] = key
+    url = f'http://{address}{path}?work_ms=2&size_bytes=500'
+    request = Request(url, method=method, headers=headers)
+    with urlopen(request, timeout=10) as answer:
+        body = answer.read()
+        return answer.headers['Waxwing-Outcome'], body
+
+
+def _ran(address, method, path, call_id, key=''):
+    outcome, body = _call(address, method, path, call_id, key)
+    return outcome == 'ran' and is_whole_answer(call_id, 500, body)
+
+
+def test_edit_and_call_travel_the_whole_system():
+    """Guards against parts that work alone but not together."""
+    with mesh() as running:
+        running.wait_version(1, nodes=6)
+        for address in running.written.http_addresses('node'):
+            for call in (('GET', '/gallery/a'), ('POST', '/orders')):
+                wait_until(partial(_ran, address, *call, 'c1'), str(call))
+        assert running.submit(2, timeout_ms=1500)
+        running.wait_version(2, nodes=6)
+
+
+def test_keyed_call_runs_once_through_any_node():
+    """Guards against a second booking by a resend through another zone."""
+    with mesh() as running:
+        nodes = running.written.http_addresses('node')
+        for address in nodes:
+            wait_until(
+                partial(_ran, address, 'POST', '/orders', 'k1', key='k1'),
+                f'keyed call through {address}',
+            )
+        journals = running.folder.glob('upstream-*.jsonl')
+        lines = [
+            json.loads(line)
+            for journal in journals
+            for line in journal.read_text().splitlines()
+        ]
+        started = [line for line in lines if line['event'] == 'start']
+        assert len(started) == 1, started
