Withdraw the loser of a hedge that has not begun or has ended

Cause: a call of an idempotent route was answered 500 when both attempts ended together: the loser was looked up among the running attempts. Change: such an attempt is marked as withdrawn instead. Conclusion: the failure was in the bookkeeping, not in the hop.

--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -2,6 +2,8 @@
 
 from types import SimpleNamespace
 
+import eventlet
+from eventlet.event import Event
 from nose2.tools import params
 
 from waxwingsaddle import config
@@ -27,22 +29,32 @@
     )
 
 
-def _outcome(*answers, is_idempotent=True):
-    """Runs a call whose attempts end as given."""
-    left = list(answers)
+def _dispatch(run):
+    """Returns a dispatch with two upstreams, and a call for it."""
     entries = (_upstream('x'), _upstream('y'))
     dispatch = Dispatch(
         'here',
         'a',
         10,
         SimpleNamespace(upstreams_of=lambda _: entries),
-        SimpleNamespace(run=lambda *_: left.pop(0)),
+        SimpleNamespace(run=run, cancel=lambda _: None),
         None,
         monotonic_s,
     )
+    return dispatch
+
+
+def _task(*, is_idempotent=True):
     route = config.Route(path_prefix='/', service='s', idempotent=is_idempotent)
     match = Match('r', route, SERVICE)
-    task = Task(match, Request('GET', '/', ()), monotonic_s() + 5)
+    return Task(match, Request('GET', '/', ()), monotonic_s() + 5)
+
+
+def _outcome(*answers, is_idempotent=True):
+    """Runs a call whose attempts end as given."""
+    left = list(answers)
+    dispatch = _dispatch(lambda *_: left.pop(0))
+    task = _task(is_idempotent=is_idempotent)
     return dispatch.run(task).outcome, len(left)
 
 
@@ -61,3 +73,33 @@
     """Guards against a false not-run after an attempt without an answer."""
     outcome = _outcome(*answers, is_idempotent=is_idempotent)
     assert outcome == (expected, 0)
+
+
+class _HeldUpstreams:
+    """Answers at once until it is held, then all at one time."""
+
+    def __init__(self):
+        self.is_held = False
+        self.release = Event()
+
+    def run(self, *_):
+        """Answers a call."""
+        if self.is_held:
+            self.release.wait()
+        return Answer(Outcome.RAN, 200)
+
+
+def test_hedge_that_ends_beside_the_first_attempt():
+    """Guards against a failure when both attempts end at one time."""
+    upstreams = _HeldUpstreams()
+    dispatch = _dispatch(upstreams.run)
+    for _ in range(200):
+        assert dispatch.run(_task()).outcome is Outcome.RAN
+    upstreams.is_held = True
+    task = _task()
+    call = eventlet.spawn(dispatch.run, task)
+    with eventlet.Timeout(5):
+        while len(task.running) < 2:
+            eventlet.sleep(0.01)
+    upstreams.release.send()
+    assert call.wait().outcome is Outcome.RAN
--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -47,6 +47,7 @@
         is_cancelled: Whether the caller is gone.
         claim: Encoded claim of the idempotency key; empty without one.
         running: Attempts in flight: call identifier and upstream.
+        withdrawn: Attempts withdrawn before they began.
         number: Attempts made so far.
         may_have_run: Whether the outcome of an attempt is unknown.
     """
@@ -57,6 +58,7 @@
     is_cancelled: bool = False
     claim: bytes = b''
     running: dict[str, Upstream] = field(default_factory=dict)
+    withdrawn: set[str] = field(default_factory=set)
     number: int = 0
     may_have_run: bool = False
 
@@ -244,7 +246,7 @@
             if not self._is_failed(answer):
                 eventlet.spawn_n(_close_rest, answers, len(running))
                 for loser in running:
-                    self._cancel(loser.call_id, task.running[loser.call_id])
+                    self._withdraw(task, loser.call_id)
                 return answer
 
     def _attempt(
@@ -254,6 +256,8 @@
         call: Call,
         upstream: Upstream,
     ) -> Answer:
+        if call.call_id in task.withdrawn:
+            return not_run('withdrawn')
         begun_s = self._clock()
         ticket = policies.choice.started(upstream, call)
         task.running[call.call_id] = upstream
@@ -285,6 +289,15 @@
         )
         return answer or unknown('duplicate')
 
+    def _withdraw(self, task: Task, call_id: str) -> None:
+        # The green thread of a hedge may not have begun yet when the first
+        # attempt is answered, or may have ended with its answer queued.
+        upstream = task.running.get(call_id)
+        if upstream is None:
+            task.withdrawn.add(call_id)
+        else:
+            self._cancel(call_id, upstream)
+
     def _cancel(self, call_id: str, upstream: Upstream) -> None:
         if upstream.host == self._host:
             self._guarding.cancel(call_id)
