Serve the administration API and a page about the replica

Cause: the program looked for the modules api and distribution at the start; an installation elsewhere on the import path could answer for a missing one, and six process tests failed on such a mixture. Change: both modules are imported as any other; the stand-in for the API goes. The two checks of the settings are one again.

--- a/waxwingsaddle/control.py
+++ b/waxwingsaddle/control.py
@@ -1,18 +1,14 @@
 """Program wiring of a control host."""
 
-from importlib import import_module, util
-
-from waxwingsaddle import web
-from waxwingsaddle.control_http import MinimalApi
+from waxwingsaddle import api, distribution, web
+from waxwingsaddle.control_http import ReplicationPage
 from waxwingsaddle.control_settings import ControlSettings
 from waxwingsaddle.events import Timeline
-from waxwingsaddle.kernel import Kernel, UnknownServiceError
+from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.peers import Peers
 from waxwingsaddle.raft_messages import Members, Replica
 from waxwingsaddle.replication import Replication
 
-# Modules with services of their own; each has `attach(kernel, settings)`.
-ATTACHED = ('waxwingsaddle.distribution', 'waxwingsaddle.api')
 HTTP_APPLICATION = 'http-application'
 
 
@@ -31,24 +27,16 @@
     kernel.provide('peers', peers)
     kernel.provide('replication', replication)
     _record_changes(kernel, timeline, replication)
-    for name in ATTACHED:
-        if util.find_spec(name) is not None:
-            import_module(name).attach(kernel, settings)
+    distribution.attach(kernel, settings)
+    api.attach(kernel, settings)
     probes = web.Probes(
-        _application(kernel, replication),
+        ReplicationPage(replication, kernel.find(HTTP_APPLICATION)),
         lambda: _is_ready(replication, settings.ready_majority_age_ms),
     )
     kernel.provide('http', web.Server(this_host.http_address, probes))
     return kernel
 
 
-def _application(kernel: Kernel, replication: Replication) -> web.Application:
-    try:
-        return kernel.find(HTTP_APPLICATION)
-    except UnknownServiceError:
-        return MinimalApi(replication)
-
-
 def _is_ready(replication: Replication, age_limit_ms: int) -> bool:
     is_fresh = replication.majority_age_ms() <= age_limit_ms
     return is_fresh and replication.problem is None
--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -106,17 +106,21 @@
         """Checks what concerns several settings.
 
         Raises:
-            ValueError: The times or hosts do not fit together.
+            ValueError: The times, hosts or tokens do not fit together.
         """
+        self._check_times()
+        names = [one.host for one in self.hosts]
+        if len(set(names)) < len(names) or self.host not in names:
+            raise ValueError(f'hosts must name {self.host!r} and each one once')
+        repeated = repeated_name(self.tokens)
+        if repeated:
+            raise ValueError(f'two `tokens` have the name {repeated!r}')
+
+    def _check_times(self) -> None:
         if self.election_max_ms < self.election_min_ms:
             raise ValueError('election_max_ms is below election_min_ms')
         if self.heartbeat_ms * 2 > self.election_min_ms:
             raise ValueError('election_min_ms is below two heartbeats')
-        names = [one.host for one in self.hosts]
-        if len(set(names)) < len(names):
-            raise ValueError('hosts names a host twice')
-        if self.host not in names:
-            raise ValueError(f'hosts has no entry for {self.host!r}')
 
     @property
     def timing(self) -> Timing:
@@ -144,14 +148,6 @@
     def first_voters(self) -> tuple[str, ...]:
         """Hosts that vote when the first control hosts start, sorted."""
         return tuple(sorted(one.host for one in self.hosts if one.is_voter))
-        """Checks what concerns several tokens.
-
-        Raises:
-            ValueError: Two tokens have one name.
-        """
-        repeated = repeated_name(self.tokens)
-        if repeated:
-            raise ValueError(f'two `tokens` have the name {repeated!r}')
 
     @property
     def peer_limits(self) -> PeerLimits:
