--- a/waxwingsaddle/access.py
+++ b/waxwingsaddle/access.py
@@ -3,6 +3,7 @@
 import hashlib
 import hmac
 import secrets
+from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Annotated
@@ -155,14 +156,16 @@
     return NewToken(token, entry)
 
 
-def repeated_name(tokens: Iterable[AccessToken]) -> str | None:
-    """Returns a name that two tokens share, if there is one."""
-    seen: set[str] = set()
-    for token in tokens:
-        if token.name in seen:
-            return token.name
-        seen.add(token.name)
-    return None
+def check_names(tokens: Iterable[AccessToken]) -> None:
+    """Checks that each token has a name of its own.
+
+    Raises:
+        ValueError: Two tokens have one name.
+    """
+    names = Counter(token.name for token in tokens)
+    repeated = [name for name, count in names.items() if count > 1]
+    if repeated:
+        raise ValueError(f'two `tokens` have the name {repeated[0]!r}')
 
 
 def outside_scope(
--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from waxwingsaddle.access import AccessToken, repeated_name
+from waxwingsaddle.access import AccessToken, check_names
 from waxwingsaddle.addresses import ControlHost, HostName
 from waxwingsaddle.distribution_settings import DistributionSettings
 from waxwingsaddle.peers import PeerLimits
@@ -30,6 +30,11 @@
         log_level: Least level of log lines.
         log_form: `json` or `text`.
         events_kept: Events kept for the time line.
+        tokens: Bearer tokens of the administration API; none for free access.
+        api_body_limit_bytes: Largest body of a request to the administration
+            API.
+        api_restore_limit_bytes: Largest backup to restore.
+        api_catch_up_ms: Longest wait of an edit for the version before it.
         election_min_ms: Shortest election timeout; a leader without a
             majority steps down after it.
         election_max_ms: Longest election timeout.
@@ -51,11 +56,6 @@
         hand_over_ms: How long a stop waits for a new leader.
         ready_majority_age_ms: Age of the last contact with a majority above
             which the host is not ready.
-        tokens: Bearer tokens of the administration API; none for free access.
-        api_body_limit_bytes: Largest body of a request to the administration
-            API.
-        api_restore_limit_bytes: Largest backup to restore.
-        api_catch_up_ms: Longest wait of an edit for the version before it.
         peer_queue_messages: Messages queued for or from one control host.
         peer_message_bytes: Largest message taken from a control host.
         peer_reconnect_ms: First delay before connecting again.
@@ -73,6 +73,10 @@
     log_level: Literal['debug', 'info', 'warning', 'error']
     log_form: Literal['json', 'text']
     events_kept: Positive
+    tokens: tuple[AccessToken, ...] = ()
+    api_body_limit_bytes: Positive
+    api_restore_limit_bytes: Positive
+    api_catch_up_ms: Positive
     election_min_ms: Positive
     election_max_ms: Positive
     heartbeat_ms: Positive
@@ -91,10 +95,6 @@
     forward_timeout_ms: Positive
     hand_over_ms: Positive
     ready_majority_age_ms: Positive
-    tokens: tuple[AccessToken, ...] = ()
-    api_body_limit_bytes: Positive
-    api_restore_limit_bytes: Positive
-    api_catch_up_ms: Positive
     peer_queue_messages: Positive
     peer_message_bytes: Positive
     peer_reconnect_ms: Positive
@@ -108,13 +108,11 @@
         Raises:
             ValueError: The times, hosts or tokens do not fit together.
         """
+        check_names(self.tokens)
         self._check_times()
         names = [one.host for one in self.hosts]
         if len(set(names)) < len(names) or self.host not in names:
             raise ValueError(f'hosts must name {self.host!r} and each one once')
-        repeated = repeated_name(self.tokens)
-        if repeated:
-            raise ValueError(f'two `tokens` have the name {repeated!r}')
 
     def _check_times(self) -> None:
         if self.election_max_ms < self.election_min_ms:
