--- a/test/test_distribution.py
+++ b/test/test_distribution.py
@@ -296,8 +296,34 @@
             assert len(answers) == 10
 
 
-def test_admission_spreads_a_storm():
-    """Guards against a control host that is busy with one storm."""
+def test_restarted_control_host_empties_no_directory():
+    """Guards against nodes that forget upstreams with their control host."""
+    options = {
+        'node_options': {'lease_renew_ms': 300, 'reconnect_limit_ms': 300},
+        'directory_settle_ms': 5000,
+    }
+    with fleet(nodes=2, **options) as (controls, nodes):
+        directory = nodes[1].service.directory
+        nodes[0].announce(announcement('u', 's0'))
+        until(lambda: directory.upstreams_of('s0'), 'upstream')
+        controls[0].kernel.stop()
+        nodes[0].kernel.stop()
+        again = Control(
+            controls[0].host,
+            controls[0].hosts,
+            {},
+            controls[0].options,
+        )
+        again.accept(1)
+        until(lambda: again.versions() == {'node-1': 1}, 'new lease')
+        eventlet.sleep(0.2)
+        assert directory.upstreams_of('s0')
+        until(lambda: not directory.upstreams_of('s0'), 'end after settling')
+        again.kernel.stop()
+
+
+def test_refused_nodes_come_back():
+    """Guards against a node that a busy control host leaves out."""
     options = {'hello_rate_per_s': 20, 'hello_burst': 1}
     with fleet(nodes=10, **options) as (controls, _nodes):
         assert len(controls[0].versions()) == 10
--- a/test/test_distribution_processes.py
+++ b/test/test_distribution_processes.py
@@ -10,7 +10,7 @@
 
 from test.distribution_fakes import control_hosts
 from test.processes import Process, free_address, is_ready, wait_until
-from waxwingsaddle.distribution_bench import ask, base_file
+from waxwingsaddle.distribution_rig import ask, base_file
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 NODES = 10
--- a/waxwingsaddle/node_session.py
+++ b/waxwingsaddle/node_session.py
@@ -236,9 +236,8 @@
         self.majority_age_ms = message.majority_age_ms
         self.is_leased = message.is_known
         self._is_confirmed = message.is_known
-        is_isolated = (
-            message.majority_age_ms > self._settings.majority_age_limit_ms
-        )
+        limit_ms = self._settings.majority_age_limit_ms
+        is_isolated = message.majority_age_ms > limit_ms
         if self.answered.is_set() and (is_isolated or not message.is_known):
             self.attention.set()
         self.answered.set()
--- a/waxwingsaddle/ui/distribution_bench.py
+++ b/waxwingsaddle/ui/distribution_bench.py
@@ -2,7 +2,8 @@
 
 import argparse
 
-from waxwingsaddle.distribution_bench import Plan, report
+from waxwingsaddle.distribution_bench import report
+from waxwingsaddle.distribution_rig import Plan
 
 
 def main() -> None:
