--- a/waxwingsaddle/api_members.py
+++ b/waxwingsaddle/api_members.py
@@ -1,9 +1,20 @@
 """Control hosts in the administration API."""
 
+from waxwingsaddle.api_answers import edit_answer
 from waxwingsaddle.api_endpoints import Endpoint, Request
 from waxwingsaddle.api_models import Failure, Member, MemberBody, Members
 from waxwingsaddle.control_settings import ControlSettings
 from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.membership import (
+    AddLearner,
+    Change,
+    Promote,
+    Remove,
+    Replace,
+)
+from waxwingsaddle.outcomes import MembersChanged
+from waxwingsaddle.raft_messages import Members as LogMembers
+from waxwingsaddle.raft_messages import Replica
 
 PATH = '/v1/members'
 
@@ -19,20 +30,20 @@
         self._kernel = kernel
 
     def get_members(self, _request: Request) -> Members:
-        """Returns the control hosts."""
-        return _members(self._kernel.find('replication'))
+        """Returns the members of the replicated log."""
+        replication = self._kernel.find('replication')
+        return _described(replication.members(), replication.leader)
 
     def post_member(self, request: Request) -> Members | Failure:
-        """Changes the control hosts."""
-        change: MemberBody = request.body
-        problem = _member_problem(change)
-        if problem:
-            return Failure(kind='bad-request', message=f'body: {problem}')
+        """Changes the members of the replicated log."""
         replication = self._kernel.find('replication')
-        refusal = replication.change_members(change)
-        if refusal:
-            return Failure(kind='refused', message=str(refusal))
-        return _members(replication)
+        change = _change(request.body, replication.members())
+        if isinstance(change, Failure):
+            return change
+        outcome = replication.change_members(change)
+        if isinstance(outcome, MembersChanged):
+            return _described(outcome.members, replication.leader)
+        return edit_answer(outcome)
 
 
 def endpoints(
@@ -45,7 +56,7 @@
         Endpoint(
             'GET',
             PATH,
-            'Returns the control hosts.',
+            'Returns the members of the replicated log.',
             handlers.get_members,
             Members,
         ),
@@ -61,27 +72,65 @@
     )
 
 
-def _members(replication) -> Members:
-    members = tuple(
-        Member(
-            host=member.host,
-            availability_zone=member.availability_zone,
-            is_voter=member.is_voter,
-            identity=member.identity,
-            is_leader=member.is_leader,
-        )
-        for member in replication.members()
+def _described(members: LogMembers, leader: str | None) -> Members:
+    return Members(
+        leader=leader,
+        members=tuple(
+            Member(
+                host=replica.host,
+                identity=replica.identity,
+                peer_address=replica.peer_address,
+                is_voter=members.is_voter(replica.identity),
+                is_leader=replica.host == leader
+                and members.is_voter(replica.identity),
+            )
+            for replica in members
+        ),
     )
-    leaders = [member.host for member in members if member.is_leader]
-    return Members(leader=leaders[0] if leaders else None, members=members)
-
-
-def _member_problem(change: MemberBody) -> str | None:
-    if change.action == 'add':
-        if change.control_host is None:
-            return 'control_host: the addresses of the new host are missing'
-        if change.control_host.host != change.host:
-            return 'control_host.host: differs from host'
-    if change.action == 'replace' and change.replacement is None:
-        return 'replacement: the learner that takes the place is missing'
-    return None
+
+
+def _change(body: MemberBody, members: LogMembers) -> Change | Failure:
+    if body.action == 'add':
+        if body.identity and body.peer_address:
+            replica = Replica(body.identity, body.host, body.peer_address)
+            return AddLearner(replica)
+        return _bad(
+            'add takes identity and peer_address; a host that is started '
+            'with an empty data folder is added without this',
+        )
+    if body.action == 'replace':
+        return _replacement(body, members)
+    learners_only = body.action == 'promote'
+    found = [
+        replica
+        for replica in (members.learners if learners_only else members)
+        if replica.host == body.host and body.identity in {'', replica.identity}
+    ]
+    if len(found) != 1:
+        return _not_one(body, found, 'learners' if learners_only else 'members')
+    kind = Promote if learners_only else Remove
+    return kind(found[0].identity)
+
+
+def _replacement(body: MemberBody, members: LogMembers) -> Change | Failure:
+    ended = [one for one in members.voters if one.host == body.host]
+    learners = [one for one in members.learners if one.host == body.host]
+    if len(ended) != 1:
+        return _not_one(body, ended, 'voters')
+    if len(learners) != 1:
+        return _not_one(body, learners, 'learners')
+    return Replace(ended[0].identity, learners[0].identity)
+
+
+def _not_one(
+    body: MemberBody,
+    found: list[Replica],
+    what: str,
+) -> Failure:
+    named = ', '.join(replica.identity for replica in found)
+    hint = f': {named}; name one identity' if found else ''
+    return _bad(f'host {body.host!r} has {len(found)} {what}{hint}')
+
+
+def _bad(message: str) -> Failure:
+    return Failure(kind='refused', message=message, problems=(message,))
--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from waxwingsaddle.access import AccessToken, repeated_name
+from waxwingsaddle.access import AccessToken, check_names
 from waxwingsaddle.addresses import ControlHost, HostName
 from waxwingsaddle.distribution_settings import DistributionSettings
 from waxwingsaddle.peers import PeerLimits
@@ -30,6 +30,11 @@
         log_level: Least level of log lines.
         log_form: `json` or `text`.
         events_kept: Events kept for the time line.
+        tokens: Bearer tokens of the administration API; none for free access.
+        api_body_limit_bytes: Largest body of a request to the administration
+            API.
+        api_restore_limit_bytes: Largest backup to restore.
+        api_catch_up_ms: Longest wait of an edit for the version before it.
         election_min_ms: Shortest election timeout; a leader without a
             majority steps down after it.
         election_max_ms: Longest election timeout.
@@ -51,11 +56,6 @@
         hand_over_ms: How long a stop waits for a new leader.
         ready_majority_age_ms: Age of the last contact with a majority above
             which the host is not ready.
-        tokens: Bearer tokens of the administration API; none for free access.
-        api_body_limit_bytes: Largest body of a request to the administration
-            API.
-        api_restore_limit_bytes: Largest backup to restore.
-        api_catch_up_ms: Longest wait of an edit for the version before it.
         peer_queue_messages: Messages queued for or from one control host.
         peer_message_bytes: Largest message taken from a control host.
         peer_reconnect_ms: First delay before connecting again.
@@ -73,6 +73,10 @@
     log_level: Literal['debug', 'info', 'warning', 'error']
     log_form: Literal['json', 'text']
     events_kept: Positive
+    tokens: tuple[AccessToken, ...] = ()
+    api_body_limit_bytes: Positive
+    api_restore_limit_bytes: Positive
+    api_catch_up_ms: Positive
     election_min_ms: Positive
     election_max_ms: Positive
     heartbeat_ms: Positive
@@ -91,10 +95,6 @@
     forward_timeout_ms: Positive
     hand_over_ms: Positive
     ready_majority_age_ms: Positive
-    tokens: tuple[AccessToken, ...] = ()
-    api_body_limit_bytes: Positive
-    api_restore_limit_bytes: Positive
-    api_catch_up_ms: Positive
     peer_queue_messages: Positive
     peer_message_bytes: Positive
     peer_reconnect_ms: Positive
@@ -106,14 +106,18 @@
         """Checks what concerns several settings.
 
         Raises:
-            ValueError: The times or hosts do not fit together.
+            ValueError: The times, hosts or tokens do not fit together.
         """
+        check_names(self.tokens)
         if self.election_max_ms < self.election_min_ms:
             raise ValueError('election_max_ms is below election_min_ms')
         if self.heartbeat_ms * 2 > self.election_min_ms:
             raise ValueError('election_min_ms is below two heartbeats')
-        if len({one.host for one in self.hosts}) < len(self.hosts):
+        names = [one.host for one in self.hosts]
+        if len(set(names)) < len(names):
             raise ValueError('hosts names a host twice')
+        if self.host not in names:
+            raise ValueError(f'hosts has no entry for {self.host!r}')
 
     @property
     def timing(self) -> Timing:
@@ -141,14 +145,6 @@
     def first_voters(self) -> tuple[str, ...]:
         """Hosts that vote when the first control hosts start, sorted."""
         return tuple(sorted(one.host for one in self.hosts if one.is_voter))
-        """Checks what concerns several tokens.
-
-        Raises:
-            ValueError: Two tokens have one name.
-        """
-        repeated = repeated_name(self.tokens)
-        if repeated:
-            raise ValueError(f'two `tokens` have the name {repeated!r}')
 
     @property
     def peer_limits(self) -> PeerLimits:
--- a/waxwingsaddle/ui/source.py
+++ b/waxwingsaddle/ui/source.py
@@ -1,7 +1,5 @@
 """Program `waxwing-source`: submits the files when operators edit them."""
 
-from waxwingsaddle import green  # noqa: F401, I001  (patches first)
-
 import sys
 from pathlib import Path
 
