--- a/test/distribution_fakes.py
+++ b/test/distribution_fakes.py
@@ -10,6 +10,7 @@
 from waxwingsaddle.addresses import ControlHost, NodeControl
 from waxwingsaddle.config import SourceSet, check_sources
 from waxwingsaddle.control_settings import ControlSettings
+from waxwingsaddle.events import Timeline
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.node_settings import NodeSettings
 
@@ -185,6 +186,8 @@
 
     def __post_init__(self):
         self.kernel = Kernel()
+        self.timeline = Timeline('node', self.name, 100)
+        self.kernel.provide('events', self.timeline)
         self.kernel.provide('upstreams', self.upstreams)
         if self.hop:
             self.kernel.provide('hop', self.hop)
--- a/test/test_distribution.py
+++ b/test/test_distribution.py
@@ -91,6 +91,8 @@
             'version 2 acknowledged',
         )
         for node in nodes:
+            kinds = [event.kind for event in node.timeline.since(0)[0]]
+            assert sorted(kinds) == ['in-force', 'in-force', 'lease']
             document = node.service.current.document
             assert document.services['s0'].timeout_ms == 50
             assert node.seen == [1, 2], node.seen
--- a/waxwingsaddle/subscription.py
+++ b/waxwingsaddle/subscription.py
@@ -206,11 +206,9 @@
         if is_joined:
             self._backoff.reset()
             MOVES.labels(reason).inc()
-            logs.logger().info(
-                'lease taken',
-                control_host=answer.control.host,
-                reason=reason,
-            )
+            host = answer.control.host
+            logs.logger().info('lease taken', control_host=host, reason=reason)
+            self._record('lease', control_host=host, reason=reason)
         return is_joined
 
     @property
@@ -243,6 +241,11 @@
             for part in upstreams.announced()
         )
 
+    def _record(self, kind: str, **details: object) -> None:
+        events = _find(self._kernel, 'events')
+        if events is not None:
+            events.record(kind, **details)
+
     def _on_upstreams(self, **_fields: Any) -> None:
         self.session.attention.set()
 
@@ -252,6 +255,7 @@
         self._published = self._held.version
         VERSION.set(self._held.version)
         self.session.acknowledge()
+        self._record('in-force', version=self._held.version)
         self._kernel.publish(
             'configuration-in-force',
             version=self._held.version,
