--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from waxwingsaddle.access import AccessToken, check_names
 from waxwingsaddle.addresses import ControlHost, HostName
 from waxwingsaddle.distribution_settings import DistributionSettings
 from waxwingsaddle.peers import PeerLimits
@@ -29,6 +30,11 @@
         log_level: Least level of log lines.
         log_form: `json` or `text`.
         events_kept: Events kept for the time line.
+        tokens: Bearer tokens of the administration API; none for free access.
+        api_body_limit_bytes: Largest body of a request to the administration
+            API.
+        api_restore_limit_bytes: Largest backup to restore.
+        api_catch_up_ms: Longest wait of an edit for the version before it.
         election_min_ms: Shortest election timeout; a leader without a
             majority steps down after it.
         election_max_ms: Longest election timeout.
@@ -67,6 +73,10 @@
     log_level: Literal['debug', 'info', 'warning', 'error']
     log_form: Literal['json', 'text']
     events_kept: Positive
+    tokens: tuple[AccessToken, ...] = ()
+    api_body_limit_bytes: Positive
+    api_restore_limit_bytes: Positive
+    api_catch_up_ms: Positive
     election_min_ms: Positive
     election_max_ms: Positive
     heartbeat_ms: Positive
@@ -96,14 +106,18 @@
         """Checks what concerns several settings.
 
         Raises:
-            ValueError: The times or hosts do not fit together.
+            ValueError: The times, hosts or tokens do not fit together.
         """
+        check_names(self.tokens)
         if self.election_max_ms < self.election_min_ms:
             raise ValueError('election_max_ms is below election_min_ms')
         if self.heartbeat_ms * 2 > self.election_min_ms:
             raise ValueError('election_min_ms is below two heartbeats')
-        if len({one.host for one in self.hosts}) < len(self.hosts):
+        names = [one.host for one in self.hosts]
+        if len(set(names)) < len(names):
             raise ValueError('hosts names a host twice')
+        if self.host not in names:
+            raise ValueError(f'hosts has no entry for {self.host!r}')
 
     @property
     def timing(self) -> Timing:
--- a/waxwingsaddle/estimate.py
+++ b/waxwingsaddle/estimate.py
@@ -7,9 +7,10 @@
 from waxwingsaddle.guard import Load
 from waxwingsaddle.util.clock import MS_PER_S
 
-# Carried load and learned slowness lose weight with this time constant: the
-# swings of section 1.3 last seconds.
+# Carried load loses weight with this time constant.
 _FADE_S = 1.0
+# Slowness is remembered longer: each return to a slow upstream costs a call.
+_RATIO_FADE_S = 4.0
 _RATIO_SMOOTHING = 0.5
 # Weight of load that does not make a call wait: spreads calls when idle.
 _IDLE_WEIGHT = 0.1
@@ -52,7 +53,7 @@
     _local_then: int = 0
     _ratio: float = 1
     _ratio_s: float = 0
-    _full_until_s: float = 0
+    _full_until_s: dict[str, float] = field(default_factory=dict)
 
     def carry(self, load: Load, now_s: float) -> None:
         """Takes in the load that came with an answer."""
@@ -60,9 +61,13 @@
         self._load_s = now_s
         self._local_then = len(self.running)
 
-    def refuse(self, retry_after_ms: int, now_s: float) -> None:
-        """Takes in a refusal: a new call would wait about so long."""
-        self._full_until_s = now_s + retry_after_ms / MS_PER_S
+    def refuse(self, route: str, retry_after_ms: int, now_s: float) -> None:
+        """Takes in a refusal: a new call would wait about so long.
+
+        Only calls of the same route are concerned: an upstream that refuses
+        long work has slots for short work.
+        """
+        self._full_until_s[route] = now_s + retry_after_ms / MS_PER_S
 
     def observe(self, ratio: float, now_s: float) -> None:
         """Takes in a round trip over the median one of its route."""
@@ -75,10 +80,17 @@
         age_s = now_s - self.born_s
         return min(1.0, max(_LEAST_RAMP, age_s / slow_start_s))
 
-    def cost_s(self, typical_s: float, ramp: float, now_s: float) -> float:
+    def cost_s(
+        self,
+        route: str,
+        typical_s: float,
+        ramp: float,
+        now_s: float,
+    ) -> float:
         """Returns the expected time to an answer, without the crossing.
 
         Args:
+            route: Name of the route.
             typical_s: Median round trip of the route over all upstreams.
             ramp: Share from slow start.
             now_s: Monotonic seconds.
@@ -87,7 +99,8 @@
         limit = max(1.0, self._limit() * ramp)
         busy = self._busy(now_s)
         wait_s = run_s * max(0.0, busy + 1 - limit) / limit
-        wait_s = max(wait_s, self._full_until_s - now_s)
+        full_until_s = self._full_until_s.get(route, 0)
+        wait_s = max(wait_s, full_until_s - now_s)
         idle_s = _IDLE_WEIGHT * typical_s * busy / limit
         factor = 1 if self.is_healthy else _UNHEALTHY_FACTOR
         return (run_s + wait_s + idle_s) * factor
@@ -99,12 +112,17 @@
         local = len(self.running)
         if self._load is None:
             return local
-        carried = self._load.in_flight + self._load.queued
+        carried = self._load.in_flight
+        # Without a wait for short work, only long work is queued.
+        if self._load.wait_ms:
+            carried += self._load.queued
         others = max(0, carried - self._local_then)
         return local + others * exp((self._load_s - now_s) / _FADE_S)
 
     def _faded_ratio(self, now_s: float) -> float:
-        return 1 + (self._ratio - 1) * exp((self._ratio_s - now_s) / _FADE_S)
+        return 1 + (self._ratio - 1) * exp(
+            (self._ratio_s - now_s) / _RATIO_FADE_S
+        )
 
     def _slowness(self, now_s: float) -> float:
         oldest = next(iter(self.running.values()), None)
--- a/waxwingsaddle/keepers.py
+++ b/waxwingsaddle/keepers.py
@@ -49,6 +49,7 @@
 _REQUESTS_AT_ONCE = 32
 _HAND_OVER_CLAIMS = 500
 _LIFE_BITS = 64
+_SERVED = (ClaimRequest, ClaimSync, ClaimDone, ClaimRelease, ClaimHandOver)
 
 _claims = metrics.counter(
     'waxwing_claims',
@@ -105,13 +106,7 @@
     def start(self) -> None:
         """Serves other nodes and begins to learn their claims."""
         hop = self._kernel.find('hop')
-        for message_type in (
-            ClaimRequest,
-            ClaimSync,
-            ClaimDone,
-            ClaimRelease,
-            ClaimHandOver,
-        ):
+        for message_type in _SERVED:
             hop.subscribe(message_type, self._handle)
         self._thread = greenthread.spawn(self._run_timers)
 
@@ -184,10 +179,14 @@
     def hand_over(self, timeout_s: float) -> int:
         """Copies the claims to their next keepers before a planned stop.
 
+        Outcomes of calls that ran here go out first.
+
         Returns:
-            The number of copies that no next keeper has confirmed in time.
+            The number of copies and outcomes not confirmed in time.
         """
         limit_s = monotonic_s() + timeout_s
+        while self._send_outbox() and monotonic_s() < limit_s:
+            greenthread.sleep(_TICK_S)
         parts = [
             (host, claims[first : first + _HAND_OVER_CLAIMS])
             for host, claims in self._keeper.leave()
@@ -197,7 +196,7 @@
             parts = [part for part in parts if not self._copy(*part)]
             if parts:
                 greenthread.sleep(_TICK_S)
-        return sum(len(claims) for _, claims in parts)
+        return len(self._outbox) + sum(len(claims) for _, claims in parts)
 
     def _copy(self, host: str, claims: tuple[Claim, ...]) -> bool:
         reply = self._runner.request(
@@ -251,8 +250,9 @@
         if isinstance(reply, ClaimSyncReply):
             self._keeper.take_exchange(host, epoch, reply)
 
-    def _send_outbox(self) -> None:
-        for number, message, peers in self._outbox.due():
+    def _send_outbox(self) -> bool:
+        due = self._outbox.due()
+        for number, message, peers in due:
             for peer in peers:
                 self._spawn(
                     (peer.host, -number - 1),
@@ -262,6 +262,8 @@
                     peer,
                 )
 
+        return bool(due)
+
     def _deliver(
         self,
         number: int,
--- a/waxwingsaddle/outcomes.py
+++ b/waxwingsaddle/outcomes.py
@@ -12,10 +12,13 @@
     Attributes:
         sources: The files.
         author: Who submits them.
+        is_restore: Whether an empty log takes it under any version, so that
+            a restored log is not behind the nodes.
     """
 
     sources: SourceSet
     author: str
+    is_restore: bool = False
 
 
 class Accepted(msgspec.Struct, frozen=True, kw_only=True, tag='accepted'):
