--- a/test/clusters.py
+++ b/test/clusters.py
@@ -14,7 +14,6 @@
 from test.bench import Links, fault_proxy
 from test.processes import Process, free_address, get_json, is_ready, wait_until
 
-HISTORY_LIMIT = 1000
 REQUEST_LIMIT_S = 30
 LOG_SHOWN = 3000
 
@@ -89,14 +88,8 @@
             raise AssertionError(f'{error}\n{log}') from None
 
     def status(self, host: str) -> dict:
-        """Returns status, members and history as a host knows them."""
-        address = self.address(host)
-        history = get_json(address, f'/v1/edits?limit={HISTORY_LIMIT}')
-        return {
-            **get_json(address, '/v1/status'),
-            **get_json(address, '/v1/members'),
-            'history': list(reversed(history['versions'])),
-        }
+        """Returns the status document of a host."""
+        return get_json(self.address(host), '/v1/replication')
 
     def leader(self, besides: str | None = None) -> str:
         """Waits until some host leads and returns its name."""
@@ -119,22 +112,24 @@
         ]
 
     def submit(self, host: str, edit: dict) -> dict:
-        """Submits an edit through a host and returns the outcome.
+        """Submits an edit through a host.
+
+        Returns:
+            The answer of the host, with the kind `accepted` when it is.
 
         Raises:
             OSError: The host does not answer.
         """
         request = Request(
             f'http://{self.address(host)}/v1/edits',
-            json.dumps({**edit['sources'], 'author': edit['author']}).encode(),
+            json.dumps(edit).encode(),
             {'Content-Type': 'application/json'},
         )
         try:
             with urlopen(request, timeout=REQUEST_LIMIT_S) as got:
-                return {'type': 'accepted', **json.load(got)}
+                return {'kind': 'accepted', **json.load(got)}
         except HTTPError as error:
-            failure = json.load(error)
-            return {'type': failure['kind'], **failure}
+            return json.load(error)
 
     def wipe(self, host: str) -> None:
         """Kills a host, loses its disk and starts it again."""
@@ -179,8 +174,8 @@
 def edit(version: int, timeout_ms: int = 1000, author: str = 'ann') -> dict:
     """Returns a small edit."""
     base = BASE.format(version=version, timeout_ms=timeout_ms)
-    sources = {'base': base, 'overlays': {'north': '', 'south': ''}}
-    return {'sources': sources, 'author': author}
+    overlays = {'north': '', 'south': ''}
+    return {'base': base, 'overlays': overlays, 'author': author}
 
 
 @contextmanager
--- a/test/test_borders.py
+++ b/test/test_borders.py
@@ -97,8 +97,8 @@
     controls = [{'\n': 0}]
     got = settings.check('f', 'node', {'controls': controls}, MODELS['node'])
     edit = config.SourceSet(
-        base=f'{BASE}["services"."a\\nb"]\n',
-        overlays={'north': 'remove = ["services.a\\nc"]'},
+        base=''.join((BASE, r'["services"."a\nb"]')),
+        overlays={'north': r'remove = ["services.a\nc"]'},
     )
     unread = config.check_sources(edit)
     unnamed = config.check_sources(
--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -109,11 +109,16 @@
             ValueError: The times, hosts or tokens do not fit together.
         """
         check_names(self.tokens)
+        self._check_times()
+        names = [one.host for one in self.hosts]
+        if len(set(names)) < len(names) or self.host not in names:
+            raise ValueError(f'hosts must name {self.host!r} and each one once')
+
+    def _check_times(self) -> None:
         if self.election_max_ms < self.election_min_ms:
             raise ValueError('election_max_ms is below election_min_ms')
         if self.heartbeat_ms * 2 > self.election_min_ms:
             raise ValueError('election_min_ms is below two heartbeats')
-        self._check_hosts()
 
     @property
     def timing(self) -> Timing:
@@ -165,10 +170,3 @@
             if control_host.host == self.host:
                 return control_host
         raise LookupError(f'control.hosts has no entry for {self.host!r}')
-
-    def _check_hosts(self) -> None:
-        names = [one.host for one in self.hosts]
-        if len(set(names)) < len(names):
-            raise ValueError('hosts names a host twice')
-        if self.host not in names:
-            raise ValueError(f'hosts has no entry for {self.host!r}')
