--- a/waxwingsaddle/faults.py
+++ b/waxwingsaddle/faults.py
@@ -60,7 +60,14 @@
     kw_only=True,
     forbid_unknown_fields=True,
 ):
-    """One proxied address."""
+    """One proxied address.
+
+    Attributes:
+        name: Name of the link in requests and reports.
+        listen_address: Where clients connect.
+        target_address: Where the server listens.
+        condition: Condition at the start.
+    """
 
     name: HostName
     listen_address: Address
--- a/waxwingsaddle/settings_page.py
+++ b/waxwingsaddle/settings_page.py
@@ -15,8 +15,10 @@
 from waxwingsaddle import settings
 from waxwingsaddle.control_settings import ControlSettings
 from waxwingsaddle.ctl_settings import CtlSettings
+from waxwingsaddle.faults import FaultsSettings
 from waxwingsaddle.node_settings import NodeSettings
 from waxwingsaddle.source_settings import SourceSettings
+from waxwingsaddle.standin import StandinSettings
 
 PAGE_FILE = Path(__file__).parents[1] / 'docs' / 'settings.md'
 MODELS: Mapping[str, type[Struct]] = MappingProxyType(
@@ -25,14 +27,17 @@
         'node': NodeSettings,
         'source': SourceSettings,
         'ctl': CtlSettings,
+        'upstream': StandinSettings,
+        'faults': FaultsSettings,
     },
 )
 _HEAD = """# Settings
 
 Each program is started as `PROGRAM --settings FILE.toml` and reads the table
-with its name (`waxwingctl` reads `ctl`). A file sets what differs from the
-defaults and the keys without a default. Units stand in the names. Faults are
-reported with file, key, value and unit, and the program does not start.
+with its name (`waxwingctl` reads `ctl`, `waxwing-load` reads `upstream` or
+`faults`). A file sets what differs from the defaults and the keys without a
+default. Units stand in the names. Faults are reported with file, key, value
+and unit, and the program does not start.
 
 This page is generated: `python -m waxwingsaddle.settings_page`.
 """
@@ -131,11 +136,10 @@
     model: type[Struct],
 ) -> Iterator[type[Struct]]:
     for field in structs.fields(model):
-        yield from (
-            inner
-            for inner in _arguments(field.type)
-            if isinstance(inner, type) and issubclass(inner, Struct)
-        )
+        for inner in _arguments(field.type):
+            if isinstance(inner, type) and issubclass(inner, Struct):
+                yield inner
+                yield from _inner_models(inner)
 
 
 def _arguments(annotation: Any) -> Iterator[Any]:
