--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -180,7 +180,8 @@
         tried: set[Key],
     ) -> Answer:
         tried.add(key_of(upstream))
-        delay_s = policies.hedges.delay_s(call) if task.number == 1 else None
+        may_hedge = task.number == 1 and policies.service.hedge_percent
+        delay_s = policies.hedges.delay_s(call) if may_hedge else None
         begun_s = self._clock()
         if delay_s is None:
             answer = self._attempt(policies, task, call, upstream)
