--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -3,7 +3,7 @@
 import os
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from functools import partial
 from itertools import count
 
@@ -11,15 +11,14 @@
 from eventlet.queue import Empty, LightQueue
 
 from waxwingsaddle import metrics
-from waxwingsaddle.calls import Answer, Request, not_run, unknown
-from waxwingsaddle.choice import Choice, Ended, Key, Upstream, key_of
-from waxwingsaddle.config import Service
-from waxwingsaddle.ejection import Evidence
+from waxwingsaddle.calls import Answer, not_run, unknown
+from waxwingsaddle.choice import Choice, Key, Upstream, key_of
 from waxwingsaddle.guarding import Guarding
 from waxwingsaddle.hedge import Hedges
 from waxwingsaddle.remote import RemoteCalls
 from waxwingsaddle.retry import Attempt, Retries
 from waxwingsaddle.routing import Match
+from waxwingsaddle.tasks import ServicePolicies, Task, close_rest, ended
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.work import Call
 
@@ -36,48 +35,6 @@
 _hedges = _attempts.labels('hedge')
 
 
-@dataclass(slots=True)
-class Task:
-    """One call of a caller.
-
-    Attributes:
-        match: Its route.
-        request: What to send.
-        deadline_s: When the caller gives up.
-        is_cancelled: Whether the caller is gone.
-        claim: Encoded claim of the idempotency key; empty without one.
-        running: Attempts in flight: call identifier and upstream.
-        number: Attempts made so far.
-        may_have_run: Whether the outcome of an attempt is unknown.
-    """
-
-    match: Match
-    request: Request
-    deadline_s: float
-    is_cancelled: bool = False
-    claim: bytes = b''
-    running: dict[str, Upstream] = field(default_factory=dict)
-    number: int = 0
-    may_have_run: bool = False
-
-
-@dataclass(slots=True)
-class _ServicePolicies:
-    """What a node learned about one service."""
-
-    service: Service
-    choice: Choice
-    retries: Retries
-    hedges: Hedges
-
-    def configure(self, service: Service) -> None:
-        if service is not self.service:
-            self.service = service
-            self.choice.configure(service)
-            self.retries.configure(service)
-            self.hedges.configure(service)
-
-
 class Dispatch:
     """Runs calls at the upstreams of their services.
 
@@ -108,7 +65,7 @@
         self._guarding = guarding
         self._remote = remote
         self._clock = clock
-        self._policies: dict[str, _ServicePolicies] = {}
+        self._policies: dict[str, ServicePolicies] = {}
         # The random part keeps identifiers of restarted nodes apart.
         self._id_prefix = f'{host}-{os.urandom(6).hex()}-'
         self._ids = count(1)
@@ -155,7 +112,7 @@
 
     def _may_retry(
         self,
-        policies: _ServicePolicies,
+        policies: ServicePolicies,
         task: Task,
         call: Call,
         answer: Answer,
@@ -173,7 +130,7 @@
 
     def _first_or_hedge(
         self,
-        policies: _ServicePolicies,
+        policies: ServicePolicies,
         task: Task,
         call: Call,
         upstream: Upstream,
@@ -195,7 +152,7 @@
 
     def _hedged(
         self,
-        policies: _ServicePolicies,
+        policies: ServicePolicies,
         task: Task,
         call: Call,
         upstream: Upstream,
@@ -223,7 +180,7 @@
     def _queue_attempt(
         self,
         answers: LightQueue,
-        policies: _ServicePolicies,
+        policies: ServicePolicies,
         task: Task,
         call: Call,
         upstream: Upstream,
@@ -243,14 +200,14 @@
             if not running:
                 return answer
             if not self._is_failed(answer):
-                eventlet.spawn_n(_close_rest, answers, len(running))
+                eventlet.spawn_n(close_rest, answers, len(running))
                 for loser in running:
                     self._cancel(loser.call_id, task.running[loser.call_id])
                 return answer
 
     def _attempt(
         self,
-        policies: _ServicePolicies,
+        policies: ServicePolicies,
         task: Task,
         call: Call,
         upstream: Upstream,
@@ -265,7 +222,7 @@
             _end_attempt(task, call.call_id, answer)
             policies.choice.finished(
                 ticket,
-                _ended(answer, self._clock() - begun_s),
+                ended(answer, self._clock() - begun_s),
             )
         return answer
 
@@ -306,7 +263,7 @@
     def _next_id(self) -> str:
         return f'{self._id_prefix}{next(self._ids)}'
 
-    def _policies_of(self, match: Match) -> _ServicePolicies:
+    def _policies_of(self, match: Match) -> ServicePolicies:
         name = match.route.service
         policies = self._policies.get(name)
         if policies is None:
@@ -318,7 +275,7 @@
                 self._clock,
                 random.Random(),
             )
-            policies = _ServicePolicies(
+            policies = ServicePolicies(
                 service,
                 choice,
                 Retries(service, self._clock),
@@ -336,32 +293,3 @@
     task.running.pop(call_id, None)
     if answer is None or answer.outcome not in _EXACT_OUTCOMES:
         task.may_have_run = True
-
-
-def _ended(answer: Answer | None, took_s: float) -> Ended:
-    return Ended(
-        evidence=_evidence(answer),
-        took_s=took_s,
-        load=answer and answer.load,
-        retry_after_ms=answer.retry_after_ms if answer else 0,
-    )
-
-
-def _evidence(answer: Answer | None) -> Evidence:
-    if answer is None or answer.reason == 'cancelled':
-        return Evidence.CANCELLED
-    if answer.outcome is Outcome.RAN:
-        return Evidence.ANSWERED
-    # Only a guard that was reached tells its load.
-    is_refused = answer.outcome is Outcome.NOT_RUN and answer.load is not None
-    if is_refused and answer.reason != 'upstream-refused':
-        return Evidence.REFUSED
-    return Evidence.FAILED
-
-
-def _close_rest(answers: LightQueue, number: int) -> None:
-    # The losers of a hedge may still bring a streamed body.
-    for _ in range(number):
-        answer = answers.get()[1]
-        if answer.stream is not None:
-            answer.stream.close()
--- a/waxwingsaddle/guarding.py
+++ b/waxwingsaddle/guarding.py
@@ -18,7 +18,8 @@
     Queued,
     Refused,
 )
-from waxwingsaddle.http_leg import Exchange, LegPolicy, UpstreamLeg
+from waxwingsaddle.http_leg import LegPolicy, UpstreamLeg
+from waxwingsaddle.upstream_connection import Exchange
 from waxwingsaddle.upstreams import Announcement, Upstreams
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.util.recent import RecentSet
@@ -101,7 +102,7 @@
 
     @property
     def pending(self) -> int:
-        """The number of calls that are queued or running."""
+        """Number of calls that are queued or running."""
         return len(self._jobs)
 
     def refresh(self, **_fields: object) -> None:
--- a/waxwingsaddle/hop.py
+++ b/waxwingsaddle/hop.py
@@ -11,9 +11,18 @@
 from eventlet.event import Event
 from eventlet.green import zmq
 
-from waxwingsaddle import logs, metrics
+from waxwingsaddle import metrics
+from waxwingsaddle.envelope import (
+    PROBE,
+    Envelope,
+    NoReply,
+    RawHandler,
+    Received,
+    decode,
+    encode,
+    run_handler,
+)
 from waxwingsaddle.link import NOBLOCK, Frames, Link, LinkPolicy, process_events
-from waxwingsaddle.util.codec import pack
 
 _Reply = TypeVar('_Reply', bound=msgspec.Struct)
 
@@ -29,52 +38,6 @@
 )
 
 
-class Envelope(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """The first frame of every message between nodes.
-
-    Attributes:
-        kind: Name of the message type.
-        request_id: Identifier chosen by the asking node; 0 wants no reply.
-        is_reply: Whether it answers a request.
-        body: The encoded message.
-    """
-
-    kind: str
-    request_id: int
-    is_reply: bool
-    body: msgspec.Raw
-
-
-@dataclass(frozen=True, slots=True)
-class NoReply:
-    """A request that got no reply.
-
-    Attributes:
-        address: Call address of the peer.
-        was_sent: Whether the peer may have received the request.
-        reason: `unreachable`, `lost`, `timeout` or `malformed`.
-    """
-
-    address: str
-    was_sent: bool
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class Received:
-    """A message as it arrived.
-
-    Attributes:
-        sender: Route of the connection it came on, for `Hop.answer`.
-        body: The encoded message.
-        frames: Raw frames that followed.
-    """
-
-    sender: bytes
-    body: msgspec.Raw
-    frames: Frames
-
-
 @dataclass(slots=True)
 class _Waiting:
     link: Link
@@ -87,9 +50,6 @@
     handler: Callable[[Any], msgspec.Struct | None]
 
 
-RawHandler = Callable[[Received], None]
-
-
 class Hop:
     """Sends messages to other nodes and serves theirs.
 
@@ -176,7 +136,7 @@
         waiting = _Waiting(link, Event())
         self._waiting[request_id] = waiting
         try:
-            if not link.send([_envelope(message, request_id)]):
+            if not link.send([encode(message, request_id)]):
                 return NoReply(call_address, False, 'unreachable')
             reply = None
             with eventlet.Timeout(limit_s - time.monotonic(), False):
@@ -192,13 +152,9 @@
             return NoReply(call_address, True, 'malformed')
 
     def notify(self, call_address: str, message: msgspec.Struct) -> bool:
-        """Sends a message that wants no reply.
-
-        Returns:
-            False if no byte left.
-        """
+        """Sends a message that wants no reply; False if no byte left."""
         link = self.link(call_address)
-        return link.wait_connected() and link.send([_envelope(message)])
+        return link.wait_connected() and link.send([encode(message)])
 
     def on_raw(self, message_type: type, handler: RawHandler) -> None:
         """Serves messages of one type inline; the handler must not block."""
@@ -242,7 +198,7 @@
         Returns:
             False if no byte left.
         """
-        return link.send([_envelope(message), *frames])
+        return link.send([encode(message), *frames])
 
     def answer(
         self,
@@ -255,12 +211,12 @@
         Returns:
             False if that connection is gone or its queue is full.
         """
-        return self._answer([sender, _envelope(message), *frames])
+        return self._answer([sender, encode(message), *frames])
 
     def is_reachable(self, sender: bytes) -> bool:
         """Says whether the connection a message came on still stands."""
         try:
-            self._router.send_multipart([sender, _PROBE], NOBLOCK)
+            self._router.send_multipart([sender, PROBE], NOBLOCK)
         except zmq.ZMQError as error:
             process_events(self._router)
             return error.errno != zmq.EHOSTUNREACH
@@ -287,13 +243,13 @@
 
     def _take(self, frames: Frames) -> None:
         try:
-            envelope = _decode(frames[1])
+            envelope = decode(frames[1])
         except (IndexError, msgspec.DecodeError):
             _dropped.labels('malformed').inc()
             return
         raw_handler = self._raw_handlers.get(envelope.kind)
         if raw_handler is not None:
-            _guarded(
+            run_handler(
                 raw_handler,
                 Received(frames[0], envelope.body, frames[2:]),
             )
@@ -315,11 +271,11 @@
             return
         reply = subscription.handler(message)
         if reply is not None and envelope.request_id:
-            self._answer([sender, _envelope(reply, envelope.request_id, True)])
+            self._answer([sender, encode(reply, envelope.request_id, True)])
 
     def _on_link_message(self, frames: Frames) -> None:
         try:
-            envelope = _decode(frames[0])
+            envelope = decode(frames[0])
         except (IndexError, msgspec.DecodeError):
             _dropped.labels('malformed').inc()
             return
@@ -330,7 +286,7 @@
             return
         handler = self._answer_handlers.get(envelope.kind)
         if handler is not None:
-            _guarded(handler, Received(b'', envelope.body, frames[1:]))
+            run_handler(handler, Received(b'', envelope.body, frames[1:]))
 
     def _on_lost(self, link: Link, lane: str) -> None:
         if self._links.get((link.address, lane)) is link:
@@ -340,26 +296,3 @@
                 waiting.done.send(None)
         for handler in self._lost_handlers:
             handler(link)
-
-
-# No node handles this kind; sending it finds out whether a peer is there.
-_PROBE = pack(Envelope('Probe', 0, False, msgspec.Raw(pack(None))))
-
-_decode = msgspec.msgpack.Decoder(Envelope).decode
-
-
-def _envelope(
-    message: msgspec.Struct,
-    request_id: int = 0,
-    is_reply: bool = False,
-) -> bytes:
-    body = msgspec.Raw(pack(message))
-    return pack(Envelope(type(message).__name__, request_id, is_reply, body))
-
-
-def _guarded(handler: RawHandler, received: Received) -> None:
-    # One bad message must not end the thread that serves all of them.
-    try:
-        handler(received)
-    except Exception:
-        logs.logger().exception('message handler failed')
--- a/waxwingsaddle/http_leg.py
+++ b/waxwingsaddle/http_leg.py
@@ -4,7 +4,6 @@
 side: a general client library costs 0.6 ms of processor time a call.
 """
 
-import socket
 from collections import defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -20,8 +19,15 @@
     passed_on,
     unknown,
 )
-from waxwingsaddle.heads import AnswerHead, MalformedError, parse_answer
+from waxwingsaddle.heads import AnswerHead, MalformedError
 from waxwingsaddle.retry import RETRIED_HEADER
+from waxwingsaddle.upstream_connection import (
+    BODYLESS,
+    Connection,
+    Exchange,
+    body_of,
+    read_head,
+)
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.web import split_address
@@ -30,11 +36,6 @@
 _LEG_ERRORS = (OSError, MalformedError)
 # A timeout of zero would make the socket non-blocking.
 _LEAST_TIMEOUT_S = 0.001
-_MAX_HEAD_BYTES = 32_768
-_HEAD_END = b'\r\n\r\n'
-_LINE_END = b'\r\n'
-_BODYLESS = frozenset((204, 304))
-_LEAST_FINAL_STATUS = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,49 +59,6 @@
     stall_timeout_s: float = 10
 
 
-class _Connection:
-    """One connection to an upstream, with buffered reading."""
-
-    def __init__(self, target: tuple[str, int], timeout_s: float) -> None:
-        self.sock = socket.create_connection(target, timeout_s)
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.reader = self.sock.makefile('rb')
-        self.idle_since_s = 0.0
-
-    def is_idle(self) -> bool:
-        """Says whether it is open with nothing to read."""
-        try:
-            self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
-
-    def close(self) -> None:
-        """Closes it."""
-        self.reader.close()
-        self.sock.close()
-
-
-class Exchange:
-    """One request on the leg, which another green thread may abort."""
-
-    def __init__(self) -> None:
-        self.is_aborted = False
-        self.connection: _Connection | None = None
-
-    def abort(self) -> None:
-        """Closes the connection below the request: the upstream notices."""
-        self.is_aborted = True
-        if self.connection is not None:
-            try:
-                self.connection.sock.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                # The upstream closed it first.
-                return
-
-
 class UpstreamLeg:
     """Connections to one upstream, with separate pools for long work.
 
@@ -120,7 +78,7 @@
         self._target = split_address(address)
         self._policy = policy
         self._clock = clock
-        self._idle: dict[Lane, list[_Connection]] = defaultdict(list)
+        self._idle: dict[Lane, list[Connection]] = defaultdict(list)
         self._open = 0
         self._is_closed = False
 
@@ -175,7 +133,7 @@
 
     def _run(
         self,
-        connection: _Connection,
+        connection: Connection,
         request: Request,
         lane: Lane,
         deadline_s: float,
@@ -183,8 +141,8 @@
         left_s = max(_LEAST_TIMEOUT_S, deadline_s - self._clock())
         connection.sock.settimeout(left_s)
         self._write(connection, request, left_s)
-        head = _read_head(connection)
-        body = _body(connection, request, head)
+        head = read_head(connection)
+        body = body_of(connection, request, head)
         inline = body.read(self._policy.inline_bytes)
         if body.is_whole:
             self._release(connection, head, lane)
@@ -205,7 +163,7 @@
 
     def _write(
         self,
-        connection: _Connection,
+        connection: Connection,
         request: Request,
         left_s: float,
     ) -> None:
@@ -228,7 +186,7 @@
         ).encode('latin-1')
         connection.sock.sendall(head + body if body else head)
 
-    def _connection(self, lane: Lane, left_s: float) -> _Connection | Answer:
+    def _connection(self, lane: Lane, left_s: float) -> Connection | Answer:
         idle = self._idle[lane]
         oldest_s = self._clock() - self._policy.idle_limit_s
         while idle:
@@ -240,7 +198,7 @@
             return not_run('connections')
         self._open += 1
         try:
-            return _Connection(
+            return Connection(
                 self._target,
                 min(left_s, self._policy.connect_timeout_s),
             )
@@ -250,7 +208,7 @@
 
     def _end_stream(
         self,
-        connection: _Connection,
+        connection: Connection,
         head: AnswerHead,
         lane: Lane,
         is_whole: bool,
@@ -262,13 +220,13 @@
 
     def _release(
         self,
-        connection: _Connection,
+        connection: Connection,
         head: AnswerHead,
         lane: Lane,
     ) -> None:
         framing = head.framing
         is_delimited = framing.is_chunked or framing.length is not None
-        is_bodyless = head.status in _BODYLESS
+        is_bodyless = head.status in BODYLESS
         if self._is_closed or not framing.is_kept:
             self._discard(connection)
         elif is_delimited or is_bodyless:
@@ -277,7 +235,7 @@
         else:
             self._discard(connection)
 
-    def _discard(self, connection: _Connection) -> None:
+    def _discard(self, connection: Connection) -> None:
         self._open -= 1
         connection.close()
 
@@ -289,7 +247,7 @@
         self,
         first: bytes,
         body: Body,
-        connection: _Connection,
+        connection: Connection,
         policy: LegPolicy,
         on_end: Callable[[bool], None],
     ) -> None:
@@ -318,39 +276,6 @@
             self._on_end(self._body.is_whole)
 
 
-def _read_head(connection: _Connection) -> AnswerHead:
-    while True:
-        head = parse_answer(_raw_head(connection))
-        if head.status >= _LEAST_FINAL_STATUS:
-            return head
-
-
-def _raw_head(connection: _Connection) -> bytes:
-    reader = connection.reader
-    buffered = reader.peek()
-    end = buffered.find(_HEAD_END)
-    if end >= 0:
-        return reader.read(end + len(_HEAD_END))
-    lines = []
-    left = _MAX_HEAD_BYTES
-    while left > 0:
-        line = reader.readline(left)
-        lines.append(line)
-        left -= len(line)
-        if line == _LINE_END:
-            return b''.join(lines)
-        if not line:
-            raise MalformedError('the upstream closed the connection')
-    raise MalformedError('the head is too large')
-
-
-def _body(connection: _Connection, request: Request, head: AnswerHead) -> Body:
-    is_bodyless = request.method == 'HEAD' or head.status in _BODYLESS
-    body = Body(connection.reader, head.framing, is_to_end=not is_bodyless)
-    body.is_whole = body.is_whole or is_bodyless
-    return body
-
-
 def _answer(head: AnswerHead, body: bytes) -> Answer:
     # An upstream that sheds a call says that it did not run it.
     if head.fields.get(OUTCOME_HEADER.lower()) == Outcome.NOT_RUN.value:
--- /dev/null
+++ b/waxwingsaddle/tasks.py
@@ -0,0 +1,88 @@
+"""Calls of callers while they run, and what a node learned of services."""
+
+from dataclasses import dataclass, field
+
+from eventlet.queue import LightQueue
+
+from waxwingsaddle.calls import Answer, Request
+from waxwingsaddle.choice import Choice, Ended, Upstream
+from waxwingsaddle.config import Service
+from waxwingsaddle.ejection import Evidence
+from waxwingsaddle.hedge import Hedges
+from waxwingsaddle.retry import Retries
+from waxwingsaddle.routing import Match
+from waxwingsaddle.util.outcome import Outcome
+
+
+@dataclass(slots=True)
+class Task:
+    """One call of a caller.
+
+    Attributes:
+        match: Its route.
+        request: What to send.
+        deadline_s: When the caller gives up.
+        is_cancelled: Whether the caller is gone.
+        claim: Encoded claim of the idempotency key; empty without one.
+        running: Attempts in flight: call identifier and upstream.
+        number: Attempts made so far.
+        may_have_run: Whether the outcome of an attempt is unknown.
+    """
+
+    match: Match
+    request: Request
+    deadline_s: float
+    is_cancelled: bool = False
+    claim: bytes = b''
+    running: dict[str, Upstream] = field(default_factory=dict)
+    number: int = 0
+    may_have_run: bool = False
+
+
+@dataclass(slots=True)
+class ServicePolicies:
+    """What a node learned about one service."""
+
+    service: Service
+    choice: Choice
+    retries: Retries
+    hedges: Hedges
+
+    def configure(self, service: Service) -> None:
+        """Adopts the tunables of a new configuration."""
+        if service is not self.service:
+            self.service = service
+            self.choice.configure(service)
+            self.retries.configure(service)
+            self.hedges.configure(service)
+
+
+def ended(answer: Answer | None, took_s: float) -> Ended:
+    """Returns what the choice learns from an attempt."""
+    return Ended(
+        evidence=_evidence(answer),
+        took_s=took_s,
+        load=answer and answer.load,
+        retry_after_ms=answer.retry_after_ms if answer else 0,
+    )
+
+
+def _evidence(answer: Answer | None) -> Evidence:
+    if answer is None or answer.reason == 'cancelled':
+        return Evidence.CANCELLED
+    if answer.outcome is Outcome.RAN:
+        return Evidence.ANSWERED
+    # Only a guard that was reached tells its load.
+    is_refused = answer.outcome is Outcome.NOT_RUN and answer.load is not None
+    if is_refused and answer.reason != 'upstream-refused':
+        return Evidence.REFUSED
+    return Evidence.FAILED
+
+
+def close_rest(answers: LightQueue, number: int) -> None:
+    """Closes the bodies of the losers of a hedge as they come."""
+    # The losers of a hedge may still bring a streamed body.
+    for _ in range(number):
+        answer = answers.get()[1]
+        if answer.stream is not None:
+            answer.stream.close()
--- /dev/null
+++ b/waxwingsaddle/upstream_connection.py
@@ -0,0 +1,96 @@
+"""One HTTP connection to an upstream."""
+
+import socket
+
+from waxwingsaddle.bodies import Body
+from waxwingsaddle.calls import Request
+from waxwingsaddle.heads import AnswerHead, MalformedError, parse_answer
+
+BODYLESS = frozenset((204, 304))
+_MAX_HEAD_BYTES = 32_768
+_HEAD_END = b'\r\n\r\n'
+_LINE_END = b'\r\n'
+_LEAST_FINAL_STATUS = 200
+
+
+class Connection:
+    """One connection to an upstream, with buffered reading."""
+
+    def __init__(self, target: tuple[str, int], timeout_s: float) -> None:
+        self.sock = socket.create_connection(target, timeout_s)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.reader = self.sock.makefile('rb')
+        self.idle_since_s = 0.0
+
+    def is_idle(self) -> bool:
+        """Says whether it is open with nothing to read."""
+        try:
+            self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        """Closes it."""
+        self.reader.close()
+        self.sock.close()
+
+
+class Exchange:
+    """One request on the leg, which another green thread may abort."""
+
+    def __init__(self) -> None:
+        self.is_aborted = False
+        self.connection: Connection | None = None
+
+    def abort(self) -> None:
+        """Closes the connection below the request: the upstream notices."""
+        self.is_aborted = True
+        if self.connection is not None:
+            try:
+                self.connection.sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                # The upstream closed it first.
+                return
+
+
+def read_head(connection: Connection) -> AnswerHead:
+    """Returns the head of the final answer.
+
+    Raises:
+        MalformedError: It is malformed, or the connection ended.
+        OSError: The connection broke off.
+    """
+    while True:
+        head = parse_answer(_raw_head(connection))
+        if head.status >= _LEAST_FINAL_STATUS:
+            return head
+
+
+def _raw_head(connection: Connection) -> bytes:
+    reader = connection.reader
+    buffered = reader.peek()
+    end = buffered.find(_HEAD_END)
+    if end >= 0:
+        return reader.read(end + len(_HEAD_END))
+    lines = []
+    left = _MAX_HEAD_BYTES
+    while left > 0:
+        line = reader.readline(left)
+        lines.append(line)
+        left -= len(line)
+        if line == _LINE_END:
+            return b''.join(lines)
+        if not line:
+            raise MalformedError('the upstream closed the connection')
+    raise MalformedError('the head is too large')
+
+
+def body_of(connection: Connection, request: Request, head: AnswerHead) -> Body:
+    """Returns the body that follows the head of an answer."""
+    is_bodyless = request.method == 'HEAD' or head.status in BODYLESS
+    body = Body(connection.reader, head.framing, is_to_end=not is_bodyless)
+    body.is_whole = body.is_whole or is_bodyless
+    return body
