Use the administration API in the test of the whole path

Change: the test posts the form of the API and checks the accepted version in place of the kind; an edit that is not accepted answers with an error status, on which the request fails.

--- a/test/test_distribution_processes.py
+++ b/test/test_distribution_processes.py
@@ -68,9 +68,9 @@
             'overlays': {'north': ''},
         }
         if self.program == 'control':
-            edit = {'sources': files, 'author': 'test'}
+            edit = {**files, 'author': 'test'}
             answer = ask(self._http(numbers[0]), '/v1/edits', edit)
-            assert answer['type'] == 'accepted', answer
+            assert answer['version'] == version, answer
             return
         for number in numbers:
             ask(self._http(number), '/v1/accept', files)
