--- a/waxwingsaddle/raft_driver.py
+++ b/waxwingsaddle/raft_driver.py
@@ -254,6 +254,8 @@
         self._applied = Snapshot(entry.index, entry.term)
         proposal = self._proposals.pop(entry.index, None)
         if proposal is not None:
+            # A replica that was replaced and leads again within one batch of
+            # inputs may find the entry of another leader at the index.
             is_own = proposal.entry.term == entry.term
             proposal.concluded.send(outcome if is_own else None)
 
