Start the trial deployment with the interpreter that wrote it

Cause: the Procfile needed an activated virtual environment. Change: it names the interpreter. Conclusion: the README's trial works from any shell.

--- a/waxwingsaddle/deployment.py
+++ b/waxwingsaddle/deployment.py
@@ -1,6 +1,7 @@
 """Settings of a whole deployment on one machine, for trials and experiments."""
 
 import json
+import sys
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from itertools import chain, count, cycle, repeat
@@ -327,7 +328,7 @@
 
 def _write_procfile(folder: Path, members: tuple[Member, ...]) -> None:
     lines = (
-        f'{one.host}: python -m waxwingsaddle.ui.{one.program} '
+        f'{one.host}: {sys.executable} -m waxwingsaddle.ui.{one.program} '
         f'{one.command} --settings {folder.resolve() / one.host}.toml\n'
         for one in members
     )
