--- a/test/test_distribution_processes.py
+++ b/test/test_distribution_processes.py
@@ -10,7 +10,7 @@
 
 from test.distribution_fakes import control_hosts
 from test.processes import Process, free_address, is_ready, wait_until
-from waxwingsaddle.distribution_bench import ask, base_file
+from waxwingsaddle.distribution_rig import ask, base_file
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 NODES = 10
@@ -68,9 +68,9 @@
             'overlays': {'north': ''},
         }
         if self.program == 'control':
-            edit = {'sources': files, 'author': 'test'}
+            edit = {**files, 'author': 'test'}
             answer = ask(self._http(numbers[0]), '/v1/edits', edit)
-            assert answer['type'] == 'accepted', answer
+            assert answer.get('version') == version, answer
             return
         for number in numbers:
             ask(self._http(number), '/v1/accept', files)
--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -202,7 +202,7 @@
             if not self._is_failed(answer):
                 eventlet.spawn_n(close_rest, answers, len(running))
                 for loser in running:
-                    self._cancel(loser.call_id, task.running[loser.call_id])
+                    self._withdraw(task, loser.call_id)
                 return answer
 
     def _attempt(
@@ -212,6 +212,8 @@
         call: Call,
         upstream: Upstream,
     ) -> Answer:
+        if call.call_id in task.withdrawn:
+            return not_run('withdrawn')
         begun_s = self._clock()
         ticket = policies.choice.started(upstream, call)
         task.running[call.call_id] = upstream
@@ -243,6 +245,15 @@
         )
         return answer or unknown('duplicate')
 
+    def _withdraw(self, task: Task, call_id: str) -> None:
+        # The green thread of a hedge may not have begun yet when the first
+        # attempt is answered, or may have ended with its answer queued.
+        upstream = task.running.get(call_id)
+        if upstream is None:
+            task.withdrawn.add(call_id)
+        else:
+            self._cancel(call_id, upstream)
+
     def _cancel(self, call_id: str, upstream: Upstream) -> None:
         if upstream.host == self._host:
             self._guarding.cancel(call_id)
--- a/waxwingsaddle/tasks.py
+++ b/waxwingsaddle/tasks.py
@@ -25,8 +25,10 @@
         is_cancelled: Whether the caller is gone.
         claim: Encoded claim of the idempotency key; empty without one.
         running: Attempts in flight: call identifier and upstream.
+        withdrawn: Attempts withdrawn before they began.
         number: Attempts made so far.
         may_have_run: Whether the outcome of an attempt is unknown.
+        may_have_run: Whether the outcome of an attempt is unknown.
     """
 
     match: Match
@@ -35,8 +37,10 @@
     is_cancelled: bool = False
     claim: bytes = b''
     running: dict[str, Upstream] = field(default_factory=dict)
+    withdrawn: set[str] = field(default_factory=set)
     number: int = 0
     may_have_run: bool = False
+    may_have_run: bool = False
 
 
 @dataclass(slots=True)
