--- a/waxwingsaddle/config.py
+++ b/waxwingsaddle/config.py
@@ -62,7 +62,7 @@
     retention_s: Annotated[int, msgspec.Meta(ge=1, le=MAX_RETENTION_S)] = 86_400
     hedge_percent: Percent = 5
     retry_percent: Percent = 10
-    long_slots_percent: Percent = 50
+    long_slots_percent: Percent = 34
     long_ratio: Ratio = 4
     initial_run_ms: TimeoutMs = 20
     queue_wait_ms: TimeoutMs = 250
