--- a/waxwingsaddle/distribution_rig.py
+++ b/waxwingsaddle/distribution_rig.py
@@ -184,7 +184,12 @@
     )
 
 
-def start(program: str, settings: str, folder: str) -> subprocess.Popen:
+def start(
+    program: str,
+    settings: str,
+    folder: str,
+    *arguments: str,
+) -> subprocess.Popen:
     """Starts a program with settings in a file of the folder."""
     handle = tempfile.mkstemp(suffix='.toml', dir=folder)[1]
     Path(handle).write_text(settings, encoding='utf-8')
@@ -195,6 +200,7 @@
             'ignore',
             '-m',
             f'waxwingsaddle.ui.{program}',
+            *arguments,
             '--settings',
             handle,
         ],
@@ -239,10 +245,15 @@
             wait_for(lambda: len(running.in_force()) == nodes)
             yield running
         finally:
-            for process in processes:
-                process.send_signal(signal.SIGTERM)
-            for process in processes:
-                process.wait(STOP_LIMIT_S)
+            stop(processes)
+
+
+def stop(processes: list[subprocess.Popen]) -> None:
+    """Stops processes and waits for their end."""
+    for process in processes:
+        process.send_signal(signal.SIGTERM)
+    for process in processes:
+        process.wait(STOP_LIMIT_S)
 
 
 def wait_for(condition: Any) -> None:
