--- a/waxwingsaddle/callers.py
+++ b/waxwingsaddle/callers.py
@@ -121,6 +121,7 @@
 
     def _call(self, arrival: Arrival, started_s: float) -> None:
         due_s = started_s + arrival.at_s
+        start_lag_ms = (monotonic_s() - due_s) * MS_PER_S
         answer = self._send(arrival)
         for _ in range(arrival.flow.resends):
             if answer.outcome in {'ran', 'not-run'}:
@@ -129,7 +130,7 @@
             answer = self._send(arrival)
         took_ms = (monotonic_s() - due_s) * MS_PER_S
         if arrival.at_s >= arrival.flow.measure_from_s:
-            self._recorder.record(arrival, answer, took_ms)
+            self._recorder.record(arrival, answer, took_ms, start_lag_ms)
 
     def _send(self, arrival: Arrival) -> Answer:
         flow = arrival.flow
--- a/waxwingsaddle/report.py
+++ b/waxwingsaddle/report.py
@@ -12,6 +12,7 @@
 SIGNIFICANT_DIGITS = 3
 US_PER_MS = 1000
 PERCENTILES = (50, 90, 99, 99.9, 100)
+START_LAG_PERCENTILE = 99
 
 
 class _Flow(Protocol):
@@ -41,6 +42,9 @@
         success_percent: Calls that ran and were answered whole.
         outcomes: Calls by outcome.
         percentiles_ms: Latency of successful calls, from the scheduled start.
+        start_lag_p99_ms: How late the load tool itself started calls; the
+            latencies contain it, so a large value means that the tool, not
+            the system, was short of processor time.
         successes_by_second: Successful calls by second of their start.
     """
 
@@ -48,6 +52,7 @@
     success_percent: float
     outcomes: dict[str, int]
     percentiles_ms: dict[str, float]
+    start_lag_p99_ms: float
     successes_by_second: dict[int, int]
 
 
@@ -56,6 +61,7 @@
 
     def __init__(self) -> None:
         self._histograms: dict[str, HdrHistogram] = {}
+        self._start_lags: dict[str, HdrHistogram] = {}
         self._outcomes: dict[str, Counter[str]] = {}
         self._seconds: dict[str, Counter[int]] = {}
 
@@ -64,15 +70,18 @@
         call: RecordedCall,
         answer: RecordedAnswer,
         took_ms: float,
+        start_lag_ms: float,
     ) -> None:
         """Counts one answer."""
         name = call.flow.name
+        start_lags = self._start_lags.setdefault(name, _histogram())
+        start_lags.record_value(_us(start_lag_ms))
         self._outcomes.setdefault(name, Counter())[_label(answer)] += 1
         if not answer.is_success:
             return
         self._seconds.setdefault(name, Counter())[int(call.at_s)] += 1
         histogram = self._histograms.setdefault(name, _histogram())
-        histogram.record_value(max(LOWEST_US, int(took_ms * US_PER_MS)))
+        histogram.record_value(_us(took_ms))
 
     def report(self) -> dict[str, FlowReport]:
         """Returns the figures by flow name."""
@@ -92,6 +101,11 @@
                 str(share): _ms(histogram.get_value_at_percentile(share))
                 for share in PERCENTILES
             },
+            start_lag_p99_ms=_ms(
+                self._start_lags[name].get_value_at_percentile(
+                    START_LAG_PERCENTILE
+                ),
+            ),
             successes_by_second=dict(
                 sorted(self._seconds.get(name, Counter()).items()),
             ),
@@ -108,7 +122,8 @@
         )
         yield (
             f'  {name}: {flow.calls} calls, '
-            f'{flow.success_percent:.3f}% success  {percentiles}'
+            f'{flow.success_percent:.3f}% success  {percentiles}  '
+            f'(start lag p99 {flow.start_lag_p99_ms:.2f} ms)'
         )
         yield f'    outcomes: {flow.outcomes}'
 
@@ -121,6 +136,10 @@
     return answer.outcome
 
 
+def _us(took_ms: float) -> int:
+    return max(LOWEST_US, int(took_ms * US_PER_MS))
+
+
 def _ms(value_us: int) -> float:
     return round(value_us / US_PER_MS, 3)
 
