Refuse a taken address with one readable line

Cause: a second process on a taken port ended in a traceback (zmq), or shared the port silently (HTTP: eventlet sets SO_REUSEPORT by default). Change: sockets that listen raise ListenError with the address; HTTP servers do not share ports. Conclusion: two hosts with one address are found at the start.

--- a/waxwingsaddle/hop.py
+++ b/waxwingsaddle/hop.py
@@ -23,6 +23,7 @@
     run_handler,
 )
 from waxwingsaddle.link import NOBLOCK, Frames, Link, LinkPolicy, process_events
+from waxwingsaddle.listening import listening
 
 _Reply = TypeVar('_Reply', bound=msgspec.Struct)
 
@@ -78,7 +79,8 @@
         self._router = self._context.socket(zmq.ROUTER)
         self._policy.apply(self._router)
         self._router.setsockopt(zmq.ROUTER_MANDATORY, 1)
-        self._router.bind(f'tcp://{self._call_address}')
+        with listening(self._call_address):
+            self._router.bind(f'tcp://{self._call_address}')
         self._thread = eventlet.spawn(self._serve)
 
     def stop(self) -> None:
--- a/waxwingsaddle/peers.py
+++ b/waxwingsaddle/peers.py
@@ -16,6 +16,7 @@
 
 from waxwingsaddle import logs, metrics
 from waxwingsaddle.addresses import ControlHost
+from waxwingsaddle.listening import listening
 from waxwingsaddle.util.codec import pack
 
 # ZMTP puts 2 bytes before a short frame and 9 before a long one.
@@ -180,7 +181,8 @@
     def start(self) -> None:
         """Binds, connects and receives in a green thread."""
         self._receiver = self._socket(zmq.ROUTER)
-        self._receiver.bind(f'tcp://{self._address}')
+        with listening(self._address):
+            self._receiver.bind(f'tcp://{self._address}')
         for host in self._known:
             self._open_sender(host)
         self._thread = greenthread.spawn(self._receive_all)
--- a/waxwingsaddle/program.py
+++ b/waxwingsaddle/program.py
@@ -12,6 +12,7 @@
 
 from waxwingsaddle import logs, settings
 from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.listening import ListenError
 
 EXIT_SETTINGS = 2
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -44,7 +45,8 @@
         arguments: Command line; that of the process when absent.
 
     Returns:
-        The exit status: 0 after a graceful stop, 2 for unusable settings.
+        The exit status: 0 after a graceful stop, 2 for unusable settings, such
+            as an address that is taken.
     """
     parser = argparse.ArgumentParser(prog=f'waxwing-{table}')
     parser.add_argument('--settings', type=Path, required=True)
@@ -62,7 +64,11 @@
     if isinstance(kernel, settings.SettingsError):
         return _unusable(table, kernel)
     stop_requests = _stop_requests()
-    kernel.start()
+    try:
+        kernel.start()
+    except ListenError as error:
+        print(f'waxwing-{table}: {path}: {error}', file=sys.stderr)
+        return EXIT_SETTINGS
     logs.logger().info('started')
     stop_requests.recv(1)
     logs.logger().info('stopping')
--- a/waxwingsaddle/web.py
+++ b/waxwingsaddle/web.py
@@ -9,6 +9,7 @@
 
 from waxwingsaddle import metrics
 from waxwingsaddle.events import Timeline
+from waxwingsaddle.listening import listening
 from waxwingsaddle.util.codec import pack_json
 from waxwingsaddle.util.numbers import parse_number
 
@@ -136,10 +137,14 @@
 
     def start(self) -> None:
         """Listens and serves in a green thread."""
-        listener = convenience.listen(
-            split_address(self._address),
-            backlog=LISTEN_BACKLOG,
-        )
+        with listening(self._address):
+            listener = convenience.listen(
+                split_address(self._address),
+                backlog=LISTEN_BACKLOG,
+                # eventlet shares ports by default, which would split the
+                # calls between two processes by mistake.
+                reuse_port=False,
+            )
         self._thread = greenthread.spawn(
             wsgi.server,
             listener,
