Move the settings of the fault proxy to faults_settings

Change: Condition, LinkSettings and FaultsSettings are in faults_settings; the importers name the new module.

--- a/waxwingsaddle/ui/load.py
+++ b/waxwingsaddle/ui/load.py
@@ -17,8 +17,8 @@
     report,
 )
 from waxwingsaddle.callers import Callers
-from waxwingsaddle.faults import FaultsSettings
 from waxwingsaddle.faults import build as build_faults
+from waxwingsaddle.faults_settings import FaultsSettings
 from waxwingsaddle.settings import SettingsError
 from waxwingsaddle.standin import StandinSettings
 from waxwingsaddle.standin import build as build_standin
