Move the models of a site document to config_models

Change: Service, Route, SiteDocument, their field types and the table of entry models are in config_models; the importers name the new module.

--- a/test/policy_model.py
+++ b/test/policy_model.py
@@ -13,7 +13,7 @@
 from itertools import count
 
 from test.virtual_network import Loop
-from waxwingsaddle import config
+from waxwingsaddle import config_models
 from waxwingsaddle.choice import Choice, Ended, key_of
 from waxwingsaddle.ejection import Evidence
 from waxwingsaddle.guard import Guard
@@ -335,7 +335,7 @@
         self.loop.at(0.02, self.tick, entry)
 
 
-SERVICE = config.Service()
+SERVICE = config_models.Service()
 UNBOUNDED_MS = 3_600_000
 
 
@@ -360,7 +360,7 @@
     kinds = (Kind('read', load * deployment.capacity),)
     calm = Model(deployment, Plan(kinds), SERVICE).run()
     slow = Plan(kinds, slow_from_s=8, slow_to_s=14)
-    plain = config.Service(hedge_percent=0)
+    plain = config_models.Service(hedge_percent=0)
     runs = ((SERVICE, slow), (plain, replace(slow, is_random=True)))
     for service, plan in runs:
         figures = Model(deployment, plan, service).run()
@@ -385,7 +385,9 @@
         replace(book, is_idempotent=False),
     )
     plan = Plan(kinds, crest_from_s=8, crest_to_s=12, crest_factor=6)
-    unbounded = config.Service(queue_wait_ms=UNBOUNDED_MS, hedge_percent=0)
+    unbounded = config_models.Service(
+        queue_wait_ms=UNBOUNDED_MS, hedge_percent=0
+    )
     runs = ((SERVICE, plan), (unbounded, replace(plan, is_random=True)))
     for service, run in runs:
         figures = Model(deployment, run, service).run()
--- a/test/test_choice.py
+++ b/test/test_choice.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waxwingsaddle import config
+from waxwingsaddle import config_models
 from waxwingsaddle.choice import Choice, Ended, key_of
 from waxwingsaddle.ejection import Evidence
 from waxwingsaddle.verdicts import Load
@@ -48,7 +48,7 @@
         self.choice = Choice(
             'a',
             10,
-            config.Service(**service),
+            config_models.Service(**service),
             lambda: self.now_s,
             random.Random(1),
         )
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -6,14 +6,14 @@
 from eventlet.event import Event
 from nose2.tools import params
 
-from waxwingsaddle import config
+from waxwingsaddle import config_models
 from waxwingsaddle.calls import Answer, Request, not_run, unknown
 from waxwingsaddle.dispatch import Dispatch, Task
 from waxwingsaddle.routing import Match
 from waxwingsaddle.util.clock import monotonic_s
 from waxwingsaddle.util.outcome import Outcome
 
-SERVICE = config.Service(retry_percent=100)
+SERVICE = config_models.Service(retry_percent=100)
 
 
 def _upstream(name):
@@ -45,7 +45,9 @@
 
 
 def _task(*, is_idempotent=True):
-    route = config.Route(path_prefix='/', service='s', idempotent=is_idempotent)
+    route = config_models.Route(
+        path_prefix='/', service='s', idempotent=is_idempotent
+    )
     match = Match('r', route, SERVICE)
     return Task(match, Request('GET', '/', ()), monotonic_s() + 5)
 
--- a/test/test_retry.py
+++ b/test/test_retry.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from nose2.tools import params
 
-from waxwingsaddle import config
+from waxwingsaddle import config_models
 from waxwingsaddle.hedge import Hedges
 from waxwingsaddle.retry import Attempt, Retries
 from waxwingsaddle.util.outcome import Outcome
@@ -16,7 +16,7 @@
 
 READ = Call('', 'r', 'short', 'normal', is_idempotent=True, deadline_s=1)
 BOOK = replace(READ, is_idempotent=False, priority='high')
-SERVICE = config.Service()
+SERVICE = config_models.Service()
 
 
 def _retries(now_s=0):
@@ -55,7 +55,7 @@
 @given(st.integers(0, 100), st.integers(1, 2000))
 def test_extra_attempts_stay_within_the_budget(percent, calls):
     """Guards against a retry storm while a service is down."""
-    retries = Retries(config.Service(retry_percent=percent), float)
+    retries = Retries(config_models.Service(retry_percent=percent), float)
     extra = 0
     for _ in range(calls):
         retries.call_started()
@@ -138,7 +138,7 @@
 
 def test_no_hedges_without_a_budget():
     """Guards against hedges that the operator switched off."""
-    hedges = _learned(Hedges(config.Service(hedge_percent=0)))
+    hedges = _learned(Hedges(config_models.Service(hedge_percent=0)))
     assert not hedges.may_hedge()
 
 
--- a/waxwingsaddle/choice.py
+++ b/waxwingsaddle/choice.py
@@ -7,7 +7,7 @@
 from itertools import count
 from typing import Protocol
 
-from waxwingsaddle import config
+from waxwingsaddle import config_models
 from waxwingsaddle.ejection import Evidence, Standing
 from waxwingsaddle.estimate import Estimate, Running
 from waxwingsaddle.guard import Load
@@ -92,7 +92,7 @@
         self,
         availability_zone: str,
         crossing_ms: float,
-        service: config.Service,
+        service: config_models.Service,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
@@ -106,7 +106,7 @@
         self._estimates: dict[Key, Estimate] = {}
         self._typical: dict[str, Quantile] = {}
 
-    def configure(self, service: config.Service) -> None:
+    def configure(self, service: config_models.Service) -> None:
         """Adopts new tunables and keeps what was learned."""
         self._service = service
 
--- a/waxwingsaddle/config.py
+++ b/waxwingsaddle/config.py
@@ -4,124 +4,18 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from itertools import chain, combinations
-from types import MappingProxyType
-from typing import Annotated, Any, Literal
+from typing import Any
 
 import msgspec
 
+from waxwingsaddle.config_models import ENTRY_MODELS, Name, Route, SiteDocument
 from waxwingsaddle.util.codec import Tree, digest
 from waxwingsaddle.util.lines import one_line
 
 MAX_FILE_BYTES = 1_048_576
 MAX_DEPTH = 8
 MAX_SITES = 64
-MAX_TIMEOUT_MS = 3_600_000
-MAX_RETENTION_S = 604_800
 BASE_NAME = 'base.toml'
-_NAME_PATTERN = r'^[a-z0-9][a-z0-9._-]{0,62}$'
-
-Name = Annotated[str, msgspec.Meta(pattern=_NAME_PATTERN)]
-TimeoutMs = Annotated[int, msgspec.Meta(ge=1, le=MAX_TIMEOUT_MS)]
-Percent = Annotated[int, msgspec.Meta(ge=0, le=100)]
-Ratio = Annotated[float, msgspec.Meta(gt=1, le=1000)]
-Count = Annotated[int, msgspec.Meta(ge=1, le=100)]
-
-
-class Service(
-    msgspec.Struct,
-    frozen=True,
-    kw_only=True,
-    forbid_unknown_fields=True,
-):
-    """One service of a site.
-
-    Attributes:
-        timeout_ms: Deadline of a call that brings none, in milliseconds.
-        retention_s: How long the outcome of an idempotency key is kept.
-        hedge_percent: Hedged calls allowed, in percent of idempotent calls.
-        retry_percent: Retries allowed, in percent of calls.
-        long_slots_percent: Most slots of an upstream that long work may hold.
-        long_ratio: Multiple of the median run time from which a route whose
-            work is learned counts as long.
-        initial_run_ms: Run time assumed before the first answer.
-        queue_wait_ms: Longest expected wait in the queue of an upstream.
-        limit_floor_percent: Least slots used of a slow upstream, in percent.
-        slow_ratio: Multiple of the learned run time from which an upstream
-            counts as slow.
-        max_attempts: Most attempts of one call, the first included.
-        hedge_quantile_percent: Share of answers that come before the hedge.
-        slow_start_ms: Time until a new upstream gets its full share.
-        eject_failures: Failures or slow answers in a row that eject.
-        eject_slow_ratio: Multiple of the median round trip from which an
-            answer counts as slow.
-        eject_ms: First ejection time; it doubles with each further one.
-        eject_limit_ms: Longest ejection time.
-        max_ejected_percent: Most upstreams ejected at once, in percent.
-    """
-
-    timeout_ms: TimeoutMs = 2000
-    retention_s: Annotated[int, msgspec.Meta(ge=1, le=MAX_RETENTION_S)] = 86_400
-    hedge_percent: Percent = 5
-    retry_percent: Percent = 10
-    long_slots_percent: Percent = 34
-    long_ratio: Ratio = 4
-    initial_run_ms: TimeoutMs = 20
-    queue_wait_ms: TimeoutMs = 250
-    limit_floor_percent: Percent = 34
-    slow_ratio: Ratio = 2
-    max_attempts: Count = 3
-    hedge_quantile_percent: Percent = 97
-    slow_start_ms: TimeoutMs = 10_000
-    eject_failures: Count = 3
-    eject_slow_ratio: Ratio = 4
-    eject_ms: TimeoutMs = 1000
-    eject_limit_ms: TimeoutMs = 30_000
-    max_ejected_percent: Percent = 40
-
-
-class Route(
-    msgspec.Struct,
-    frozen=True,
-    kw_only=True,
-    forbid_unknown_fields=True,
-):
-    """One route of a site: which calls go to which service, and how.
-
-    Attributes:
-        path_prefix: Prefix of the path, at a segment border.
-        methods: HTTP methods; empty for all.
-        service: Name of the service.
-        idempotent: Whether a call may run more than once.
-        work: Expected run time: `short`, `long`, or `learned` from answers.
-        priority: `low` calls are shed first, `high` calls last.
-    """
-
-    path_prefix: Annotated[str, msgspec.Meta(pattern='^/', max_length=1024)]
-    service: Name
-    methods: tuple[
-        Literal['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'],
-        ...,
-    ] = ()
-    idempotent: bool = False
-    work: Literal['short', 'long', 'learned'] = 'learned'
-    priority: Literal['high', 'normal', 'low'] = 'normal'
-
-
-class SiteDocument(
-    msgspec.Struct,
-    frozen=True,
-    kw_only=True,
-    forbid_unknown_fields=True,
-):
-    """The merged configuration of one site."""
-
-    services: dict[Name, Service] = {}
-    routes: dict[Name, Route] = {}
-
-
-_ENTRY_MODELS: Mapping[str, type[msgspec.Struct]] = MappingProxyType(
-    {'services': Service, 'routes': Route},
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -360,9 +254,9 @@
     # name the keys of a dictionary.
     yield from (
         f'{key}: no such key; the tables are services and routes'
-        for key in sorted(tree.keys() - _ENTRY_MODELS.keys())
+        for key in sorted(tree.keys() - ENTRY_MODELS.keys())
     )
-    for table_name, model in _ENTRY_MODELS.items():
+    for table_name, model in ENTRY_MODELS.items():
         table = tree.get(table_name, {})
         if not isinstance(table, dict):
             yield f'{table_name}: expected a table, got {table!r}'
--- a/waxwingsaddle/ejection.py
+++ b/waxwingsaddle/ejection.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from waxwingsaddle import config
+from waxwingsaddle import config_models
 from waxwingsaddle.util.clock import MS_PER_S
 
 _MOST_DOUBLINGS = 16
@@ -64,7 +64,7 @@
             return Standing.IN
         return Standing.PROBE if now_s >= self.until_s else Standing.OUT
 
-    def succeed(self, service: config.Service, now_s: float) -> None:
+    def succeed(self, service: config_models.Service, now_s: float) -> None:
         """Takes in a good answer."""
         self.failures = 0
         if self.until_s:
@@ -75,7 +75,7 @@
 
     def fail(
         self,
-        service: config.Service,
+        service: config_models.Service,
         now_s: float,
         may_eject: bool,
         rng: random.Random,
--- a/waxwingsaddle/entry.py
+++ b/waxwingsaddle/entry.py
@@ -15,7 +15,7 @@
     not_run,
     passed_on,
 )
-from waxwingsaddle.config import MAX_TIMEOUT_MS
+from waxwingsaddle.config_models import MAX_TIMEOUT_MS
 from waxwingsaddle.dispatch import Task
 from waxwingsaddle.keyed import KeyedCalls
 from waxwingsaddle.presence import Presence
--- a/waxwingsaddle/guarding.py
+++ b/waxwingsaddle/guarding.py
@@ -9,7 +9,7 @@
 
 from waxwingsaddle import metrics
 from waxwingsaddle.calls import Answer, BodyStream, Request, not_run
-from waxwingsaddle.config import Service
+from waxwingsaddle.config_models import Service
 from waxwingsaddle.guard import (
     Admitted,
     Duplicate,
--- a/waxwingsaddle/hedge.py
+++ b/waxwingsaddle/hedge.py
@@ -1,6 +1,6 @@
 """Hedging: a second attempt of an idempotent call that is late."""
 
-from waxwingsaddle import config
+from waxwingsaddle import config_models
 from waxwingsaddle.retry import CallBudget
 from waxwingsaddle.util.quantile import Quantile
 from waxwingsaddle.work import Call
@@ -24,13 +24,13 @@
         service: Tunables.
     """
 
-    def __init__(self, service: config.Service) -> None:
+    def __init__(self, service: config_models.Service) -> None:
         self._share = service.hedge_quantile_percent / _PERCENT
         self._budget = CallBudget(service.hedge_percent, capacity=_MOST_TOKENS)
         self._routes: dict[str, Quantile] = {}
         self._late_share = 0.0
 
-    def configure(self, service: config.Service) -> None:
+    def configure(self, service: config_models.Service) -> None:
         """Adopts new tunables and keeps what was learned."""
         share = service.hedge_quantile_percent / _PERCENT
         self._budget.percent = service.hedge_percent
--- a/waxwingsaddle/retry.py
+++ b/waxwingsaddle/retry.py
@@ -5,7 +5,7 @@
 from types import MappingProxyType
 from typing import Final
 
-from waxwingsaddle import config
+from waxwingsaddle import config_models
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.work import Call
 
@@ -86,14 +86,14 @@
 
     def __init__(
         self,
-        service: config.Service,
+        service: config_models.Service,
         clock: Callable[[], float],
     ) -> None:
         self._clock = clock
         self._max_attempts = service.max_attempts
         self._budget = CallBudget(service.retry_percent, capacity=10)
 
-    def configure(self, service: config.Service) -> None:
+    def configure(self, service: config_models.Service) -> None:
         """Adopts new tunables and keeps the tokens."""
         self._max_attempts = service.max_attempts
         self._budget.percent = service.retry_percent
--- a/waxwingsaddle/routing.py
+++ b/waxwingsaddle/routing.py
@@ -3,7 +3,8 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-from waxwingsaddle.config import Route, Service, SiteSnapshot
+from waxwingsaddle.config import SiteSnapshot
+from waxwingsaddle.config_models import Route, Service
 
 
 @dataclass(frozen=True, slots=True)
--- a/waxwingsaddle/site_encodings.py
+++ b/waxwingsaddle/site_encodings.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from waxwingsaddle import patch
-from waxwingsaddle.config import SiteDocument
+from waxwingsaddle.config_models import SiteDocument
 from waxwingsaddle.node_messages import (
     SHORT_DIGEST,
     ConfigDelta,
--- a/waxwingsaddle/tasks.py
+++ b/waxwingsaddle/tasks.py
@@ -6,7 +6,7 @@
 
 from waxwingsaddle.calls import Answer, Request
 from waxwingsaddle.choice import Choice, Ended, Upstream
-from waxwingsaddle.config import Service
+from waxwingsaddle.config_models import Service
 from waxwingsaddle.ejection import Evidence
 from waxwingsaddle.hedge import Hedges
 from waxwingsaddle.retry import Retries
--- a/waxwingsaddle/upstreams.py
+++ b/waxwingsaddle/upstreams.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from waxwingsaddle.addresses import Address
-from waxwingsaddle.config import Name
+from waxwingsaddle.config_models import Name
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
 from waxwingsaddle.web import Environ, StartResponse, reply_json
--- a/waxwingsaddle/verdicts.py
+++ b/waxwingsaddle/verdicts.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from waxwingsaddle import config
+from waxwingsaddle import config_models
 from waxwingsaddle.limit import LimitPolicy
 from waxwingsaddle.work import Call, Lane
 
@@ -26,7 +26,7 @@
     initial_run_ms: int = 20
 
     @classmethod
-    def of(cls, service: config.Service) -> 'GuardPolicy':
+    def of(cls, service: config_models.Service) -> 'GuardPolicy':
         """Returns the policy of a service."""
         return cls(
             long_slots_percent=service.long_slots_percent,
