--- a/waxwingsaddle/settings_page.py
+++ b/waxwingsaddle/settings_page.py
@@ -18,7 +18,7 @@
 from waxwingsaddle.faults_settings import FaultsSettings
 from waxwingsaddle.node_settings import NodeSettings
 from waxwingsaddle.source_settings import SourceSettings
-from waxwingsaddle.standin import StandinSettings
+from waxwingsaddle.standin_settings import StandinSettings
 
 PAGE_FILE = Path(__file__).parents[1] / 'docs' / 'settings.md'
 MODELS: Mapping[str, type[Struct]] = MappingProxyType(
--- a/waxwingsaddle/standin.py
+++ b/waxwingsaddle/standin.py
@@ -11,9 +11,7 @@
 import socket
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Annotated, Literal
 from urllib.parse import parse_qsl
 
 import msgspec
@@ -21,10 +19,10 @@
 from eventlet import greenthread, semaphore, sleep
 
 from waxwingsaddle import logs, metrics, web
-from waxwingsaddle.addresses import Address, HostName
 from waxwingsaddle.kernel import Kernel
-from waxwingsaddle.util.clock import MS_PER_S, monotonic_s, wall_ms
-from waxwingsaddle.util.jsonlines import JsonLinesWriter
+from waxwingsaddle.standin_settings import StandinSettings
+from waxwingsaddle.standin_state import Journal, Slowdown, Speed, Work
+from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
 
 CALL_ID_HEADER = 'X-Call-Id'
 PEEK_INTERVAL_S = 0.02
@@ -41,63 +39,6 @@
 )
 
 
-class StandinSettings(
-    msgspec.Struct,
-    frozen=True,
-    kw_only=True,
-    forbid_unknown_fields=True,
-):
-    """Settings of a stand-in upstream.
-
-    Attributes:
-        host: Unique name of the upstream.
-        service: Service it announces.
-        http_address: Where it serves calls.
-        node_http_address: HTTP address of the node on its host.
-        journal_file: File with one JSON line an execution; empty for none.
-        slots: Calls it runs at a time.
-        queue: Calls it holds beyond its slots before it sheds.
-        cold_start_s: How long it is slow after its start, in seconds.
-        cold_factor: How many times longer a call takes while it is cold.
-        report_lag_s: Age of the load that `/standin/load` reports.
-        announce_interval_s: Interval of announcements, in seconds.
-        log_level: Least level of log lines.
-        log_form: `json` or `text`.
-    """
-
-    host: HostName
-    service: str
-    http_address: Address
-    node_http_address: Address
-    journal_file: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
-    queue: Annotated[int, msgspec.Meta(ge=0)]
-    cold_start_s: Annotated[float, msgspec.Meta(ge=0)]
-    cold_factor: Annotated[float, msgspec.Meta(ge=1)]
-    report_lag_s: Annotated[float, msgspec.Meta(ge=0)]
-    announce_interval_s: Annotated[float, msgspec.Meta(gt=0)]
-    log_level: Literal['debug', 'info', 'warning', 'error']
-    log_form: Literal['json', 'text']
-
-
-class Slowdown(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Order to run slower for a while."""
-
-    factor: Annotated[float, msgspec.Meta(ge=1)]
-    duration_s: Annotated[float, msgspec.Meta(ge=0)]
-
-
-@dataclass(frozen=True, slots=True)
-class Work:
-    """What one call asks of the upstream."""
-
-    call_id: str
-    key: str
-    path: str
-    work_s: float
-    size_bytes: int
-
-
 def answer_block(call_id: str) -> bytes:
     """Returns the block whose repetition is the answer to a call."""
     digest = hashlib.sha256(call_id.encode()).digest()
@@ -111,50 +52,6 @@
     return len(body) == size_bytes and body == (block * repeats)[:size_bytes]
 
 
-class Journal:
-    """Executions of one upstream, a JSON line each."""
-
-    def __init__(self, settings: StandinSettings) -> None:
-        self._upstream = settings.host
-        self._lines = JsonLinesWriter(settings.journal_file)
-
-    def write(self, event: str, work: Work) -> None:
-        """Appends one event of a call: `start`, `end` or `cancelled`."""
-        self._lines.write(
-            {
-                'event': event,
-                'upstream': self._upstream,
-                'call_id': work.call_id,
-                'key': work.key,
-                'path': work.path,
-                'wall_ms': wall_ms(),
-            },
-        )
-
-
-class Speed:
-    """How many times longer a call takes now."""
-
-    def __init__(self, settings: StandinSettings) -> None:
-        self._cold_until_s = monotonic_s() + settings.cold_start_s
-        self._cold_factor = settings.cold_factor
-        self._slow_until_s = 0.0
-        self._slow_factor = 1.0
-
-    def slow_down(self, slowdown: Slowdown) -> None:
-        """Makes calls slower for a while."""
-        self._slow_factor = slowdown.factor
-        self._slow_until_s = monotonic_s() + slowdown.duration_s
-
-    @property
-    def factor(self) -> float:
-        """The product of cold start and slowdown."""
-        now_s = monotonic_s()
-        cold = self._cold_factor if now_s < self._cold_until_s else 1
-        slow = self._slow_factor if now_s < self._slow_until_s else 1
-        return cold * slow
-
-
 class Standin:
     """The stand-in upstream as a WSGI application."""
 
--- a/waxwingsaddle/ui/load.py
+++ b/waxwingsaddle/ui/load.py
@@ -20,8 +20,8 @@
 from waxwingsaddle.faults import build as build_faults
 from waxwingsaddle.faults_settings import FaultsSettings
 from waxwingsaddle.settings import SettingsError
-from waxwingsaddle.standin import StandinSettings
 from waxwingsaddle.standin import build as build_standin
+from waxwingsaddle.standin_settings import StandinSettings
 
 EXIT_VIOLATION = 1
 EXIT_INPUT = 2
