Move the hosts of a deployment to deployment_hosts

Change: Host with its settings, and the choice of hosts for a plan, are in deployment_hosts; test/meshes.py takes SITE from there.

--- a/test/meshes.py
+++ b/test/meshes.py
@@ -11,7 +11,7 @@
 from urllib.request import Request, urlopen
 
 from test.processes import Process, free_address, get_json, is_ready, wait_until
-from waxwingsaddle import deployment
+from waxwingsaddle import deployment, deployment_hosts
 
 BASE = """version = {version}
 [services.orders]
@@ -79,7 +79,7 @@
         base = BASE.format(version=version, timeout_ms=timeout_ms)
         document = {
             'base': base,
-            'overlays': {deployment.SITE: ''},
+            'overlays': {deployment_hosts.SITE: ''},
             'author': 'test',
         }
         return wait_until(
--- a/waxwingsaddle/deployment.py
+++ b/waxwingsaddle/deployment.py
@@ -4,13 +4,12 @@
 import sys
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
-from itertools import chain, count, cycle, repeat
+from itertools import count
 from pathlib import Path
-from typing import Any
+
+from waxwingsaddle.deployment_hosts import SITE, Table, plan_hosts
 
 LOOPBACK = '127.0.0.1'
-SITE = 'local'
-Table = Mapping[str, Any]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -195,22 +194,7 @@
     controls: list[dict[str, str]],
     next_address: Callable[[], str],
 ) -> Iterator[Member]:
-    services = chain.from_iterable(
-        repeat(name, upstreams) for name, upstreams in plan.services.items()
-    )
-    hosts = [
-        _Host(
-            number,
-            zone,
-            service,
-            next_address(),
-            next_address(),
-            next_address(),
-        )
-        for number, (service, zone) in enumerate(
-            zip(services, cycle(plan.zones), strict=False),
-        )
-    ]
+    hosts = plan_hosts(plan.zones, plan.services, next_address)
     for host in hosts:
         neighbours = [
             other.call_address
@@ -244,56 +228,6 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class _Host:
-    """One upstream host: its node and its stand-in upstream."""
-
-    number: int
-    zone: str
-    service: str
-    http_address: str
-    call_address: str
-    upstream_address: str
-
-    @property
-    def node(self) -> str:
-        """Name of the node."""
-        return f'node-{self.number}'
-
-    @property
-    def upstream(self) -> str:
-        """Name of the upstream."""
-        return f'upstream-{self.number}'
-
-    def node_settings(
-        self,
-        controls: list[dict[str, str]],
-        neighbours: list[str],
-    ) -> Table:
-        """Returns the settings of the node."""
-        keys = ('host', 'availability_zone', 'node_address')
-        return {
-            'host': self.node,
-            'availability_zone': self.zone,
-            'site': SITE,
-            'http_address': self.http_address,
-            'call_address': self.call_address,
-            'controls': [{key: one[key] for key in keys} for one in controls],
-            'neighbours': neighbours,
-        }
-
-    def upstream_settings(self, folder: Path, slots: int) -> Table:
-        """Returns the settings of the stand-in upstream."""
-        return {
-            'host': self.upstream,
-            'service': self.service,
-            'http_address': self.upstream_address,
-            'node_http_address': self.http_address,
-            'slots': slots,
-            'journal_file': str(folder.resolve() / f'{self.upstream}.jsonl'),
-        }
-
-
 def _write_source(
     folder: Path,
     controls: list[dict[str, str]],
--- /dev/null
+++ b/waxwingsaddle/deployment_hosts.py
@@ -0,0 +1,84 @@
+"""Upstream hosts of a deployment and the settings of their programs."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from itertools import chain, cycle, repeat
+from pathlib import Path
+from typing import Any
+
+SITE = 'local'
+Table = Mapping[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """One upstream host: its node and its stand-in upstream."""
+
+    number: int
+    zone: str
+    service: str
+    http_address: str
+    call_address: str
+    upstream_address: str
+
+    @property
+    def node(self) -> str:
+        """Name of the node."""
+        return f'node-{self.number}'
+
+    @property
+    def upstream(self) -> str:
+        """Name of the upstream."""
+        return f'upstream-{self.number}'
+
+    def node_settings(
+        self,
+        controls: list[dict[str, str]],
+        neighbours: list[str],
+    ) -> Table:
+        """Returns the settings of the node."""
+        keys = ('host', 'availability_zone', 'node_address')
+        return {
+            'host': self.node,
+            'availability_zone': self.zone,
+            'site': SITE,
+            'http_address': self.http_address,
+            'call_address': self.call_address,
+            'controls': [{key: one[key] for key in keys} for one in controls],
+            'neighbours': neighbours,
+        }
+
+    def upstream_settings(self, folder: Path, slots: int) -> Table:
+        """Returns the settings of the stand-in upstream."""
+        return {
+            'host': self.upstream,
+            'service': self.service,
+            'http_address': self.upstream_address,
+            'node_http_address': self.http_address,
+            'slots': slots,
+            'journal_file': str(folder.resolve() / f'{self.upstream}.jsonl'),
+        }
+
+
+def plan_hosts(
+    zones: tuple[str, ...],
+    services: Mapping[str, int],
+    next_address: Callable[[], str],
+) -> list[Host]:
+    """Returns one host for each upstream, spread over the zones in turn."""
+    names = chain.from_iterable(
+        repeat(name, upstreams) for name, upstreams in services.items()
+    )
+    return [
+        Host(
+            number,
+            zone,
+            service,
+            next_address(),
+            next_address(),
+            next_address(),
+        )
+        for number, (service, zone) in enumerate(
+            zip(names, cycle(zones), strict=False),
+        )
+    ]
