--- a/waxwingsaddle/settings_page.py
+++ b/waxwingsaddle/settings_page.py
@@ -15,10 +15,10 @@
 from waxwingsaddle import settings
 from waxwingsaddle.control_settings import ControlSettings
 from waxwingsaddle.ctl_settings import CtlSettings
-from waxwingsaddle.faults import FaultsSettings
+from waxwingsaddle.faults_settings import FaultsSettings
 from waxwingsaddle.node_settings import NodeSettings
 from waxwingsaddle.source_settings import SourceSettings
-from waxwingsaddle.standin import StandinSettings
+from waxwingsaddle.standin_settings import StandinSettings
 
 PAGE_FILE = Path(__file__).parents[1] / 'docs' / 'settings.md'
 MODELS: Mapping[str, type[Struct]] = MappingProxyType(
