--- a/waxwingsaddle/convergence.py
+++ b/waxwingsaddle/convergence.py
@@ -194,16 +194,18 @@
         }
 
     def _control(self, host: str) -> dict:
-        def peer_address(other: str) -> str:
-            own = self._hosts[host]['peer_address']
-            return self._links.get((host, other), own)
-
         return {
             'host': host,
             'data_folder': f'{self._folder}/{host}',
             'log_level': 'warning',
             'hosts': [
-                {**entry, 'peer_address': peer_address(other)}
+                {
+                    **entry,
+                    'peer_address': self._links.get(
+                        (host, other),
+                        entry['peer_address'],
+                    ),
+                }
                 for other, entry in self._hosts.items()
             ],
         }
