Listen in one place for all HTTP servers

Cause: the node's server opened its port by itself and still shared it. Change: both servers use web.listen, which names a taken address. Conclusion: no HTTP port is shared by mistake.

--- a/waxwingsaddle/graceful.py
+++ b/waxwingsaddle/graceful.py
@@ -10,9 +10,9 @@
 import time
 from typing import Any
 
-from eventlet import convenience, greenio, greenthread, wsgi
+from eventlet import greenio, greenthread, wsgi
 
-from waxwingsaddle.web import LISTEN_BACKLOG, Application, split_address
+from waxwingsaddle.web import Application, listen
 
 _POLL_S = 0.02
 _ACCEPT_RETRY_S = 0.05
@@ -68,10 +68,7 @@
 
     def start(self) -> None:
         """Listens and serves in green threads."""
-        self._listener = convenience.listen(
-            split_address(self._address),
-            backlog=LISTEN_BACKLOG,
-        )
+        self._listener = listen(self._address)
         self._state = _State(self._listener, self._application)
         self._thread = greenthread.spawn(self._accept_all)
 
--- a/waxwingsaddle/web.py
+++ b/waxwingsaddle/web.py
@@ -1,5 +1,6 @@
 """HTTP server of every program: eventlet's WSGI server with probes."""
 
+import socket
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 from typing import Any
@@ -36,6 +37,22 @@
     return ip, int(port)
 
 
+def listen(address: str) -> socket.socket:
+    """Returns a listening socket.
+
+    Raises:
+        ListenError: The address is taken or not one of this host.
+    """
+    with listening(address):
+        return convenience.listen(
+            split_address(address),
+            backlog=LISTEN_BACKLOG,
+            # eventlet shares ports by default, which would split the calls
+            # between two processes by mistake.
+            reuse_port=False,
+        )
+
+
 def reply_json(
     start_response: StartResponse,
     status: str,
@@ -137,14 +154,7 @@
 
     def start(self) -> None:
         """Listens and serves in a green thread."""
-        with listening(self._address):
-            listener = convenience.listen(
-                split_address(self._address),
-                backlog=LISTEN_BACKLOG,
-                # eventlet shares ports by default, which would split the
-                # calls between two processes by mistake.
-                reuse_port=False,
-            )
+        listener = listen(self._address)
         self._thread = greenthread.spawn(
             wsgi.server,
             listener,
