--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -1,7 +1,6 @@
 """Takes a call of this node to an upstream: choice, retries and hedges."""
 
 import os
-import random
 from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
@@ -12,13 +11,12 @@
 
 from waxwingsaddle import metrics
 from waxwingsaddle.calls import Answer, not_run, unknown
-from waxwingsaddle.choice import Choice, Key, Upstream, key_of
+from waxwingsaddle.choice import Key, Upstream, key_of
 from waxwingsaddle.guarding import Guarding
-from waxwingsaddle.hedge import Hedges
 from waxwingsaddle.remote import RemoteCalls
-from waxwingsaddle.retry import Attempt, Retries
-from waxwingsaddle.routing import Match
-from waxwingsaddle.tasks import ServicePolicies, Task, close_rest, ended
+from waxwingsaddle.retry import Attempt
+from waxwingsaddle.service_policies import PolicyTable, ServicePolicies
+from waxwingsaddle.tasks import Task, close_rest, ended
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.work import Call
 
@@ -59,13 +57,11 @@
         clock: Callable[[], float],
     ) -> None:
         self._host = host
-        self._zone = availability_zone
-        self._crossing_ms = crossing_ms
         self._directory = directory
         self._guarding = guarding
         self._remote = remote
         self._clock = clock
-        self._policies: dict[str, ServicePolicies] = {}
+        self._policies = PolicyTable(availability_zone, crossing_ms, clock)
         # The random part keeps identifiers of restarted nodes apart.
         self._id_prefix = f'{host}-{os.urandom(6).hex()}-'
         self._ids = count(1)
@@ -91,7 +87,7 @@
             self._cancel(call_id, upstream)
 
     def _run(self, task: Task) -> Answer:
-        policies = self._policies_of(task.match)
+        policies = self._policies.of(task.match)
         policies.retries.call_started()
         tried: set[Key] = set()
         while True:
@@ -274,28 +270,6 @@
     def _next_id(self) -> str:
         return f'{self._id_prefix}{next(self._ids)}'
 
-    def _policies_of(self, match: Match) -> ServicePolicies:
-        name = match.route.service
-        policies = self._policies.get(name)
-        if policies is None:
-            service = match.service
-            choice = Choice(
-                self._zone,
-                self._crossing_ms,
-                service,
-                self._clock,
-                random.Random(),
-            )
-            policies = ServicePolicies(
-                service,
-                choice,
-                Retries(service, self._clock),
-                Hedges(service),
-            )
-            self._policies[name] = policies
-        policies.configure(match.service)
-        return policies
-
     def _is_failed(self, answer: Answer) -> bool:
         return answer.outcome is not Outcome.RAN
 
--- a/waxwingsaddle/tasks.py
+++ b/waxwingsaddle/tasks.py
@@ -1,15 +1,12 @@
-"""Calls of callers while they run, and what a node learned of services."""
+"""Calls of callers while they run, and what is learned from attempts."""
 
 from dataclasses import dataclass, field
 
 from eventlet.queue import LightQueue
 
 from waxwingsaddle.calls import Answer, Request
-from waxwingsaddle.choice import Choice, Ended, Upstream
-from waxwingsaddle.config_models import Service
+from waxwingsaddle.choice import Ended, Upstream
 from waxwingsaddle.ejection import Evidence
-from waxwingsaddle.hedge import Hedges
-from waxwingsaddle.retry import Retries
 from waxwingsaddle.routing import Match
 from waxwingsaddle.util.outcome import Outcome
 
@@ -43,24 +40,6 @@
     may_have_run: bool = False
 
 
-@dataclass(slots=True)
-class ServicePolicies:
-    """What a node learned about one service."""
-
-    service: Service
-    choice: Choice
-    retries: Retries
-    hedges: Hedges
-
-    def configure(self, service: Service) -> None:
-        """Adopts the tunables of a new configuration."""
-        if service is not self.service:
-            self.service = service
-            self.choice.configure(service)
-            self.retries.configure(service)
-            self.hedges.configure(service)
-
-
 def ended(answer: Answer | None, took_s: float) -> Ended:
     """Returns what the choice learns from an attempt."""
     return Ended(
