Discard output while a test limits file sizes

Cause: with the output of nose2 redirected to a file over 8 kB, two tests of full disks failed with EFBIG on their own log lines. Change: file_size_limit points standard output and error elsewhere meanwhile. Conclusion: the verdict no longer depends on where the output goes.

--- a/test/limits.py
+++ b/test/limits.py
@@ -1,15 +1,46 @@
 """Limits of the operating system, set for a while."""
 
+import os
 import resource
+import sys
 from contextlib import contextmanager
 
+OUTPUT_DESCRIPTORS = (1, 2)
+
 
 @contextmanager
 def file_size_limit(limit_bytes):
-    """Makes writes beyond a file size fail, as on a full disk."""
+    """Makes writes beyond a file size fail, as on a full disk.
+
+    The limit holds for the whole process. Its output is discarded meanwhile,
+    because it may be redirected to a file that is larger already.
+    """
     soft, hard = resource.getrlimit(resource.RLIMIT_FSIZE)
-    resource.setrlimit(resource.RLIMIT_FSIZE, (limit_bytes, hard))
+    with _discarded_output():
+        resource.setrlimit(resource.RLIMIT_FSIZE, (limit_bytes, hard))
+        try:
+            yield
+        finally:
+            resource.setrlimit(resource.RLIMIT_FSIZE, (soft, hard))
+
+
+@contextmanager
+def _discarded_output():
+    _flush()
+    saved = [os.dup(descriptor) for descriptor in OUTPUT_DESCRIPTORS]
+    nowhere = os.open(os.devnull, os.O_WRONLY)
+    for descriptor in OUTPUT_DESCRIPTORS:
+        os.dup2(nowhere, descriptor)
+    os.close(nowhere)
     try:
         yield
     finally:
-        resource.setrlimit(resource.RLIMIT_FSIZE, (soft, hard))
+        _flush()
+        for kept, descriptor in zip(saved, OUTPUT_DESCRIPTORS, strict=True):
+            os.dup2(kept, descriptor)
+            os.close(kept)
+
+
+def _flush():
+    sys.stdout.flush()
+    sys.stderr.flush()
--- a/waxwingsaddle/tasks.py
+++ b/waxwingsaddle/tasks.py
@@ -25,7 +25,6 @@
         withdrawn: Attempts withdrawn before they began.
         number: Attempts made so far.
         may_have_run: Whether the outcome of an attempt is unknown.
-        may_have_run: Whether the outcome of an attempt is unknown.
     """
 
     match: Match
@@ -37,7 +36,6 @@
     withdrawn: set[str] = field(default_factory=set)
     number: int = 0
     may_have_run: bool = False
-    may_have_run: bool = False
 
 
 def ended(answer: Answer | None, took_s: float) -> Ended:
