Test keyed calls under random kills with real processes

Cause: at most once was proved by simulation and single kills only. Change: test.kills sends keyed calls with resends to nine nodes of three zones, kills one node after another and checks the journals; the load tool tells a refused connection from a node's not-run.

--- /dev/null
+++ b/test/kills.py
@@ -0,0 +1,131 @@
+"""Keyed calls while nodes are killed at random, checked by journals.
+
+`python -m test.kills --calls 10000` runs the long form.
+"""
+
+import argparse
+import json
+import random
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+from test.meshes import Mesh, mesh
+from test.processes import ROOT
+from waxwingsaddle import checker
+from waxwingsaddle.deployment import Member
+
+RATE_PER_S = 100
+WORK_MS = 20
+RESENDS = 20
+DEADLINE_MS = 1000
+KILL_INTERVAL_S = 2.0
+DOWN_S = 0.5
+RUN_LIMIT_S = 900
+OUTCOMES_FILE = 'outcomes.json'
+
+
+@dataclass(frozen=True)
+class Result:
+    """What a run showed.
+
+    Attributes:
+        verdict: Verdict of the journal checker.
+        flow: Figures of the load tool.
+        kills: Processes killed.
+    """
+
+    verdict: checker.Verdict
+    flow: dict
+    kills: int
+
+
+def run_kills(calls: int, seed: int) -> Result:
+    """Sends keyed calls to nine nodes while one after another is killed."""
+    with mesh(upstreams={'orders': 9}, slots=6) as running:
+        experiment = _write_experiment(running, calls, seed)
+        load = subprocess.Popen(
+            [
+                sys.executable,
+                '-m',
+                'waxwingsaddle.ui.load',
+                'run',
+                str(experiment),
+                '--json',
+                str(running.folder / OUTCOMES_FILE),
+            ],
+            cwd=ROOT,
+            stdout=subprocess.DEVNULL,
+        )
+        kills = sum(1 for _ in _kill_nodes(running, load, seed))
+        verdict = checker.check_calls(
+            sorted(running.folder.glob('upstream-*.jsonl')),
+            [running.folder / 'answers.jsonl'],
+        )
+        figures = json.loads((running.folder / OUTCOMES_FILE).read_text())
+        return Result(verdict, figures['nodes']['order'], kills)
+
+
+def _write_experiment(running: Mesh, calls: int, seed: int) -> Path:
+    nodes = json.dumps(running.written.http_addresses('node'))
+    file = running.folder / 'experiment.toml'
+    file.write_text(
+        f'name = "kills"\n'
+        f'seed = {seed}\n'
+        f'duration_s = {calls / RATE_PER_S}\n'
+        f'nodes = {nodes}\n'
+        f'answers_file = "{running.folder}/answers.jsonl"\n'
+        '[[flows]]\n'
+        'name = "order"\n'
+        'method = "POST"\n'
+        'path = "/orders"\n'
+        'is_keyed = true\n'
+        f'resends = {RESENDS}\n'
+        f'deadline_ms = {DEADLINE_MS}\n'
+        f'work_ms = {WORK_MS}\n'
+        f'stages = [{{ at_s = 0, rate_per_s = {RATE_PER_S} }}]\n',
+    )
+    return file
+
+
+def _kill_nodes(
+    running: Mesh,
+    load: subprocess.Popen,
+    seed: int,
+) -> Iterator[Member]:
+    rng = random.Random(seed)
+    nodes = running.written.of('node')
+    limit_s = time.monotonic() + RUN_LIMIT_S
+    while load.poll() is None and time.monotonic() < limit_s:
+        time.sleep(KILL_INTERVAL_S)
+        victim = rng.choice(nodes)
+        running.processes[victim.host].kill()
+        time.sleep(DOWN_S)
+        running.processes[victim.host].start()
+        # One host at a time: the next kill waits for this one to be back.
+        running.wait_ready(victim)
+        yield victim
+
+
+def main() -> int:
+    """Prints the figures of one run."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--calls', type=int, default=10_000)
+    parser.add_argument('--seed', type=int, default=1)
+    given = parser.parse_args()
+    result = run_kills(given.calls, given.seed)
+    print(f'{result.kills} kills, {result.flow["outcomes"]}')
+    print(
+        f'{result.verdict.executions} executions, '
+        f'{result.verdict.answers} answers, '
+        f'{len(result.verdict.violations)} violations',
+    )
+    print(*result.verdict.violations[:10], sep='\n')
+    return 1 if result.verdict.violations else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/waxwingsaddle/callers.py
+++ b/waxwingsaddle/callers.py
@@ -52,7 +52,8 @@
     """What a caller received.
 
     Attributes:
-        outcome: `ran`, `not-run`, `unknown`, or `no-answer`.
+        outcome: `ran`, `not-run`, `unknown`; `no-connection` when no node was
+            reached, `no-answer` when the connection ended without one.
         status: HTTP status, 0 without an answer.
         is_whole: Whether the body is the whole answer to this call.
         reason: The reason given with the outcome.
@@ -167,7 +168,7 @@
                 timeout=timeout_s,
             )
         except urllib3.exceptions.NewConnectionError as error:
-            return Answer('not-run', 0, is_whole=False, reason=str(error))
+            return Answer('no-connection', 0, is_whole=False, reason=str(error))
         except urllib3.exceptions.HTTPError as error:
             return Answer('no-answer', 0, is_whole=False, reason=str(error))
         default = (
