Send one Date field with an answer

Cause: an upstream's date was passed on and another one added. Change: the node adds its date only where the upstream sent none. Figures: test_mesh fails without the change and passes with it. Conclusion: answers keep the fields of the upstream.

--- a/test/test_mesh.py
+++ b/test/test_mesh.py
@@ -17,6 +17,8 @@
     request = Request(url, method=method, headers=headers)
     with urlopen(request, timeout=10) as answer:
         body = answer.read()
+        # An answer has one date: that of the upstream where it sent one.
+        assert len(answer.headers.get_all('Date')) == 1
         return answer.headers['Waxwing-Outcome'], body
 
 
--- a/waxwingsaddle/lean_http.py
+++ b/waxwingsaddle/lean_http.py
@@ -224,8 +224,9 @@
         lines = [
             f'HTTP/1.1 {self._status}\r\n',
             *(f'{name}: {text}\r\n' for name, text in self._headers),
-            f'Date: {_date()}\r\n',
         ]
+        if 'date' not in names:
+            lines.append(f'Date: {_date()}\r\n')
         has_length = 'content-length' in names
         if not has_length and not self._is_bodyless():
             lines.append(self._framing_line(length))
