Write settings files of tests with the deployment module

Cause: test/bench.py had its own copy of the TOML writer. Change: it uses deployment.toml_text. Conclusion: one writer of settings files.

--- a/test/bench.py
+++ b/test/bench.py
@@ -7,12 +7,7 @@
 from urllib.request import Request, urlopen
 
 from test.processes import Process, free_address, is_ready, wait_until
-
-
-def toml_text(table: str, settings: dict) -> str:
-    """Returns a settings file with one table, nested ones inline."""
-    lines = (f'{key} = {_inline(part)}' for key, part in settings.items())
-    return '\n'.join((f'[{table}]', *lines, ''))
+from waxwingsaddle.deployment import toml_text
 
 
 def start_upstream(folder: Path, host: str, **settings) -> Process:
@@ -85,14 +80,3 @@
     address = settings['http_address']
     wait_until(lambda: is_ready(address), f'{host} is ready')
     return process
-
-
-def _inline(part: object) -> str:
-    if isinstance(part, dict):
-        pairs = ', '.join(
-            f'{key} = {_inline(inner)}' for key, inner in part.items()
-        )
-        return f'{{ {pairs} }}'
-    if isinstance(part, list | tuple):
-        return f'[{", ".join(map(_inline, part))}]'
-    return json.dumps(part)
