--- a/test/meshes.py
+++ b/test/meshes.py
@@ -76,7 +76,12 @@
 
     def submit(self, version: int, timeout_ms: int = 2000) -> dict:
         """Submits an edit through the first control host that answers."""
-        base = BASE.format(version=version, timeout_ms=timeout_ms)
+        return self.submit_text(
+            BASE.format(version=version, timeout_ms=timeout_ms),
+        )
+
+    def submit_text(self, base: str) -> dict:
+        """Submits a base file through the first control host that answers."""
         document = {
             'base': base,
             'overlays': {deployment_hosts.SITE: ''},
@@ -84,7 +89,7 @@
         }
         return wait_until(
             partial(self._submit, json.dumps(document).encode()),
-            f'version {version} is accepted',
+            'the edit is accepted',
         )
 
     def status(self) -> dict:
--- /dev/null
+++ b/waxwingsaddle/plans.py
@@ -0,0 +1,239 @@
+"""Plans of deployments, and their experiments, by name.
+
+The experiments measure what section 1.2 of the design asks for: short work
+behind long work, tail latency while upstreams are slowed, and service at the
+crest of a swing. Rates follow from the slots: `load` is a share of the
+capacity of a service.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from waxwingsaddle.deployment import DEMO, Deployment, Plan
+from waxwingsaddle.util.clock import MS_PER_S
+
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+GARDEN_SLOTS = 6
+PARKING_SLOTS = 13
+WARM_UP_S = 5
+CREST_S = (8, 14)
+CREST_FACTOR = 3
+RUN_S = 20
+SLOW_S = (8, 14)
+SLOW_FACTOR = 10
+# Work this long keeps the rates within the 500 calls a second that one load
+# tool can send; at the crest the rate is three times the capacity.
+SHORT_MS = 100
+CREST_MS = 400
+LONG_MS = 3000
+SHORT_LOAD = 0.4
+LONG_LOAD = 0.2
+BASE = """version = 1
+[services.{read}]
+timeout_ms = 5000
+[services.{write}]
+timeout_ms = 5000
+[services.{heavy}]
+timeout_ms = 20000
+[routes.read]
+path_prefix = "/{read}"
+methods = ["GET"]
+service = "{read}"
+idempotent = true
+work = "short"
+priority = "low"
+[routes.write]
+path_prefix = "/{write}"
+methods = ["POST"]
+service = "{write}"
+work = "short"
+priority = "high"
+[routes.look]
+path_prefix = "/{heavy}/look"
+methods = ["GET"]
+service = "{heavy}"
+idempotent = true
+work = "short"
+[routes.fetch]
+path_prefix = "/{heavy}/fetch"
+methods = ["GET"]
+service = "{heavy}"
+idempotent = true
+work = "long"
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Services of one deployment.
+
+    Attributes:
+        read: Cheap idempotent service and its upstreams.
+        write: Service of bookings or orders and its upstreams.
+        heavy: Service with short and long work and its upstreams.
+        slots: Slots of an upstream.
+    """
+
+    read: tuple[str, int]
+    write: tuple[str, int]
+    heavy: tuple[str, int]
+    slots: int
+
+    @property
+    def plan(self) -> Plan:
+        """The deployment."""
+        return Plan(
+            zones=ZONES,
+            services=dict((self.read, self.write, self.heavy)),
+            slots=self.slots,
+            base=BASE.format(
+                read=self.read[0],
+                write=self.write[0],
+                heavy=self.heavy[0],
+            ),
+        )
+
+    def rate_per_s(self, upstreams: int, load: float, work_ms: float) -> float:
+        """Returns the rate that is a share of the capacity of a service."""
+        return upstreams * self.slots * load * MS_PER_S / work_ms
+
+
+SCENARIOS: Mapping[str, Scenario] = {
+    'garden': Scenario(
+        ('gallery', 6), ('orders', 5), ('plans', 3), GARDEN_SLOTS
+    ),
+    'parking': Scenario(
+        ('bays', 5), ('booking', 4), ('reports', 3), PARKING_SLOTS
+    ),
+}
+PLANS: Mapping[str, Plan] = {
+    'demo': DEMO,
+    **{name: scenario.plan for name, scenario in SCENARIOS.items()},
+}
+
+
+def write_experiments(name: str, written: Deployment) -> tuple[Path, ...]:
+    """Writes the experiment files of a plan into its folder.
+
+    Args:
+        name: Name of the plan.
+        written: The deployment.
+
+    Returns:
+        The files; none for a plan without experiments.
+    """
+    scenario = SCENARIOS.get(name)
+    if scenario is None:
+        return ()
+    return tuple(
+        _write(written, experiment, build(scenario, written))
+        for experiment, build in _EXPERIMENTS.items()
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class _Flow:
+    name: str
+    service: str
+    path: str
+    method: str
+    work_ms: float
+    stages: tuple[tuple[float, float], ...]
+
+    def text(self, written: Deployment) -> str:
+        """Returns the flow as a table of an experiment file."""
+        direct = written.http_addresses('load', self.service)
+        stages = ', '.join(
+            f'{{ at_s = {at_s}, rate_per_s = {rate:.1f} }}'
+            for at_s, rate in self.stages
+        )
+        return (
+            '[[flows]]\n'
+            f'name = "{self.name}"\n'
+            f'path = "{self.path}"\n'
+            f'method = "{self.method}"\n'
+            f'work_ms = {self.work_ms}\n'
+            'size_bytes = 1000\n'
+            f'measure_from_s = {WARM_UP_S}\n'
+            f'stages = [{stages}]\n'
+            f'direct = {direct}\n'
+        )
+
+
+def _write(written: Deployment, name: str, tables: list[str]) -> Path:
+    nodes = written.http_addresses('node')
+    head = (
+        f'name = "{name}"\n'
+        f'duration_s = {RUN_S}\n'
+        f'nodes = {nodes}\n'
+        # Baseline: random choice of an upstream, no lanes, hedges or limits.
+        'is_direct_measured = true\n'
+        f'answers_file = "{written.folder.resolve()}/{name}.jsonl"\n'
+    )
+    file = written.folder / f'experiment-{name}.toml'
+    file.write_text('\n'.join((head, *tables)), encoding='utf-8')
+    return file
+
+
+def _look(scenario: Scenario) -> _Flow:
+    service, upstreams = scenario.heavy
+    rate = scenario.rate_per_s(upstreams, SHORT_LOAD, SHORT_MS)
+    path = f'/{service}/look'
+    return _Flow('short', service, path, 'GET', SHORT_MS, ((0, rate),))
+
+
+def _short_alone(scenario: Scenario, written: Deployment) -> list[str]:
+    return [_look(scenario).text(written)]
+
+
+def _short_behind_long(scenario: Scenario, written: Deployment) -> list[str]:
+    service, upstreams = scenario.heavy
+    rate = scenario.rate_per_s(upstreams, LONG_LOAD, LONG_MS)
+    path = f'/{service}/fetch'
+    fetch = _Flow('long', service, path, 'GET', LONG_MS, ((0, rate),))
+    return [_look(scenario).text(written), fetch.text(written)]
+
+
+def _read(scenario: Scenario) -> _Flow:
+    service, upstreams = scenario.read
+    rate = scenario.rate_per_s(upstreams, SHORT_LOAD, SHORT_MS)
+    return _Flow('read', service, f'/{service}', 'GET', SHORT_MS, ((0, rate),))
+
+
+def _undisturbed(scenario: Scenario, written: Deployment) -> list[str]:
+    return [_read(scenario).text(written)]
+
+
+def _slowed(scenario: Scenario, written: Deployment) -> list[str]:
+    addresses = written.http_addresses('load', scenario.read[0])
+    slowed = addresses[: max(1, len(addresses) // 5)]
+    begin_s, end_s = SLOW_S
+    actions = (
+        '[[actions]]\n'
+        f'at_s = {begin_s}\n'
+        f'upstream = "{address}"\n'
+        f'factor = {SLOW_FACTOR}\n'
+        f'duration_s = {end_s - begin_s}\n'
+        for address in slowed
+    )
+    return [_read(scenario).text(written), *actions]
+
+
+def _crest(scenario: Scenario, written: Deployment) -> list[str]:
+    service, upstreams = scenario.write
+    begin_s, end_s = CREST_S
+    usual = scenario.rate_per_s(upstreams, SHORT_LOAD, CREST_MS)
+    crest = scenario.rate_per_s(upstreams, CREST_FACTOR, CREST_MS)
+    stages = ((0, usual), (begin_s, crest), (end_s, usual))
+    write = _Flow('write', service, f'/{service}', 'POST', CREST_MS, stages)
+    return [write.text(written)]
+
+
+_EXPERIMENTS: Mapping[str, Callable[[Scenario, Deployment], list[str]]] = {
+    'short-alone': _short_alone,
+    'short-behind-long': _short_behind_long,
+    'undisturbed': _undisturbed,
+    'slowed': _slowed,
+    'crest': _crest,
+}
--- a/waxwingsaddle/ui/load.py
+++ b/waxwingsaddle/ui/load.py
@@ -13,6 +13,7 @@
     checker,
     deployment,
     experiment,
+    plans,
     program,
     report,
 )
@@ -120,17 +121,35 @@
     name = 'deployment'
     description = 'Writes settings and a Procfile for a trial in a folder'
     arguments = [argument('folder', 'Folder to write to')]
+    options = [
+        option(
+            'plan',
+            None,
+            f'One of {", ".join(plans.PLANS)}',
+            flag=False,
+            default='demo',
+        ),
+    ]
 
     def handle(self) -> int:
         """Runs the command."""
         folder = Path(self.argument('folder'))
+        plan = plans.PLANS.get(self.option('plan'))
+        if plan is None:
+            known = ', '.join(plans.PLANS)
+            self.line_error(
+                f'waxwing-load: no plan {self.option("plan")!r}; '
+                f'one of {known}',
+            )
+            return EXIT_INPUT
         if (folder / 'base.toml').exists():
             self.line_error(
                 f'waxwing-load: {folder} has a base.toml; name a new folder',
             )
             return EXIT_INPUT
         ports = deployment.ports_from(deployment.DEMO_FIRST_PORT)
-        written = deployment.write(folder, deployment.DEMO, ports)
+        written = deployment.write(folder, plan, ports)
+        plans.write_experiments(self.option('plan'), written)
         self.line(f'{len(written.members)} processes in {folder}/Procfile')
         return 0
 
