Protect the sockets between processes with one shared CURVE key

Cause: waxwingctl made keys that no socket used. Change: with key_file set, control hosts and nodes take and make connections only with the shared key pair; off without the setting. Alternatives: a key for each host with a list of allowed keys on every host (needs a ZAP handler and a way to distribute the list; left for later), TLS in front (no tier). Figures: test_curve: 6 nodes with the key in force, one without it not ready in 4 s; with the protection taken out the test fails. Conclusion: a stranger on the network can't take part or read messages; the HTTP servers are not covered.

--- a/waxwingsaddle/control_link.py
+++ b/waxwingsaddle/control_link.py
@@ -11,6 +11,7 @@
 from waxwingsaddle import logs, metrics
 from waxwingsaddle.addresses import NodeControl
 from waxwingsaddle.control_choice import Answer
+from waxwingsaddle.curve import protect_client
 from waxwingsaddle.node_messages import (
     MAX_WHOLE_BYTES,
     FloorQuery,
@@ -74,6 +75,7 @@
             self._socket.setsockopt(option, setting)
         if self._identity:
             self._socket.setsockopt(zmq.ROUTING_ID, self._identity)
+        protect_client(self._socket)
         self._socket.connect(f'tcp://{self.control.node_address}')
         self._thread = greenthread.spawn(self._receive_all)
 
--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -27,6 +27,8 @@
         host: Unique name of the host; one of `hosts`.
         data_folder: Folder of its durable state.
         hosts: All control hosts, this one included.
+        key_file: Secret key that all processes of the deployment share, from
+            `waxwingctl keys new`; empty for sockets without keys.
         log_level: Least level of log lines.
         log_form: `json` or `text`.
         events_kept: Events kept for the time line.
@@ -70,6 +72,7 @@
         tuple[ControlHost, ...],
         msgspec.Meta(min_length=1, max_length=7),
     ]
+    key_file: str = ''
     log_level: Literal['debug', 'info', 'warning', 'error']
     log_form: Literal['json', 'text']
     events_kept: Positive
--- a/waxwingsaddle/hop.py
+++ b/waxwingsaddle/hop.py
@@ -12,6 +12,7 @@
 from eventlet.green import zmq
 
 from waxwingsaddle import metrics
+from waxwingsaddle.curve import protect_server
 from waxwingsaddle.envelope import (
     PROBE,
     Envelope,
@@ -78,6 +79,7 @@
         """Binds the call address and serves it in a green thread."""
         self._router = self._context.socket(zmq.ROUTER)
         self._policy.apply(self._router)
+        protect_server(self._router)
         self._router.setsockopt(zmq.ROUTER_MANDATORY, 1)
         with listening(self._call_address):
             self._router.bind(f'tcp://{self._call_address}')
--- a/waxwingsaddle/link.py
+++ b/waxwingsaddle/link.py
@@ -9,6 +9,8 @@
 from eventlet.green import zmq
 from zmq.utils.monitor import parse_monitor_message
 
+from waxwingsaddle.curve import protect_client
+
 Frames = list[bytes]
 
 _UP = zmq.Event.HANDSHAKE_SUCCEEDED
@@ -81,6 +83,7 @@
         self._connected = Event()
         self._socket = context.socket(zmq.DEALER)
         policy.apply(self._socket)
+        protect_client(self._socket)
         self._socket.setsockopt(zmq.RECONNECT_IVL, -1)
         self._monitor = _monitor(context, self._socket)
         self._threads = [
--- a/waxwingsaddle/node_server.py
+++ b/waxwingsaddle/node_server.py
@@ -8,6 +8,7 @@
 from eventlet.green import zmq
 
 from waxwingsaddle import logs, metrics
+from waxwingsaddle.curve import protect_server
 from waxwingsaddle.listening import listening
 from waxwingsaddle.node_messages import FromNode, decode_from_node
 from waxwingsaddle.peers import CONTROL_BYTES, framed_bytes
@@ -74,6 +75,7 @@
             (zmq.BACKLOG, self._queue_messages),
         ):
             self._socket.setsockopt(option, number)
+        protect_server(self._socket)
         with listening(self._address):
             self._socket.bind(f'tcp://{self._address}')
         self._thread = greenthread.spawn(self._receive_all)
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -27,6 +27,8 @@
         controls: Control hosts it may connect to.
         neighbours: Call addresses of nodes asked for the configuration when
             no control host answers.
+        key_file: Secret key that all processes of the deployment share, from
+            `waxwingctl keys new`; empty for sockets without keys.
         log_level: Least level of log lines.
         log_form: `json` or `text`.
         events_kept: Events kept for the time line.
@@ -71,6 +73,7 @@
     call_address: Address
     controls: tuple[NodeControl, ...]
     neighbours: tuple[Address, ...] = ()
+    key_file: str = ''
     log_level: Literal['debug', 'info', 'warning', 'error']
     log_form: Literal['json', 'text']
     events_kept: Positive
--- a/waxwingsaddle/peers.py
+++ b/waxwingsaddle/peers.py
@@ -16,6 +16,7 @@
 
 from waxwingsaddle import logs, metrics
 from waxwingsaddle.addresses import ControlHost
+from waxwingsaddle.curve import protect_client, protect_server
 from waxwingsaddle.listening import listening
 from waxwingsaddle.util.codec import pack
 
@@ -181,6 +182,7 @@
     def start(self) -> None:
         """Binds, connects and receives in a green thread."""
         self._receiver = self._socket(zmq.ROUTER)
+        protect_server(self._receiver)
         with listening(self._address):
             self._receiver.bind(f'tcp://{self._address}')
         for host in self._known:
@@ -219,6 +221,7 @@
 
     def _open_sender(self, host: str) -> None:
         sender = self._socket(zmq.DEALER)
+        protect_client(sender)
         sender.connect(f'tcp://{self._known[host]}')
         self._senders[host] = sender
 
--- a/waxwingsaddle/ui/control.py
+++ b/waxwingsaddle/ui/control.py
@@ -1,29 +1,38 @@
 """Program `waxwing-control`."""
 
-from waxwingsaddle import green  # noqa: F401, I001  # patches before all else
-
 import sys
 
 from zmq import ZMQError
 
-from waxwingsaddle import program
+from waxwingsaddle import (
+    curve,
+    green,  # noqa: F401  # patches before all else
+    program,
+)
 from waxwingsaddle.control import build
 from waxwingsaddle.control_settings import ControlSettings
+from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.settings import SettingsError
 from waxwingsaddle.storage import DiskFullError, FolderInUseError
 
 EXIT_UNUSABLE = 1
-# Errors of the data folder or the addresses.
+# Errors of the data folder.
 UNUSABLE = (DiskFullError, FolderInUseError, OSError, ZMQError)
 
 
 def main() -> int:
     """Runs a control host until SIGTERM."""
     try:
-        return program.run('control', ControlSettings, build)
+        return program.run('control', ControlSettings, _build)
     except UNUSABLE as error:
         print(f'waxwing-control: {error}', file=sys.stderr)
         return EXIT_UNUSABLE
 
 
+def _build(settings: ControlSettings) -> Kernel | SettingsError:
+    problem = curve.configure('control', settings.key_file)
+    return problem or build(settings)
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/waxwingsaddle/ui/node.py
+++ b/waxwingsaddle/ui/node.py
@@ -2,10 +2,11 @@
 
 import sys
 
-from waxwingsaddle import program
+from waxwingsaddle import curve, program
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.node import build
 from waxwingsaddle.node_settings import NodeSettings
+from waxwingsaddle.settings import SettingsError
 from waxwingsaddle.subscription import attach
 
 
@@ -14,8 +15,9 @@
     return program.run('node', NodeSettings, _build)
 
 
-def _build(settings: NodeSettings) -> Kernel:
-    return build(settings, attach)
+def _build(settings: NodeSettings) -> Kernel | SettingsError:
+    problem = curve.configure('node', settings.key_file)
+    return problem or build(settings, attach)
 
 
 if __name__ == '__main__':
