--- a/waxwingsaddle/envelope.py
+++ b/waxwingsaddle/envelope.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 import msgspec
 
@@ -56,6 +57,19 @@
     frames: Frames
 
 
+@dataclass(frozen=True, slots=True)
+class Subscription:
+    """Who handles the messages of one kind.
+
+    Attributes:
+        message_type: Type of the messages.
+        handler: Takes a message and returns the reply, if there is one.
+    """
+
+    message_type: type[msgspec.Struct]
+    handler: Callable[[Any], msgspec.Struct | None]
+
+
 # No node handles this kind; sending it finds out whether a peer is there.
 PROBE = pack(Envelope('Probe', 0, False, msgspec.Raw(pack(None))))
 
--- a/waxwingsaddle/hop.py
+++ b/waxwingsaddle/hop.py
@@ -19,6 +19,7 @@
     NoReply,
     RawHandler,
     Received,
+    Subscription,
     decode,
     encode,
     run_handler,
@@ -46,12 +47,6 @@
     done: Event
 
 
-@dataclass(frozen=True, slots=True)
-class _Subscription:
-    message_type: type[msgspec.Struct]
-    handler: Callable[[Any], msgspec.Struct | None]
-
-
 class Hop:
     """Sends messages to other nodes and serves theirs.
 
@@ -67,7 +62,7 @@
         self._router: zmq.Socket | None = None
         self._thread: eventlet.greenthread.GreenThread | None = None
         self._links: dict[tuple[str, str], Link] = {}
-        self._subscriptions: dict[str, _Subscription] = {}
+        self._subscriptions: dict[str, Subscription] = {}
         self._raw_handlers: dict[str, RawHandler] = {}
         self._answer_handlers: dict[str, RawHandler] = {}
         self._lost_handlers: list[Callable[[Link], None]] = []
@@ -107,7 +102,7 @@
             handler: Called with the message; may block. What it returns is
                 the reply to a request; `None` sends none.
         """
-        self._subscriptions[message_type.__name__] = _Subscription(
+        self._subscriptions[message_type.__name__] = Subscription(
             message_type,
             handler,
         )
