Keep connections of the load tool to more than ten nodes

Cause: urllib3 keeps ten pools by default; with 12 nodes connections were dropped all the time and calls started late. Change: room for 2048 addresses.

--- a/waxwingsaddle/callers.py
+++ b/waxwingsaddle/callers.py
@@ -19,6 +19,9 @@
 from waxwingsaddle.util.jsonlines import JsonLinesWriter
 
 CONNECTIONS_PER_ADDRESS = 1024
+# The default of urllib3 is 10: with more nodes, pools and their connections
+# were dropped all the time and calls started 0.4 s late.
+ADDRESSES = 2048
 MAX_CONCURRENT_CALLS = 20_000
 DEFAULT_TIMEOUT_S = 30
 # A caller waits somewhat longer than its deadline, so that an answer that says
@@ -103,6 +106,7 @@
         self._is_direct = is_direct
         self._rng = random.Random(experiment.seed)
         self._http = urllib3.PoolManager(
+            num_pools=ADDRESSES,
             maxsize=CONNECTIONS_PER_ADDRESS,
             retries=False,
         )
