Answer unknown to a keyed call refused before its claim is read

Cause: 10,000 keyed calls under 36 kills: a resend reached a node that had just restarted and was told not-run (no-configuration), though the first attempt under the key had run. Change: without configuration or route a call with a key is unknown; a resend is safe. Conclusion: not-run is said for a key only when its claim is known.

--- a/waxwingsaddle/entry.py
+++ b/waxwingsaddle/entry.py
@@ -14,6 +14,7 @@
     Request,
     not_run,
     passed_on,
+    unknown,
 )
 from waxwingsaddle.config_models import MAX_TIMEOUT_MS
 from waxwingsaddle.dispatch import Task
@@ -100,18 +101,19 @@
 
     def _answer(self, environ: Environ) -> Answer:
         arrived_s = self._clock()
+        key = environ['waxwing.head'].fields.get(_KEY, '')
         table = self._routing.table
         if table is None:
-            return not_run('no-configuration')
+            return _refused_unread('no-configuration', key)
         method = environ['REQUEST_METHOD']
         match = table.match(method, environ['PATH_INFO'])
         if match is None:
-            return not_run('no-route')
+            return _refused_unread('no-route', key)
         timeout_ms = _timeout_ms(environ, match)
         if timeout_ms is None:
             return not_run('bad-deadline')
         head = environ['waxwing.head']
-        if len(head.fields.get(_KEY, '')) > _MOST_KEY_CHARACTERS:
+        if len(key) > _MOST_KEY_CHARACTERS:
             return not_run('bad-key')
         body = self._body(environ)
         if isinstance(body, Answer):
@@ -180,6 +182,15 @@
     return _STATUS_LINES.get(status) or f'{status} Status'
 
 
+def _refused_unread(reason: str, key: str) -> Answer:
+    """Refuses a call whose claim, if it has a key, was not read.
+
+    A resend may meet a node that has no configuration or route yet; an
+    earlier attempt under its key may have run.
+    """
+    return unknown(reason) if key else not_run(reason)
+
+
 def _headers(answer: Answer) -> list[tuple[str, str]]:
     headers = [
         pair
