Give no free port out twice in a run

Each free address was an independent random choice of 22,000 ports, checked before its program binds it. With 40 addresses in a deployment, 3.5% of deployments had one port twice. Ruled out: outgoing connections, whose ports start at 32768.

Change: one shuffled sequence of ports for the process, in util.ports. The measurements used ports of the outgoing range; they now share the function.

Conclusion: two programs of one run no longer get the same port.

--- a/test/bench.py
+++ b/test/bench.py
@@ -6,8 +6,9 @@
 from pathlib import Path
 from urllib.request import Request, urlopen
 
-from test.processes import Process, free_address, is_ready, wait_until
+from test.processes import Process, is_ready, wait_until
 from waxwingsaddle.deployment import toml_text
+from waxwingsaddle.util.ports import free_address
 
 
 def start_upstream(folder: Path, host: str, **settings) -> Process:
--- a/test/clusters.py
+++ b/test/clusters.py
@@ -12,7 +12,8 @@
 from urllib.request import Request, urlopen
 
 from test.bench import Links, fault_proxy
-from test.processes import Process, free_address, get_json, is_ready, wait_until
+from test.processes import Process, get_json, is_ready, wait_until
+from waxwingsaddle.util.ports import free_address
 
 REQUEST_LIMIT_S = 30
 LOG_SHOWN = 3000
--- a/test/distribution_fakes.py
+++ b/test/distribution_fakes.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from test.processes import free_address
 from waxwingsaddle import distribution, settings, subscription
 from waxwingsaddle.addresses import ControlHost, NodeControl
 from waxwingsaddle.config import SourceSet, check_sources
@@ -13,6 +12,7 @@
 from waxwingsaddle.events import Timeline
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.node_settings import NodeSettings
+from waxwingsaddle.util.ports import free_address
 
 
 class FakeReplication:
--- a/test/measure_calls.py
+++ b/test/measure_calls.py
@@ -11,8 +11,9 @@
 from pathlib import Path
 
 from test.meshes import Mesh
-from test.processes import ROOT, free_address
+from test.processes import ROOT
 from waxwingsaddle import deployment, plans
+from waxwingsaddle.util.ports import free_address
 
 RUN_LIMIT_S = 300
 
--- a/test/meshes.py
+++ b/test/meshes.py
@@ -10,8 +10,9 @@
 from urllib.error import HTTPError
 from urllib.request import Request, urlopen
 
-from test.processes import Process, free_address, get_json, is_ready, wait_until
+from test.processes import Process, get_json, is_ready, wait_until
 from waxwingsaddle import deployment, deployment_hosts
+from waxwingsaddle.util.ports import free_address
 
 BASE = """version = {version}
 [services.orders]
--- a/test/nodes.py
+++ b/test/nodes.py
@@ -8,8 +8,9 @@
 from http.client import HTTPConnection
 from pathlib import Path
 
-from test.processes import Process, free_address, is_ready, wait_until
+from test.processes import Process, is_ready, wait_until
 from waxwingsaddle import green
+from waxwingsaddle.util.ports import free_address
 
 # Tests serve messages of nodes while threads of theirs wait for answers.
 green.patch()
--- a/test/processes.py
+++ b/test/processes.py
@@ -2,9 +2,7 @@
 
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -18,20 +16,6 @@
 ROOT = Path(__file__).parents[1]
 WAIT_S = 20
 POLL_S = 0.05
-PORTS = range(10_000, 32_000)
-
-
-def free_address() -> str:
-    """Returns a loopback address with a port that is free now.
-
-    The port lies below those that the system gives to outgoing connections,
-    because one of these could take it before the program under test binds.
-    """
-    while True:
-        port = random.SystemRandom().choice(PORTS)
-        with socket.socket() as probe, suppress(OSError):
-            probe.bind(('127.0.0.1', port))
-            return f'127.0.0.1:{port}'
 
 
 def wait_until(condition: Callable[[], Any], what: str, limit_s=WAIT_S) -> Any:
--- a/test/test_answers.py
+++ b/test/test_answers.py
@@ -6,12 +6,13 @@
 import msgspec
 
 from test.nodes import call, setting
-from test.processes import free_address, wait_until
+from test.processes import wait_until
 from test.test_node_failures import Caller
 from waxwingsaddle.calls import CallAnswer, CallChunk, CallCredit, CallRequest
 from waxwingsaddle.hop import Hop
 from waxwingsaddle.link import LinkPolicy
 from waxwingsaddle.util.outcome import Outcome
+from waxwingsaddle.util.ports import free_address
 
 ENTRY = {
     'name': 'up-1',
--- a/test/test_distribution_processes.py
+++ b/test/test_distribution_processes.py
@@ -9,8 +9,9 @@
 from tempfile import TemporaryDirectory
 
 from test.distribution_fakes import control_hosts
-from test.processes import Process, free_address, is_ready, wait_until
+from test.processes import Process, is_ready, wait_until
 from waxwingsaddle.distribution_rig import ask, base_file
+from waxwingsaddle.util.ports import free_address
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 NODES = 10
--- a/test/test_hop.py
+++ b/test/test_hop.py
@@ -7,9 +7,9 @@
 import msgspec
 from eventlet.green import zmq
 
-from test.processes import free_address
 from waxwingsaddle.hop import Hop, NoReply
 from waxwingsaddle.link import LinkPolicy
+from waxwingsaddle.util.ports import free_address
 
 
 class Ask(msgspec.Struct):
--- a/test/test_operators_processes.py
+++ b/test/test_operators_processes.py
@@ -4,8 +4,9 @@
 
 from test.clusters import control_cluster
 from test.fake_control import BASE, files, sources, write_files
-from test.processes import Process, free_address, wait_until
+from test.processes import Process, wait_until
 from waxwingsaddle.client import Client
+from waxwingsaddle.util.ports import free_address
 
 
 def test_restore_after_all_disks_are_lost():
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -6,9 +6,9 @@
 import eventlet
 import msgspec
 
-from test.processes import free_address
 from waxwingsaddle import peers
 from waxwingsaddle.addresses import ControlHost
+from waxwingsaddle.util.ports import free_address
 
 LIMITS = peers.PeerLimits(
     queue_messages=100,
--- a/test/test_program.py
+++ b/test/test_program.py
@@ -6,7 +6,8 @@
 from tempfile import TemporaryDirectory
 
 from test.bench import start_upstream
-from test.processes import ROOT, free_address
+from test.processes import ROOT
+from waxwingsaddle.util.ports import free_address
 
 
 def test_taken_address_is_one_readable_line():
--- a/test/test_standin.py
+++ b/test/test_standin.py
@@ -9,8 +9,9 @@
 from urllib.request import Request, urlopen
 
 from test.bench import fault_proxy, start_upstream
-from test.processes import free_address, wait_until
+from test.processes import wait_until
 from waxwingsaddle.standin import is_whole_answer
+from waxwingsaddle.util.ports import free_address
 
 
 def _call(address, call_id, work_ms=0, size_bytes=100):
--- a/waxwingsaddle/convergence.py
+++ b/waxwingsaddle/convergence.py
@@ -23,13 +23,13 @@
     Rig,
     ask,
     base_file,
-    free_address,
     start,
     stop,
     wait_for,
 )
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.codec import unpack_json
+from waxwingsaddle.util.ports import free_address
 from waxwingsaddle.web import split_address
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
--- a/waxwingsaddle/distribution_rig.py
+++ b/waxwingsaddle/distribution_rig.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -15,6 +14,7 @@
 from typing import Any
 
 from waxwingsaddle.util.codec import pack_json, unpack_json
+from waxwingsaddle.util.ports import free_address
 from waxwingsaddle.web import split_address
 
 SITE = 'north'
@@ -150,13 +150,6 @@
         connection.close()
 
 
-def free_address() -> str:
-    """Returns a loopback address with a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
-
-
 def control_table(plan: Plan, folder: str) -> tuple[str, str, str]:
     """Returns settings, HTTP address and node address of a control host."""
     addresses = [free_address() for _ in range(3)]
