--- a/test/fake_control.py
+++ b/test/fake_control.py
@@ -7,7 +7,6 @@
 from tempfile import TemporaryDirectory
 from types import SimpleNamespace
 
-from test import processes
 from waxwingsaddle import api, green, settings
 from waxwingsaddle.config import SourceSet, check_sources
 from waxwingsaddle.control_settings import ControlSettings
@@ -23,6 +22,7 @@
     Unavailable,
 )
 from waxwingsaddle.raft_messages import Members, Replica
+from waxwingsaddle.util import ports
 from waxwingsaddle.web import Server
 
 green.patch()
@@ -238,7 +238,7 @@
 def serving(**given) -> Iterator[FakeControl]:
     """Runs a control host on fakes in a green thread."""
     made = control(**given)
-    made.address = processes.free_address()
+    made.address = ports.free_address()
     server = Server(made.address, made.application)
     server.start()
     try:
--- a/test/test_source.py
+++ b/test/test_source.py
@@ -10,6 +10,7 @@
 from waxwingsaddle.client import Client
 from waxwingsaddle.events import Timeline
 from waxwingsaddle.source import Source
+from waxwingsaddle.util import ports
 from waxwingsaddle.util.backoff import Backoff
 from waxwingsaddle.watch import FileWatch
 
@@ -167,7 +168,7 @@
 def test_program_reports_a_bad_edit():
     """Guards against a program that hides a bad edit from the probes."""
     with _bench() as bench:
-        address = processes.free_address()
+        address = ports.free_address()
         file = bench.folder / 'settings.toml'
         file.write_text(
             '[source]\nhost = "s"\n'
