--- a/test/simulation.py
+++ b/test/simulation.py
@@ -1,20 +1,26 @@
 """Deterministic simulation of replicas with faults, and the safety laws."""
 
-import heapq
 import random
-from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field, replace
+from collections.abc import Iterable
+from dataclasses import replace
 from itertools import combinations, count
 
 import msgspec
 
+from test.simulated_hosts import (
+    CALM,
+    Faults,
+    Host,
+    Network,
+    check_matching,
+    sync,
+)
 from waxwingsaddle import membership
-from waxwingsaddle.raft import Output, Raft, Stored
+from waxwingsaddle.raft import Raft, Stored
 from waxwingsaddle.raft_messages import (
     Command,
     Entry,
     Members,
-    Replica,
     Snapshot,
 )
 from waxwingsaddle.raft_state import Timing
@@ -30,64 +36,6 @@
 )
 
 
-@dataclass
-class Faults:
-    """Probabilities of faults: of messages, and of events a step."""
-
-    loss: float = 0.05
-    duplicate: float = 0.05
-    slow: float = 0.05
-    crash: float = 0.004
-    crash_in_sync: float = 0.001
-    cut: float = 0.01
-    wipe: float = 0.004
-    change: float = 0.02
-    hand_over: float = 0.002
-
-
-CALM = Faults(0, 0, 0, 0, 0, 0, 0, 0, 0)
-
-
-@dataclass(eq=False)
-class Host:
-    """A control host: its disk, and a replica while it is up."""
-
-    name: str
-    identity: str
-    disk: Stored = field(default_factory=Stored)
-    raft: Raft | None = None
-    applied: list[str] = field(default_factory=list)
-    applied_index: int = 0
-    up_at_s: float = 0
-
-
-class Network:
-    """Messages on their way, with loss, duplicates, delay and partitions."""
-
-    def __init__(self, rng: random.Random) -> None:
-        self.cut: set[frozenset[str]] = set()
-        self._rng = rng
-        self._wire: list = []
-        self._order = count()
-
-    def send(self, source: str, message, now_s: float, faults: Faults) -> None:
-        """Puts a message on its way, or loses it."""
-        chance = self._rng.random
-        target = message.target.split('.')[0]
-        is_cut = frozenset((source, target)) in self.cut
-        if is_cut or chance() < faults.loss:
-            return
-        for _ in range(2 if chance() < faults.duplicate else 1):
-            limit_s = 3 if chance() < faults.slow else 0.02
-            due_s = now_s + self._rng.uniform(0.001, limit_s)
-            heapq.heappush(self._wire, (due_s, next(self._order), message))
-
-    def arrived(self, now_s: float) -> Iterator:
-        """Yields the messages that have arrived by now."""
-        while self._wire and self._wire[0][0] <= now_s:
-            yield heapq.heappop(self._wire)[2]
-
-
 class Simulation:
     """Replicas over a faulty network; a seed fixes the whole run."""
 
@@ -237,7 +185,7 @@
         )
         coordinator = chosen[0].raft
         if is_new and not coordinator.members.voters and not self.ledger:
-            members = Members(tuple(map(_replica, chosen)))
+            members = Members(tuple(host.replica for host in chosen))
             coordinator.bootstrap(members)
 
     def _deliver(self, message) -> None:
@@ -254,10 +202,10 @@
         if self.rng.random() < self.faults.crash_in_sync:
             kept = self.rng.choice((replace(output, entries=()), output, None))
             if kept:
-                _sync(host, kept)
+                sync(host, kept)
             self.crash(host, self.rng.uniform(0, 2))
             return
-        _sync(host, output)
+        sync(host, output)
         for message in output.messages:
             self.network.send(host.name, message, self.now_s, self.faults)
         if output.snapshot:
@@ -313,17 +261,7 @@
                 first = self.leaders.setdefault(host.raft.term, host.identity)
                 assert first == host.identity, 'two leaders in one term'
         for one, other in combinations(self.up, 2):
-            _check_matching(one.raft.log, other.raft.log)
-
-
-def _check_matching(one, other) -> None:
-    is_agreed = False
-    for index in range(min(one.last_index, other.last_index), 0, -1):
-        terms = one.term_at(index), other.term_at(index)
-        if None in terms:
-            return
-        assert not is_agreed or terms[0] == terms[1], 'logs do not match'
-        is_agreed = terms[0] == terms[1]
+            check_matching(one.raft.log, other.raft.log)
 
 
 def _is_whole(simulation: Simulation) -> bool:
@@ -341,24 +279,6 @@
     )
 
 
-def _sync(host: Host, output: Output) -> None:
-    disk = host.disk
-    entries = disk.entries
-    if output.snapshot:
-        entries = ()
-    if output.entries:
-        first = output.entries[0].index
-        entries = (
-            *(one for one in entries if one.index < first),
-            *output.entries,
-        )
-    host.disk = Stored(
-        output.vote or disk.vote,
-        output.snapshot or disk.snapshot,
-        entries,
-    )
-
-
 def _changes(
     simulation: Simulation, leader: Host
 ) -> Iterable[membership.Change]:
@@ -367,15 +287,11 @@
         host = simulation.hosts[ended.host]
         if host.identity != ended.identity:
             if members.find(host.identity) is None:
-                yield membership.AddLearner(_replica(host))
+                yield membership.AddLearner(host.replica)
             yield membership.Replace(ended.identity, host.identity)
     if simulation.rng.random() < simulation.faults.change:
         host = simulation.rng.choice(list(simulation.hosts.values()))
-        yield membership.AddLearner(_replica(host))
+        yield membership.AddLearner(host.replica)
         yield membership.Promote(host.identity)
         if len(members.voters) > 3:
             yield membership.Remove(host.identity)
-
-
-def _replica(host: Host) -> Replica:
-    return Replica(host.identity, host.name)
--- a/test/test_claims.py
+++ b/test/test_claims.py
@@ -8,6 +8,7 @@
 from nose2.tools import params
 
 from test import claim_simulation
+from test.claim_zone import few_buckets
 from waxwingsaddle import claims
 from waxwingsaddle.claim_outbox import ClaimOutbox
 from waxwingsaddle.claim_table import CLAIM_BYTES, ClaimTable
@@ -66,7 +67,7 @@
 @params(*range(0, 40, 4))
 def test_random_runs_keep_all_promises(first_seed):
     """Guards against double runs, false not-run and wrong stored answers."""
-    with claim_simulation.few_buckets():
+    with few_buckets():
         for seed in range(first_seed, first_seed + 4):
             callers = claim_simulation.run(seed, keys=40, length_s=40)
             faults = list(callers.faults())
--- a/test/test_raft.py
+++ b/test/test_raft.py
@@ -5,7 +5,8 @@
 
 from nose2.tools import params
 
-from test.simulation import CALM, Faults, Simulation
+from test.simulated_hosts import CALM, Faults
+from test.simulation import Simulation
 
 SEEDS = int(os.environ.get('WAXWING_SEEDS', '24'))
 FIRST_SEED = int(os.environ.get('WAXWING_FIRST_SEED', '0'))
