Keep removed replicas out, and older identities behind newer ones

Cause: a leader added every replica that asked to join and was no member. A removed learner whose process ran asked again at the next interval; a late request of an earlier identity of a host took the place of its newer learner.

Change: `Members` keeps the identities that were removed, replaced or displaced; only an operator's add takes one back. A leader adds a replica on its own request only after it repeated a challenge that is void after a change of members, so that a late request or a late echo adds nothing.

--- a/waxwingsaddle/joining.py
+++ b/waxwingsaddle/joining.py
@@ -5,8 +5,14 @@
 other voter has answered the present identity that it is new too. A host whose
 disk was lost can therefore not begin a second log: a host that kept its disk
 does not answer that it is new.
+
+A leader adds a replica only when the replica repeats the challenge of its last
+answer. The answer goes to the process that now runs on the host, so that a
+late request of an earlier identity of the host is never followed by an echo.
 """
 
+import secrets
+
 import msgspec
 
 from waxwingsaddle import logs
@@ -27,9 +33,11 @@
 
     Attributes:
         replica: The replica that asks.
+        challenge: The newest challenge of the receiver, empty for none.
     """
 
     replica: Replica
+    challenge: str = ''
 
 
 class JoinReply(msgspec.Struct, frozen=True):
@@ -39,11 +47,34 @@
         replica: The replica that answers.
         is_new: Whether it has never had a log.
         asked_by: Identity that asked.
+        challenge: To be repeated by the identity that asked.
+        is_removed: Whether that identity was removed, as the answering
+            host knows.
     """
 
     replica: Replica
     is_new: bool
     asked_by: str
+    challenge: str = ''
+    is_removed: bool = False
+
+
+class _Challenge(msgspec.Struct, frozen=True):
+    """What a host was asked to repeat.
+
+    Attributes:
+        identity: Identity that asked.
+        members_index: Entry of the members at the time; a change of members
+            ends the challenge, so that an echo from before it is void.
+        text: The challenge.
+    """
+
+    identity: str
+    members_index: int
+    text: str
+
+
+CHALLENGE_BYTES = 6
 
 
 class Joining:
@@ -77,6 +108,9 @@
         self._lost_state = lost_state
         self._new: dict[str, Replica] = {this_host.host: self._replica}
         self._asking: dict[str, Replica] = {}
+        self._given: dict[str, _Challenge] = {}
+        self._received: dict[str, str] = {}
+        self._is_removed = False
         peers.subscribe(Join, self._on_join)
         peers.subscribe(JoinReply, self._on_reply)
 
@@ -92,12 +126,13 @@
         if self._driver.is_leader:
             self._admit()
         elif self._wants_to_join():
-            self._peers.broadcast(Join(self._replica))
+            for host in self._peers.hosts:
+                self._ask(host)
             self._begin()
 
     def _wants_to_join(self) -> bool:
-        # A learner that no leader sends to was removed, or replaced by a late
-        # request of an earlier identity of its host.
+        # A learner that no leader sends to was removed, or the leader has
+        # not yet told it of its place.
         raft = self._driver.raft
         if raft.log.last_index == 0:
             return True
@@ -142,7 +177,7 @@
             if members.find(replica.identity) is None
         ]
         self._asking.clear()
-        return [AddLearner(replica) for replica in asking]
+        return [AddLearner(replica, is_own_request=True) for replica in asking]
 
     def _connect_members(self) -> None:
         for member in self._driver.raft.members:
@@ -150,11 +185,18 @@
 
     def _on_join(self, sender: str, message: Join) -> None:
         self._peers.connect(sender, message.replica.peer_address)
-        self._asking[sender] = message.replica
+        identity = message.replica.identity
+        challenge = self._challenge(sender, identity)
+        if message.challenge == challenge:
+            self._asking[sender] = message.replica
+        else:
+            self._asking.pop(sender, None)
         reply = JoinReply(
             self._replica,
             self.is_new,
-            message.replica.identity,
+            identity,
+            challenge,
+            identity in self._driver.raft.members.removed,
         )
         self._peers.send(sender, reply)
 
@@ -165,3 +207,33 @@
             self._new[sender] = message.replica
         else:
             self._new.pop(sender, None)
+        self._note_removal(is_removed=message.is_removed)
+        if self._received.get(sender) != message.challenge:
+            self._received[sender] = message.challenge
+            if self._wants_to_join():
+                self._ask(sender)
+
+    def _ask(self, host: str) -> None:
+        challenge = self._received.get(host, '')
+        self._peers.send(host, Join(self._replica, challenge))
+
+    def _challenge(self, host: str, identity: str) -> str:
+        members_index = self._driver.raft.log.members_index
+        given = self._given.get(host)
+        if (
+            given is None
+            or given.identity != identity
+            or given.members_index != members_index
+        ):
+            text = secrets.token_hex(CHALLENGE_BYTES)
+            given = _Challenge(identity, members_index, text)
+            self._given[host] = given
+        return given.text
+
+    def _note_removal(self, *, is_removed: bool) -> None:
+        if is_removed and not self._is_removed:
+            logs.logger().warning(
+                'was removed; takes part again when an operator adds it',
+                identity=self._replica.identity,
+            )
+        self._is_removed = is_removed
--- a/waxwingsaddle/membership.py
+++ b/waxwingsaddle/membership.py
@@ -14,9 +14,16 @@
 
 
 class AddLearner(msgspec.Struct, frozen=True, tag=True):
-    """Adds a replica without a vote, in place of a learner of its host."""
+    """Adds a replica without a vote, in place of a learner of its host.
+
+    Attributes:
+        replica: The replica.
+        is_own_request: Whether the replica asked for it; a removed one is
+            only added by an operator.
+    """
 
     replica: Replica
+    is_own_request: bool = False
 
 
 class Promote(msgspec.Struct, frozen=True, tag=True):
@@ -75,8 +82,15 @@
     added = change.replica
     if members.find(added.identity) is not None:
         raise MembershipError(f'{added.identity} is a member already')
-    others = tuple(one for one in members.learners if one.host != added.host)
-    return Members(members.voters, (*others, added))
+    if change.is_own_request and added.identity in members.removed:
+        raise MembershipError(f'{added.identity} was removed')
+    displaced = [one for one in members.learners if one.host == added.host]
+    removed = _with_removed(members, *(one.identity for one in displaced))
+    return Members(
+        members.voters,
+        (*(one for one in members.learners if one not in displaced), added),
+        tuple(one for one in removed if one != added.identity),
+    )
 
 
 @changed.register
@@ -91,6 +105,7 @@
     return Members(
         (*members.voters, learner),
         _without(members.learners, learner.identity),
+        members.removed,
     )
 
 
@@ -101,7 +116,11 @@
     voters = _without(members.voters, change.identity)
     if not voters:
         raise MembershipError('the last voter can not be removed')
-    return Members(voters, _without(members.learners, change.identity))
+    return Members(
+        voters,
+        _without(members.learners, change.identity),
+        _with_removed(members, change.identity),
+    )
 
 
 @changed.register
@@ -115,6 +134,7 @@
     return Members(
         tuple(learner if one == ended else one for one in members.voters),
         _without(members.learners, learner.identity),
+        _with_removed(members, change.ended),
     )
 
 
@@ -135,6 +155,11 @@
     raise MembershipError(f'{identity} is no learner')
 
 
+def _with_removed(members: Members, *identities: str) -> tuple[str, ...]:
+    # Never cut: an identity takes some 30 bytes, and few disks are lost.
+    return (*members.removed, *identities)
+
+
 def _without(
     replicas: tuple[Replica, ...],
     identity: str,
--- a/waxwingsaddle/raft_messages.py
+++ b/waxwingsaddle/raft_messages.py
@@ -29,10 +29,13 @@
     Attributes:
         voters: Replicas that count for majorities.
         learners: Replicas that only receive the log.
+        removed: Identities that were members; they join only when an
+            operator adds them. Absent in entries of earlier versions.
     """
 
     voters: tuple[Replica, ...] = ()
     learners: tuple[Replica, ...] = ()
+    removed: tuple[str, ...] = ()
 
     def __iter__(self) -> Iterator[Replica]:
         yield from self.voters
