Test the term of an own proposal and the keepalive between hosts

Cause: no test noticed when either mechanism was taken out.

Change: a leader's proposal whose index a newer leader fills is answered "result not known" (test_raft_driver); a link that a proxy cuts silently is noticed within twice the keepalive interval and time-out (test_peers).

Seen failing: with `is_own = True`, the first; without the two HEARTBEAT options, the second. Both modules pass unchanged.

--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -1,11 +1,14 @@
 """Messages between control hosts."""
 
+import tempfile
 from contextlib import contextmanager
 from functools import partial
+from pathlib import Path
 
 import eventlet
 import msgspec
 
+from test.bench import fault_proxy
 from waxwingsaddle import peers
 from waxwingsaddle.addresses import ControlHost
 from waxwingsaddle.util.ports import free_address
@@ -19,6 +22,14 @@
     keepalive_timeout_ms=3000,
 )
 
+QUICK_LIMITS = msgspec.structs.replace(
+    LIMITS,
+    keepalive_ms=200,
+    keepalive_timeout_ms=600,
+)
+# Twice the interval and the silence that close a connection.
+NOTICED_S = 1.6
+
 
 class Greeting(msgspec.Struct):
     """A message of this test."""
@@ -30,9 +41,8 @@
     """A message without a handler."""
 
 
-@contextmanager
-def _connected(count=3):
-    hosts = [
+def _hosts(count):
+    return [
         ControlHost(
             host=f'c{number}',
             availability_zone='z1',
@@ -42,6 +52,11 @@
         )
         for number in range(count)
     ]
+
+
+@contextmanager
+def _connected(count=3):
+    hosts = _hosts(count)
     started = [peers.Peers(host, hosts, LIMITS) for host in hosts]
     for one in started:
         one.start()
@@ -124,3 +139,45 @@
         _until(lambda: first.send('c9', Greeting('new')))
         _until(lambda: got)
         added.stop()
+
+
+@contextmanager
+def _linked():
+    """Yields two hosts and the link from the first to the second."""
+    hosts = _hosts(2)
+    targets = {'c0-c1': hosts[1].peer_address}
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        fault_proxy(Path(folder), targets) as links,
+    ):
+        address = links.addresses['c0-c1']
+        routed = msgspec.structs.replace(hosts[1], peer_address=address)
+        first = peers.Peers(hosts[0], [routed], QUICK_LIMITS)
+        second = peers.Peers(hosts[1], [], QUICK_LIMITS)
+        second.start()
+        first.start()
+        try:
+            yield first, second, links
+        finally:
+            first.stop()
+            second.stop()
+
+
+def _cut(links, is_cut):
+    links.set_condition(
+        'c0-c1',
+        is_forward_cut=is_cut,
+        is_backward_cut=is_cut,
+    )
+
+
+def test_silently_cut_link_is_noticed():
+    """Guards against messages queued for a host that is cut off."""
+    with _linked() as (first, second, links):
+        got = _collect(second)
+        _until(lambda: first.send('c1', Greeting('before')) and got)
+        _cut(links, is_cut=True)
+        _until(lambda: not first.send('c1', Greeting('lost')), NOTICED_S)
+        _cut(links, is_cut=False)
+        _until(lambda: first.send('c1', Greeting('after')))
+        _until(lambda: ('c0', Greeting('after')) in got)
--- a/test/test_raft_driver.py
+++ b/test/test_raft_driver.py
@@ -8,7 +8,7 @@
 import eventlet
 
 from test.limits import file_size_limit
-from waxwingsaddle.config import SourceSet
+from waxwingsaddle.config import SourceSet, check_sources
 from waxwingsaddle.deciding import Deciding
 from waxwingsaddle.edits import EditState
 from waxwingsaddle.outcomes import Accepted, Edit, Unavailable
@@ -156,6 +156,40 @@
         assert isinstance(outcome, Unavailable), outcome
 
 
+def _replacement(driver, edit):
+    """Returns a message of a newer leader that commits another entry."""
+    raft = driver.raft
+    index = raft.log.last_index
+    checked = check_sources(edit.sources)
+    command = Command(driver.state.entry(edit, checked, 5))
+    return Append(
+        source='c1.1',
+        target=raft.identity,
+        term=raft.term + 1,
+        prev_index=index - 1,
+        prev_term=raft.log.term_at(index - 1),
+        entries=(Entry(index, raft.term + 1, command),),
+        commit=index,
+        pulse=Pulse(0, None, 0),
+    )
+
+
+def test_replaced_proposal_is_not_reported_as_accepted():
+    """Guards against the answer to another leader's entry at the index."""
+    sent = []
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        _alone(folder, OTHERS, sent) as driver,
+    ):
+        _until(lambda: _settle(driver, sent))
+        before = driver.raft.log.last_index
+        asked = eventlet.spawn(Deciding(driver).edit, _edit(1, 'own'), 5)
+        _until(lambda: driver.raft.log.last_index > before)
+        driver.receive(_replacement(driver, _edit(1, 'other')))
+        assert isinstance(asked.wait(), Unavailable)
+        assert '# other' in driver.state.sources.base
+
+
 def test_nothing_is_acknowledged_that_is_not_stored():
     """Guards against an acknowledgement to the leader before the sync."""
     sent = []
