Announce changes of the leader alone

Cause: the driver compared its position before and after taking the output of the replica, but the leader changes with messages and ticks, before that. So leader-changed was published only when a version changed in the same step. Change: the position is compared with the one announced last.

--- a/waxwingsaddle/raft_driver.py
+++ b/waxwingsaddle/raft_driver.py
@@ -103,6 +103,7 @@
         self._limits = limits
         self._clock = clock
         self._proposals: dict[int, Proposal] = {}
+        self._announced: tuple[object, ...] = ()
         self._unsynced: Output | None = None
         self._retry_at_s: float = 0
         self._applied = raft.log.snapshot
@@ -190,11 +191,14 @@
             self._finish(self._unsynced)
 
     def _flush(self) -> None:
-        before = self._position()
         self._finish(self.raft.take_output())
         if not self.raft.is_leader:
             self._lose_proposals()
-        if self._position() != before:
+        # The leader changes with messages and ticks, before the output is
+        # taken, so the position is compared with the one announced last.
+        position = self._position()
+        if position != self._announced:
+            self._announced = position
             self._announce()
 
     def _position(self) -> tuple[object, ...]:
