Send events of nodes to their control hosts with the renewals

Cause: waxwingctl timeline asked each process of a list by HTTP, so events of a dead node were gone, and a list of 1,200 nodes had to be kept. The control host keeps them in a bounded buffer beside its own. Events that leave the buffer of the node first are counted and shown as a gap. Messages between control hosts, deltas and wholes carry the hybrid logical clock. Control hosts have a buffer of their own for events of nodes, so that these do not push out leader changes.

--- a/test/distribution_fakes.py
+++ b/test/distribution_fakes.py
@@ -10,6 +10,7 @@
 from waxwingsaddle.config import SourceSet, check_sources
 from waxwingsaddle.control_settings import ControlSettings
 from waxwingsaddle.events import Timeline
+from waxwingsaddle.fleet_events import FleetTimeline
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.node_settings import NodeSettings
 from waxwingsaddle.util.ports import free_address
@@ -128,6 +129,8 @@
     def __post_init__(self):
         self.kernel = Kernel()
         self.replication = FakeReplication()
+        self.events = FleetTimeline(self.host.host, 100, 100)
+        self.kernel.provide('events', self.events)
         self.kernel.provide('replication', self.replication)
         self.kernel.provide('peers', FakePeers(self.host.host, self.network))
         loaded = settings.check(
--- a/waxwingsaddle/api_fleet.py
+++ b/waxwingsaddle/api_fleet.py
@@ -13,6 +13,7 @@
 )
 from waxwingsaddle.control_settings import ControlSettings
 from waxwingsaddle.events import Events
+from waxwingsaddle.fleet_events import selected
 from waxwingsaddle.kernel import Kernel
 
 
@@ -110,18 +111,27 @@
         kernel: Has the service `events`.
     """
     since = Parameter('since', int, 0, 'Only events after the first so many.')
+    kind = Parameter('kind', str, '', 'Only these kinds, with commas between.')
+    host = Parameter('host', str, '', 'Only these hosts, with commas between.')
     return Endpoint(
         'GET',
         '/v1/events',
-        'Returns the events of this process.',
-        lambda request: kernel.find('events').document(
-            request.query['since'],
+        'Returns the events of this process; a control host has those of its '
+        'nodes, too.',
+        lambda request: selected(
+            kernel.find('events').document(request.query['since']),
+            _listed(request.query['kind']),
+            _listed(request.query['host']),
         ),
         Events,
-        query=(since,),
+        query=(since, kind, host),
     )
 
 
+def _listed(text: str) -> frozenset[str]:
+    return frozenset(filter(None, text.split(',')))
+
+
 def _replication_status(status) -> ReplicationStatus:
     return ReplicationStatus(
         identity=status.identity,
--- a/waxwingsaddle/client.py
+++ b/waxwingsaddle/client.py
@@ -1,6 +1,6 @@
 """Client of the administration API; usable without the other programs."""
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from typing import Any, TypeVar
 from urllib.parse import urlencode
 
@@ -126,12 +126,30 @@
         """Adds, promotes, removes or replaces a control host."""
         return self._post('/v1/members', change, Members)
 
-    def events(self, address: str, since: int = 0) -> Events | Failure:
-        """Returns the events of one process, which needs no other to answer."""
+    def events(
+        self,
+        address: str,
+        since: int = 0,
+        kinds: Iterable[str] = (),
+        hosts: Iterable[str] = (),
+    ) -> Events | Failure:
+        """Returns the events of one process, which needs no other to answer.
+
+        Args:
+            address: Where the process serves HTTP.
+            since: Only events after the first so many.
+            kinds: Only these kinds; a node ignores it.
+            hosts: Only these hosts; a node ignores it.
+        """
+        query = {
+            'since': since,
+            'kind': ','.join(sorted(kinds)),
+            'host': ','.join(sorted(hosts)),
+        }
         return self._ask_one(
             address,
             'GET',
-            _with_query('/v1/events', {'since': since}),
+            _with_query('/v1/events', query),
             b'',
             Events,
         )
--- a/waxwingsaddle/control.py
+++ b/waxwingsaddle/control.py
@@ -4,6 +4,7 @@
 from waxwingsaddle.control_http import ReplicationPage
 from waxwingsaddle.control_settings import ControlSettings
 from waxwingsaddle.events import Timeline
+from waxwingsaddle.fleet_events import FleetTimeline
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.peers import Peers
 from waxwingsaddle.raft_messages import Members, Replica
@@ -21,7 +22,12 @@
     kernel = Kernel()
     this_host = settings.this_host
     peers = Peers(this_host, settings.hosts, settings.peer_limits)
-    timeline = Timeline('control', settings.host, settings.events_kept)
+    timeline = FleetTimeline(
+        settings.host,
+        settings.events_kept,
+        settings.node_events_kept,
+        peers.clock,
+    )
     replication = Replication(kernel, settings, peers)
     kernel.provide('events', timeline)
     kernel.provide('peers', peers)
--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -31,7 +31,8 @@
             `waxwingctl keys new`; empty for sockets without keys.
         log_level: Least level of log lines.
         log_form: `json` or `text`.
-        events_kept: Events kept for the time line.
+        events_kept: Events of this host kept for the time line.
+        node_events_kept: Events of its nodes kept for the time line.
         tokens: Bearer tokens of the administration API; none for free access.
         api_body_limit_bytes: Largest body of a request to the administration
             API.
@@ -76,6 +77,7 @@
     log_level: Literal['debug', 'info', 'warning', 'error']
     log_form: Literal['json', 'text']
     events_kept: Positive
+    node_events_kept: Positive
     tokens: tuple[AccessToken, ...] = ()
     api_body_limit_bytes: Positive
     api_restore_limit_bytes: Positive
--- a/waxwingsaddle/directory.py
+++ b/waxwingsaddle/directory.py
@@ -7,7 +7,7 @@
 import hashlib
 from collections import defaultdict
 from collections.abc import Iterable
-from typing import Literal
+from typing import Any, Literal
 
 import msgspec
 
@@ -250,3 +250,10 @@
     )
     packed = hashlib.blake2b(identity, digest_size=DIGEST_BYTES).digest()
     return int.from_bytes(packed)
+
+
+def unaged(upstreams: Iterable[UpstreamRecord]) -> tuple[Any, ...]:
+    """Returns what tells a change of upstreams; their age is none."""
+    return tuple(
+        (part.name, part.service, part.slots, part.state) for part in upstreams
+    )
--- a/waxwingsaddle/distribution.py
+++ b/waxwingsaddle/distribution.py
@@ -34,7 +34,7 @@
     """Serves the nodes that hold a lease with this control host.
 
     Args:
-        kernel: Finds the services `replication` and `peers`.
+        kernel: Finds the services `replication`, `peers` and `events`.
         settings: Settings of the control host.
     """
 
@@ -57,6 +57,7 @@
             settings.node_message_bytes,
             self._receive,
         )
+        self._events = kernel.find('events')
         self._push = NodePush(
             self._leases,
             SiteCatalogue(settings.config_steps_kept),
@@ -138,6 +139,7 @@
             self._exchange,
             self._push,
             self._majority_age_ms,
+            self._events,
         )
 
     def _receive(self, identity: bytes, message: Any, size_bytes: int) -> None:
@@ -147,7 +149,12 @@
         state = self._replication.state
         sites = self._push.sites
         services_before = sites.services()
-        sites.accept(state.version, state.sites)
+        stamp = self._events.clock.last
+        sites.accept(
+            state.version,
+            state.sites,
+            (stamp.wall_ms, stamp.counter),
+        )
         self._push.accepted(services_before)
 
     def _is_leased(self, host: str) -> bool:
@@ -212,7 +219,8 @@
     """Provides the services `distribution` and `directory`.
 
     Args:
-        kernel: Kernel of the control host, with `replication` and `peers`.
+        kernel: Kernel of the control host, with `replication`, `peers` and
+            `events`.
         settings: Settings of the control host.
     """
     distribution = Distribution(kernel, settings)
--- a/waxwingsaddle/events.py
+++ b/waxwingsaddle/events.py
@@ -72,7 +72,7 @@
         """
         stamp = self.clock.tick()
         self._recorded += 1
-        self._events.append(
+        self._append(
             Event(
                 wall_ms=stamp.wall_ms,
                 counter=stamp.counter,
@@ -111,3 +111,6 @@
     def observe(self, wall_ms: int, counter: int) -> None:
         """Moves the clock past a stamp received from another process."""
         self.clock.observe(Stamp(wall_ms, counter))
+
+    def _append(self, event: Event) -> None:
+        self._events.append(event)
--- a/waxwingsaddle/fleet.py
+++ b/waxwingsaddle/fleet.py
@@ -11,6 +11,7 @@
 
 from waxwingsaddle import settings as checked_settings
 from waxwingsaddle.addresses import Address, HostName, NodeControl
+from waxwingsaddle.events import Timeline
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.node_settings import NodeSettings
 from waxwingsaddle.subscription import Subscription
@@ -132,6 +133,10 @@
     ) -> None:
         self._in_force = in_force
         self.kernel = Kernel()
+        self.kernel.provide(
+            'events',
+            Timeline('node', settings.host, settings.events_kept),
+        )
         self.upstreams = StandInUpstreams(service)
         self.kernel.provide('upstreams', self.upstreams)
         self.subscription = Subscription(self.kernel, settings)
--- a/waxwingsaddle/leases.py
+++ b/waxwingsaddle/leases.py
@@ -27,6 +27,7 @@
         due_version: Version sent before the last renewal, so that a node that
             still lacks it has lost the message.
         due_revision: Directory revision sent before the last renewal.
+        events_known: How many events of the node this host knows.
     """
 
     identity: bytes
@@ -43,6 +44,7 @@
     is_complete: bool = False
     due_version: int = 0
     due_revision: int = -1
+    events_known: int = 0
 
 
 @dataclass(slots=True)
--- a/waxwingsaddle/node_messages.py
+++ b/waxwingsaddle/node_messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from waxwingsaddle.directory import NodeRecord, UpstreamRecord
+from waxwingsaddle.event_batches import EventBatch
 from waxwingsaddle.patch import Operation
 from waxwingsaddle.util.codec import decompress
 
@@ -51,6 +52,7 @@
         is_whole_wanted: Whether a delta did not fit and the whole
             configuration is needed.
         upstreams: Announced upstreams when they changed.
+        events: Events that no control host has confirmed.
     """
 
     sequence: int
@@ -59,6 +61,7 @@
     revision: int
     is_whole_wanted: bool = False
     upstreams: tuple[UpstreamRecord, ...] | None = None
+    events: EventBatch | None = None
 
 
 class InForce(msgspec.Struct, frozen=True, array_like=True, tag='in-force'):
@@ -119,12 +122,14 @@
         majority_age_ms: Time since the last proof of contact with a majority.
         version: Accepted version.
         is_known: Whether there is a lease; otherwise the node says `Hello`.
+        events_known: How many events of the node this host knows.
     """
 
     ttl_ms: int
     majority_age_ms: int
     version: int
     is_known: bool = True
+    events_known: int = 0
 
 
 class ConfigStep(msgspec.Struct, frozen=True, array_like=True):
@@ -147,12 +152,14 @@
         base_digest: First characters of the digest of the base.
         digest: Digest of the result.
         steps: Changes in order; the last one gives the resulting version.
+        stamp: Hybrid logical time after the version was accepted.
     """
 
     base_version: int
     base_digest: str
     digest: str
     steps: tuple[ConfigStep, ...]
+    stamp: tuple[int, int] = (0, 0)
 
 
 class ConfigWhole(msgspec.Struct, frozen=True, array_like=True, tag='whole'):
@@ -162,11 +169,13 @@
         site: Name of the site.
         version: Version of the tree.
         digest: Digest of the tree.
+        stamp: Hybrid logical time after the version was accepted.
     """
 
     site: str
     version: int
     digest: str
+    stamp: tuple[int, int] = (0, 0)
 
 
 class DirectoryUpdate(
--- a/waxwingsaddle/node_protocol.py
+++ b/waxwingsaddle/node_protocol.py
@@ -14,6 +14,7 @@
     shifted,
 )
 from waxwingsaddle.directory_exchange import DirectoryExchange
+from waxwingsaddle.fleet_events import FleetTimeline
 from waxwingsaddle.leases import Lease, LeaseTable
 from waxwingsaddle.node_messages import (
     Busy,
@@ -46,6 +47,7 @@
         exchange: Announces the entries of nodes.
         push: Sends configuration and directory.
         majority_age_ms: Time since the last contact with a majority.
+        events: Takes up the events of the nodes.
     """
 
     host: str
@@ -55,6 +57,7 @@
     exchange: DirectoryExchange
     push: NodePush
     majority_age_ms: Callable[[], int]
+    events: FleetTimeline
 
     def receive(
         self,
@@ -74,13 +77,14 @@
         count('received', zone, type(message).__name__, size_bytes)
         self._handle(message, identity, lease)
 
-    def granted(self, is_known: bool) -> LeaseGranted:
+    def granted(self, is_known: bool, events_known: int = 0) -> LeaseGranted:
         """Returns the answer to a renewal."""
         return LeaseGranted(
             self.ttl_ms,
             self.majority_age_ms(),
             self.push.sites.version,
             is_known,
+            events_known,
         )
 
     def end_entry(self, lease: Lease) -> None:
@@ -138,10 +142,20 @@
             known = self.exchange.directory.find(lease.host)
             address = known.call_address if known else ''
             self._announce(lease, address, message.upstreams)
+        if message.events is not None and message.events.events:
+            lease.events_known = self.events.receive(
+                lease.host,
+                message.events,
+                lease.events_known,
+            )
         if message.is_whole_wanted:
             self.push.whole(lease)
         self.push.repair(lease, message.revision)
-        self._reply(identity, self.granted(is_known=True), lease)
+        granted = self.granted(
+            is_known=True,
+            events_known=lease.events_known,
+        )
+        self._reply(identity, granted, lease)
 
     @_handle.register
     def _on_in_force(
--- a/waxwingsaddle/node_session.py
+++ b/waxwingsaddle/node_session.py
@@ -9,9 +9,10 @@
 from waxwingsaddle import metrics
 from waxwingsaddle.addresses import NodeControl
 from waxwingsaddle.control_link import ControlLink
-from waxwingsaddle.directory import UpstreamRecord
+from waxwingsaddle.directory import UpstreamRecord, unaged
 from waxwingsaddle.in_force import Applied, HeldConfiguration
 from waxwingsaddle.node_directory import NodeDirectory
+from waxwingsaddle.node_events import NodeEvents
 from waxwingsaddle.node_messages import (
     Busy,
     ConfigDelta,
@@ -49,6 +50,7 @@
         announced: Returns the announced upstreams, with ages.
         on_configuration: Called after a newer configuration is held.
         on_directory: Called with the services whose upstreams changed.
+        events: Events of the node.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         announced: Callable[[], Upstreams],
         on_configuration: Callable[[], None],
         on_directory: Callable[[frozenset[str]], None],
+        events: NodeEvents,
     ) -> None:
         self._settings = settings
         self._held = held
@@ -66,6 +69,7 @@
         self._announced = announced
         self._on_configuration = on_configuration
         self._on_directory = on_directory
+        self._events = events
         self._incarnation = wall_ms()
         self._identity = f'{settings.host}/{self._incarnation}'.encode()
         self._sequence = 0
@@ -123,7 +127,7 @@
         if self.link is None:
             return False
         upstreams = self._announced()
-        identities = _identities(upstreams)
+        identities = unaged(upstreams)
         if identities != self._sent_upstreams:
             self._sequence += 1
             self._sent_upstreams = identities
@@ -138,6 +142,7 @@
                 revision=self._revision,
                 is_whole_wanted=self._is_whole_wanted,
                 upstreams=None if self._is_confirmed else upstreams,
+                events=self._events.batch(),
             ),
         )
         return self.answered.wait(self._settings.answer_wait_ms / MS_PER_S)
@@ -167,7 +172,7 @@
     def _hello(self) -> Hello:
         self._sequence += 1
         upstreams = self._announced()
-        self._sent_upstreams = _identities(upstreams)
+        self._sent_upstreams = unaged(upstreams)
         return Hello(
             host=self._settings.host,
             availability_zone=self._settings.availability_zone,
@@ -236,6 +241,7 @@
         self.majority_age_ms = message.majority_age_ms
         self.is_leased = message.is_known
         self._is_confirmed = message.is_known
+        self._events.confirm(message.events_known)
         limit_ms = self._settings.majority_age_limit_ms
         is_isolated = message.majority_age_ms > limit_ms
         if self.answered.is_set() and (is_isolated or not message.is_known):
@@ -249,6 +255,7 @@
         link: ControlLink,
         raw: bytes,
     ) -> None:
+        self._events.observe(message.stamp)
         self._applied(self._held.apply_delta(message))
 
     @_handle.register
@@ -258,9 +265,9 @@
         link: ControlLink,
         raw: bytes,
     ) -> None:
-        self._applied(
-            self._held.apply_whole(message.version, message.digest, raw),
-        )
+        self._events.observe(message.stamp)
+        version, digest = message.version, message.digest
+        self._applied(self._held.apply_whole(version, digest, raw))
 
     @_handle.register
     def _on_directory_update(
@@ -291,10 +298,3 @@
             if not self._is_whole_wanted:
                 self._is_whole_wanted = True
                 self.attention.set()
-
-
-def _identities(upstreams: Upstreams) -> tuple[Any, ...]:
-    # The age of an upstream is no change of it.
-    return tuple(
-        (part.name, part.service, part.slots, part.state) for part in upstreams
-    )
--- a/waxwingsaddle/peers.py
+++ b/waxwingsaddle/peers.py
@@ -18,6 +18,7 @@
 from waxwingsaddle.addresses import ControlHost
 from waxwingsaddle.curve import protect_client, protect_server
 from waxwingsaddle.listening import listening
+from waxwingsaddle.util.clock import HybridClock, Stamp
 from waxwingsaddle.util.codec import pack
 
 # ZMTP puts 2 bytes before a short frame and 9 before a long one.
@@ -56,11 +57,13 @@
         sender: Host that sent the message.
         kind: Name of the message type.
         body: The encoded message.
+        stamp: Hybrid logical time of the sender.
     """
 
     sender: str
     kind: str
     body: msgspec.Raw
+    stamp: tuple[int, int] = (0, 0)
 
 
 class PeerLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -97,6 +100,10 @@
         this_host: The entry of this host; its address is bound at the start.
         hosts: Control hosts to connect to; this host is passed over.
         limits: Limits of the sockets.
+
+    Attributes:
+        clock: Hybrid logical clock; each message carries its time, so that
+            causal order holds between control hosts.
     """
 
     def __init__(
@@ -106,6 +113,7 @@
         limits: PeerLimits,
     ) -> None:
         self.host = this_host.host
+        self.clock = HybridClock()
         self._address = this_host.peer_address
         self._limits = limits
         self._context = zmq.Context()
@@ -227,7 +235,14 @@
 
     def _send_packed(self, host: str, kind: str, body: bytes) -> bool:
         sender = self._senders.get(host)
-        frame = pack(Envelope(self.host, kind, msgspec.Raw(body)))
+        stamp = self.clock.last
+        envelope = Envelope(
+            self.host,
+            kind,
+            msgspec.Raw(body),
+            (stamp.wall_ms, stamp.counter),
+        )
+        frame = pack(envelope)
         if sender is None or not _send_now(sender, frame):
             DROPPED.labels(host, kind).inc()
             return False
@@ -254,6 +269,7 @@
         CONTROL_BYTES.labels('received', envelope.sender, kind).inc(
             framed_bytes(frame),
         )
+        self.clock.observe(Stamp(*envelope.stamp))
         try:
             self._handlers[kind](envelope.sender, message)
         except Exception:
--- a/waxwingsaddle/site_encodings.py
+++ b/waxwingsaddle/site_encodings.py
@@ -48,6 +48,7 @@
         digest: Digest of the newest tree.
         services: Services that the routes of the site reach.
         tree: Newest tree.
+        stamp: Hybrid logical time after the newest version was accepted.
     """
 
     site: str
@@ -56,13 +57,19 @@
     digest: str = ''
     services: frozenset[str] = frozenset()
     tree: Tree = field(default_factory=dict)
+    stamp: tuple[int, int] = (0, 0)
     _steps: deque[_Step] = field(default_factory=deque)
     _whole: Encoded | None = None
     _deltas: dict[tuple[int, str], Encoded | None] = field(
         default_factory=dict,
     )
 
-    def accept(self, version: int, tree: Tree) -> None:
+    def accept(
+        self,
+        version: int,
+        tree: Tree,
+        stamp: tuple[int, int] = (0, 0),
+    ) -> None:
         """Takes over a newer version of the site."""
         if version <= self.version:
             return
@@ -71,6 +78,7 @@
         self.version = version
         self.digest = digest(tree)
         self.tree = tree
+        self.stamp = stamp
         document = msgspec.convert(tree, SiteDocument)
         self.services = frozenset(
             route.service for route in document.routes.values()
@@ -106,7 +114,12 @@
     def whole(self) -> Encoded:
         """Returns the compressed whole configuration."""
         if self._whole is None:
-            header = ConfigWhole(self.site, self.version, self.digest)
+            header = ConfigWhole(
+                self.site,
+                self.version,
+                self.digest,
+                self.stamp,
+            )
             self._whole = Encoded(
                 'ConfigWhole',
                 (pack(header), compress(canonical(self.tree))),
@@ -133,6 +146,7 @@
             base_digest=known_digest,
             digest=self.digest,
             steps=tuple(step.step for step in steps),
+            stamp=self.stamp,
         )
         packed = pack(delta)
         if len(steps) > 1 and len(packed) > sum(map(len, self.whole().frames)):
@@ -148,15 +162,26 @@
         self._sites: dict[str, SiteEncodings] = {}
         self.version = 0
 
-    def accept(self, version: int, sites: Mapping[str, Tree]) -> None:
-        """Takes over a newer accepted version."""
+    def accept(
+        self,
+        version: int,
+        sites: Mapping[str, Tree],
+        stamp: tuple[int, int] = (0, 0),
+    ) -> None:
+        """Takes over a newer accepted version.
+
+        Args:
+            version: The version.
+            sites: Tree of each site.
+            stamp: Hybrid logical time after it was accepted.
+        """
         if version <= self.version:
             return
         self.version = version
         for site, tree in sites.items():
             if site not in self._sites:
                 self._sites[site] = SiteEncodings(site, self._steps_kept)
-            self._sites[site].accept(version, tree)
+            self._sites[site].accept(version, tree, stamp)
         for removed in self._sites.keys() - sites.keys():
             self._sites.pop(removed)
 
--- a/waxwingsaddle/standin_control.py
+++ b/waxwingsaddle/standin_control.py
@@ -11,6 +11,7 @@
 from waxwingsaddle import distribution, metrics
 from waxwingsaddle.config import Refused, SourceSet, check_sources
 from waxwingsaddle.control_settings import ControlSettings
+from waxwingsaddle.fleet_events import FleetTimeline
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.peers import Peers
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
@@ -135,6 +136,12 @@
         Peers(settings.this_host, settings.hosts, settings.peer_limits),
     )
     kernel.provide('replication', replication)
+    timeline = FleetTimeline(
+        settings.host,
+        settings.events_kept,
+        settings.node_events_kept,
+    )
+    kernel.provide('events', timeline)
     distribution.attach(kernel, settings)
     kernel.provide('api', StandInApi(kernel, settings, replication))
     return kernel
--- a/waxwingsaddle/subscription.py
+++ b/waxwingsaddle/subscription.py
@@ -20,6 +20,7 @@
 from waxwingsaddle.kernel import Kernel, UnknownServiceError
 from waxwingsaddle.neighbours import Neighbours
 from waxwingsaddle.node_directory import NodeDirectory
+from waxwingsaddle.node_events import NodeEvents
 from waxwingsaddle.node_session import Session
 from waxwingsaddle.util.backoff import Backoff
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
@@ -63,6 +64,11 @@
         self._floor: int | None = None
         self._published = 0
         self.directory = NodeDirectory()
+        self._events = NodeEvents(
+            _find(kernel, 'events'),
+            settings.event_bytes_per_s,
+            monotonic_s,
+        )
         self.session = Session(
             settings,
             self._held,
@@ -70,6 +76,7 @@
             self._announced,
             self._on_configuration,
             self._on_directory,
+            self._events,
         )
         self._backoff = Backoff(
             settings.reconnect_ms / MS_PER_S,
@@ -208,7 +215,7 @@
             MOVES.labels(reason).inc()
             host = answer.control.host
             logs.logger().info('lease taken', control_host=host, reason=reason)
-            self._record('lease', control_host=host, reason=reason)
+            self._events.record('lease', control_host=host, reason=reason)
         return is_joined
 
     @property
@@ -241,12 +248,8 @@
             for part in upstreams.announced()
         )
 
-    def _record(self, kind: str, **details: object) -> None:
-        events = _find(self._kernel, 'events')
-        if events is not None:
-            events.record(kind, **details)
-
     def _on_upstreams(self, **_fields: Any) -> None:
+        self._events.record_upstreams(self._announced())
         self.session.attention.set()
 
     def _on_configuration(self) -> None:
@@ -255,7 +258,7 @@
         self._published = self._held.version
         VERSION.set(self._held.version)
         self.session.acknowledge()
-        self._record('in-force', version=self._held.version)
+        self._events.record('in-force', version=self._held.version)
         self._kernel.publish(
             'configuration-in-force',
             version=self._held.version,
--- a/waxwingsaddle/subscription_settings.py
+++ b/waxwingsaddle/subscription_settings.py
@@ -26,6 +26,7 @@
             the own availability zone.
         reconnect_ms: First bound of the delay before trying again.
         reconnect_limit_ms: Largest such bound.
+        event_bytes_per_s: Budget of events sent with the renewals.
         control_queue_messages: Messages queued for or from a control host.
     """
 
@@ -37,4 +38,5 @@
     home_check_ms: Positive
     reconnect_ms: Positive
     reconnect_limit_ms: Positive
+    event_bytes_per_s: Annotated[int, msgspec.Meta(ge=64)]
     control_queue_messages: Positive
--- a/waxwingsaddle/timeline.py
+++ b/waxwingsaddle/timeline.py
@@ -6,6 +6,7 @@
 from datetime import UTC, datetime
 
 from waxwingsaddle.api_models import Failure
+from waxwingsaddle.event_batches import LOST_KIND
 from waxwingsaddle.events import Event, Events
 
 MS_PER_S = 1000
@@ -19,7 +20,7 @@
 
     Attributes:
         since_ms: Earliest time, in milliseconds since the epoch.
-        kinds: Kinds of events; empty for all.
+        kinds: Kinds of events; empty for all. Gaps are always shown.
         hosts: Hosts; empty for all.
     """
 
@@ -31,7 +32,7 @@
         """Says whether an event is to be shown."""
         return (
             event.wall_ms >= self.since_ms
-            and (not self.kinds or event.kind in self.kinds)
+            and (not self.kinds or event.kind in self.kinds | {LOST_KIND})
             and (not self.hosts or event.host in self.hosts)
         )
 
@@ -79,9 +80,18 @@
     return Gathered(tuple(sorted(events, key=order)), tuple(failures))
 
 
-def order(event: Event) -> tuple[int, int, str, str]:
-    """Returns the place of an event in the hybrid logical order."""
-    return event.wall_ms, event.counter, event.host, event.program
+def order(event: Event) -> tuple[int, int, str, str, bool]:
+    """Returns the place of an event in the hybrid logical order.
+
+    A gap has the time of the first event after it and stands before it.
+    """
+    return (
+        event.wall_ms,
+        event.counter,
+        event.host,
+        event.program,
+        event.kind != LOST_KIND,
+    )
 
 
 def lane(event: Event) -> str:
--- a/waxwingsaddle/ui/ctl_timeline.py
+++ b/waxwingsaddle/ui/ctl_timeline.py
@@ -1,5 +1,6 @@
 """Command that merges the events of several processes."""
 
+from functools import partial
 from pathlib import Path
 
 from cleo.helpers import option
@@ -24,7 +25,7 @@
         option(
             'process',
             None,
-            'IP:PORT of a node or source to ask, too; may be repeated.',
+            'IP:PORT of a source or node to ask, too; may be repeated.',
             flag=False,
             multiple=True,
         ),
@@ -36,7 +37,11 @@
         client = self.client(loaded)
         selection = self._selection()
         gathered = gather(
-            client.events,
+            partial(
+                client.events,
+                kinds=selection.kinds,
+                hosts=selection.hosts,
+            ),
             (*loaded.controls, *loaded.processes, *self.option('process')),
             selection,
         )
--- a/waxwingsaddle/util/clock.py
+++ b/waxwingsaddle/util/clock.py
@@ -6,6 +6,10 @@
 
 MS_PER_S = 1000
 
+# A stamp further ahead comes from a wall clock that is set wrong. Following it
+# would spoil the time line of every process for good.
+MAX_AHEAD_MS = 3_600_000
+
 MonotonicClock = Callable[[], float]
 
 
@@ -44,6 +48,11 @@
         self._wall = wall
         self._last = Stamp(wall_ms=0, counter=0)
 
+    @property
+    def last(self) -> Stamp:
+        """The newest stamp returned or observed."""
+        return self._last
+
     def tick(self) -> Stamp:
         """Returns a stamp later than all stamps returned or observed."""
         now_ms = self._wall()
@@ -54,5 +63,10 @@
         return self._last
 
     def observe(self, remote: Stamp) -> None:
-        """Moves the clock past a stamp received from another process."""
+        """Moves the clock past a stamp received from another process.
+
+        A stamp more than an hour ahead of the local wall clock is ignored.
+        """
+        if remote.wall_ms - self._wall() > MAX_AHEAD_MS:
+            return
         self._last = max(self._last, remote)
