Limit reading to the scope of a token, and refuse routes that take calls

Cause: scopes held for writing only, and the check looked at changed names, so a route with a longer prefix could take calls of another team. Change: differences, status, upstreams and events show what the scope holds; whole files and other services asked for by name are refused with a reason. An edit is refused when calls at the prefix of a new or changed route went to a service outside the scope before and go elsewhere after it.

--- a/test/test_fleet_events.py
+++ b/test/test_fleet_events.py
@@ -88,7 +88,8 @@
     assert (events[0].kind, len(events), lost) == ('leader', 6, 4)
     later, lost = pair.control.since(pair.control.recorded - 1)
     assert ([event.details for event in later], lost) == ([{'number': '8'}], 0)
-    only = selected(pair.control.document(0), {'leader'}, {'c'})
+    document = pair.control.document(0)
+    only = selected(document, lambda one: one.kind == 'leader')
     assert [event.kind for event in only.events] == ['leader']
 
 
--- a/waxwingsaddle/access.py
+++ b/waxwingsaddle/access.py
@@ -3,7 +3,7 @@
 import hashlib
 import hmac
 import secrets
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Annotated
@@ -12,6 +12,7 @@
 
 from waxwingsaddle.addresses import HostName
 from waxwingsaddle.api_models import Failure
+from waxwingsaddle.route_capture import Capture, captures
 from waxwingsaddle.util.codec import Tree
 
 EVERY = '*'
@@ -42,8 +43,8 @@
         name: Name of the holder; the author in the history.
         salt: Random bytes in hexadecimal.
         sha256: SHA-256 of salt and token, in hexadecimal.
-        services: Services that edits may touch; `*` for all.
-        sites: Sites that edits may touch; `*` for all.
+        services: Services that edits may touch and answers show; `*` for all.
+        sites: Sites that edits may touch and answers show; `*` for all.
         may_write: Whether edits and other changes are allowed at all.
     """
 
@@ -57,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Caller:
-    """Who asks, and what they may change.
+    """Who asks, and what they may read and change.
 
     Attributes:
         name: Name of the token; empty when no tokens are in use.
@@ -71,10 +72,23 @@
     sites: frozenset[str]
     may_write: bool
 
+    @property
+    def has_all(self) -> bool:
+        """Whether the scope has all services and sites."""
+        return EVERY in self.services and EVERY in self.sites
+
+    def has_service(self, service: str) -> bool:
+        """Says whether a service is in the scope."""
+        return EVERY in self.services or service in self.services
+
+    def has_site(self, site: str) -> bool:
+        """Says whether a site is in the scope."""
+        return EVERY in self.sites or site in self.sites
+
     @property
     def is_unlimited(self) -> bool:
         """Whether the scope has all services and sites, and may write."""
-        return self.may_write and EVERY in self.services and EVERY in self.sites
+        return self.may_write and self.has_all
 
 
 ANYONE = Caller('', frozenset((EVERY,)), frozenset((EVERY,)), may_write=True)
@@ -202,7 +216,7 @@
     old: Tree,
     new: Tree,
 ) -> Iterator[str]:
-    if not caller.sites & {EVERY, site}:
+    if not caller.has_site(site):
         yield f'site {site!r} is outside the scope of token {caller.name!r}'
         return
     if EVERY in caller.services:
@@ -212,6 +226,28 @@
             f'service {service!r} (changed on site {site!r}) is outside the '
             f'scope of token {caller.name!r}'
         )
+    yield from _capture_problems(caller, site, old, new)
+
+
+def _capture_problems(
+    caller: Caller,
+    site: str,
+    old: Tree,
+    new: Tree,
+) -> Iterator[str]:
+    taken: dict[tuple[str, str], list[Capture]] = defaultdict(list)
+    for capture in captures(old, new):
+        if not caller.has_service(capture.before.route.service):
+            names = (capture.after.name, capture.before.name)
+            taken[names].append(capture)
+    for (route, other), found in sorted(taken.items()):
+        methods = ', '.join(part.method or 'other' for part in found)
+        yield (
+            f'route {route!r} (changed on site {site!r}) takes the calls '
+            f'{methods} {found[0].after.route.path_prefix} away from route '
+            f'{other!r} of service {found[0].before.route.service!r}, which '
+            f'is outside the scope of token {caller.name!r}'
+        )
 
 
 def _touched_services(old: Tree, new: Tree) -> set[str]:
--- a/waxwingsaddle/api_edits.py
+++ b/waxwingsaddle/api_edits.py
@@ -35,6 +35,7 @@
 from waxwingsaddle.control_settings import ControlSettings
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.outcomes import Conflict, Edit
+from waxwingsaddle.read_scope import visible_sites, whole_needed
 from waxwingsaddle.sources import with_version
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
 from waxwingsaddle.util.codec import Tree
@@ -88,7 +89,9 @@
 
     def get_version(self, request: Request) -> VersionSources | Failure:
         """Returns a version with its files."""
-        return version_sources(self._state, request.path['version'])
+        failure = whole_needed(request.caller)
+        version = request.path['version']
+        return failure or version_sources(self._state, version)
 
     def get_difference(self, request: Request) -> Difference | Failure:
         """Returns what changed between two versions."""
@@ -101,10 +104,16 @@
         for sites in (old_sites, new_sites):
             if isinstance(sites, Failure):
                 return sites
+        visible = changes(
+            visible_sites(request.caller, old_sites),
+            visible_sites(request.caller, new_sites),
+        )
+        has_all = request.caller.has_all
         return Difference(
             old_version=old_version,
             new_version=new_version,
-            changes=changes(old_sites, new_sites),
+            changes=visible,
+            is_partial=not has_all and visible != changes(old_sites, new_sites),
         )
 
     def post_roll_forward(self, request: Request) -> VersionEntry | Failure:
--- a/waxwingsaddle/api_fleet.py
+++ b/waxwingsaddle/api_fleet.py
@@ -1,6 +1,7 @@
 """State of the fleet in the administration API."""
 
 from collections import Counter
+from functools import partial
 
 from waxwingsaddle.api_endpoints import Endpoint, Parameter, Request
 from waxwingsaddle.api_fleet_models import (
@@ -11,10 +12,13 @@
     Upstreams,
     VersionCount,
 )
+from waxwingsaddle.api_models import Failure
 from waxwingsaddle.control_settings import ControlSettings
-from waxwingsaddle.events import Events
+from waxwingsaddle.event_batches import LOST_KIND
+from waxwingsaddle.events import Event, Events
 from waxwingsaddle.fleet_events import selected
 from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.read_scope import is_visible_event, service_needed
 
 
 class FleetHandlers:
@@ -34,43 +38,48 @@
         """Returns versions in force and the nodes that lag."""
         replication = self._kernel.find('replication')
         fleet = self._kernel.find('distribution').fleet_status()
+        nodes = tuple(
+            node for node in fleet.nodes if request.caller.has_site(node.site)
+        )
         # Read after the fleet, so that no node seems ahead of the log.
         version = replication.state.version
-        counts = Counter(node.version for node in fleet.nodes)
+        counts = Counter(node.version for node in nodes)
         return Status(
             host=self._host,
             version=version,
             digest=replication.state.digest,
             majority_age_ms=replication.majority_age_ms(),
-            node_count=len(fleet.nodes),
-            in_force=sum(node.version >= version for node in fleet.nodes),
+            node_count=len(nodes),
+            in_force=sum(node.version >= version for node in nodes),
             versions=tuple(
                 VersionCount(version=known, nodes=counts[known])
                 for known in sorted(counts, reverse=True)
             ),
             lagging=tuple(
                 _node_version(node)
-                for node in sorted(fleet.nodes, key=_by_version_and_host)
+                for node in sorted(nodes, key=_by_version_and_host)
                 if node.version < version
             ),
             missing_hosts=tuple(fleet.missing_hosts),
             nodes=tuple(
-                _node_version(node)
-                for node in fleet.nodes
-                if request.query['nodes']
+                _node_version(node) for node in nodes if request.query['nodes']
             ),
             replication=_replication_status(replication.status()),
         )
 
-    def get_upstreams(self, request: Request) -> Upstreams:
-        """Returns the upstreams, or those of one service."""
+    def get_upstreams(self, request: Request) -> Upstreams | Failure:
+        """Returns the upstreams in the scope, or those of one service."""
         wanted = request.query['service']
+        failure = service_needed(request.caller, wanted)
+        if failure:
+            return failure
         entries = self._kernel.find('directory').entries()
         return Upstreams(
             upstreams=tuple(
                 _upstream(entry)
                 for entry in sorted(entries, key=_by_service_and_name)
-                if not wanted or entry.service == wanted
+                if request.caller.has_service(entry.service)
+                and (not wanted or entry.service == wanted)
             ),
         )
 
@@ -120,14 +129,23 @@
         'nodes, too.',
         lambda request: selected(
             kernel.find('events').document(request.query['since']),
-            _listed(request.query['kind']),
-            _listed(request.query['host']),
+            partial(_is_asked, request),
         ),
         Events,
         query=(since, kind, host),
     )
 
 
+def _is_asked(request: Request, event: Event) -> bool:
+    kinds = _listed(request.query['kind'])
+    hosts = _listed(request.query['host'])
+    return (
+        (not kinds or event.kind in kinds | {LOST_KIND})
+        and (not hosts or event.host in hosts)
+        and is_visible_event(request.caller, event)
+    )
+
+
 def _listed(text: str) -> frozenset[str]:
     return frozenset(filter(None, text.split(',')))
 
--- a/waxwingsaddle/api_models.py
+++ b/waxwingsaddle/api_models.py
@@ -158,11 +158,19 @@
 
 
 class Difference(msgspec.Struct, frozen=True, kw_only=True):
-    """What changed between two versions."""
+    """What changed between two versions.
+
+    Attributes:
+        old_version: Older version.
+        new_version: Newer version.
+        changes: Values that differ, as far as the scope of the caller goes.
+        is_partial: Whether there are others outside the scope.
+    """
 
     old_version: int
     new_version: int
     changes: tuple[Change, ...]
+    is_partial: bool = False
 
 
 class Member(msgspec.Struct, frozen=True, kw_only=True):
--- a/waxwingsaddle/fleet_events.py
+++ b/waxwingsaddle/fleet_events.py
@@ -1,8 +1,9 @@
 """Time line of a control host: its own events and those of its nodes."""
 
 from collections import deque
+from collections.abc import Callable
 
-from waxwingsaddle.event_batches import LOST_KIND, EventBatch
+from waxwingsaddle.event_batches import EventBatch
 from waxwingsaddle.events import Event, Events, Timeline
 from waxwingsaddle.util.clock import HybridClock
 
@@ -69,27 +70,12 @@
         self._own.append((self._recorded, event))
 
 
-def selected(
-    document: Events,
-    kinds: frozenset[str],
-    hosts: frozenset[str],
-) -> Events:
-    """Returns a document with the events of some kinds and hosts only.
-
-    Args:
-        document: Events of one process.
-        kinds: Kinds to keep beside gaps; empty for all.
-        hosts: Hosts to keep; empty for all.
-    """
+def selected(document: Events, is_asked: Callable[[Event], bool]) -> Events:
+    """Returns a document with some of its events only."""
     return Events(
         recorded=document.recorded,
         lost=document.lost,
-        events=tuple(
-            event
-            for event in document.events
-            if (not kinds or event.kind in kinds | {LOST_KIND})
-            and (not hosts or event.host in hosts)
-        ),
+        events=tuple(filter(is_asked, document.events)),
     )
 
 
--- /dev/null
+++ b/waxwingsaddle/read_scope.py
@@ -0,0 +1,73 @@
+"""What a caller may read through the administration API.
+
+Files cannot be shown in part, because overlays and comments of all teams
+stand in them. Everything else is shown as far as the scope goes.
+"""
+
+from collections.abc import Mapping
+
+from waxwingsaddle.access import Caller
+from waxwingsaddle.api_models import Failure
+from waxwingsaddle.events import Event
+from waxwingsaddle.util.codec import Tree
+
+
+def visible_sites(
+    caller: Caller,
+    sites: Mapping[str, Tree],
+) -> dict[str, Tree]:
+    """Returns the sites, services and routes in the scope of a caller.
+
+    Args:
+        caller: Who asks.
+        sites: Merged tree by site.
+    """
+    return {
+        site: _visible_tree(caller, tree)
+        for site, tree in sites.items()
+        if caller.has_site(site)
+    }
+
+
+def is_visible_event(caller: Caller, event: Event) -> bool:
+    """Says whether an event names no service outside the scope."""
+    service = event.details.get('service')
+    return service is None or caller.has_service(service)
+
+
+def whole_needed(caller: Caller) -> Failure | None:
+    """Refuses a caller whose scope lacks some services or sites."""
+    if caller.has_all:
+        return None
+    return Failure(
+        kind='forbidden',
+        message=f'token {caller.name!r} may not read whole files, which hold '
+        'services and sites outside its scope; read the difference of the '
+        'version, or use a token with all services and sites',
+    )
+
+
+def service_needed(caller: Caller, service: str) -> Failure | None:
+    """Refuses a caller whose scope lacks a service."""
+    if not service or caller.has_service(service):
+        return None
+    return Failure(
+        kind='forbidden',
+        message=f'service {service!r} is outside the scope of token '
+        f'{caller.name!r}; ask for a token with this service',
+    )
+
+
+def _visible_tree(caller: Caller, tree: Tree) -> Tree:
+    return {
+        'services': {
+            name: service
+            for name, service in tree.get('services', {}).items()
+            if caller.has_service(name)
+        },
+        'routes': {
+            name: route
+            for name, route in tree.get('routes', {}).items()
+            if caller.has_service(route['service'])
+        },
+    }
--- a/waxwingsaddle/ui/ctl_edits.py
+++ b/waxwingsaddle/ui/ctl_edits.py
@@ -189,10 +189,10 @@
         else:
             old = self.number('old', self.argument('old'))
             answer = self.expect(client.difference(old, self._newer(client)))
-        self.show(
-            answer,
-            map(change_line, answer.changes) if answer.changes else ['equal'],
-        )
+        lines = [change_line(change) for change in answer.changes]
+        if getattr(answer, 'is_partial', False):
+            lines.append('there are changes outside the scope of the token')
+        self.show(answer, lines or ['equal'])
         return ExitCode.done
 
     def _newer(self, client: Client) -> int:
