Make the limits of heads and idempotency keys settings of a node

Cause: 32,768 bytes, 200 lines and 255 characters were constants, twice for the head; the answers of upstreams had no limit of lines. One function reads the heads of requests and of answers, and its limits do not depend on how the bytes arrive. Seen failing: test_head_limits with the settings not passed on (head, key) and with each of the two checks taken out.

--- a/test/test_entry.py
+++ b/test/test_entry.py
@@ -4,7 +4,7 @@
 
 from nose2.tools import params
 
-from waxwingsaddle.entry import Entry
+from waxwingsaddle.entry import CallLimits, Entry
 from waxwingsaddle.util.clock import monotonic_s
 
 NO_ROUTE = SimpleNamespace(match=lambda _method, _path: None)
@@ -19,7 +19,7 @@
 def test_refusal_before_the_claim_is_read(table, key, outcome, status):
     """Guards against a resend told not-run while its first attempt ran."""
     routing = SimpleNamespace(table=table)
-    entry = Entry(routing, None, None, 1000, monotonic_s)
+    entry = Entry(routing, None, None, CallLimits(1000, 255), monotonic_s)
     fields = {'idempotency-key': key} if key else {}
     environ = {
         'waxwing.head': SimpleNamespace(fields=fields),
--- /dev/null
+++ b/test/test_head_limits.py
@@ -0,0 +1,58 @@
+"""Limits of heads and of idempotency keys, from the settings of a node."""
+
+import io
+
+from nose2.tools import params
+
+from test.nodes import call, setting
+from waxwingsaddle.heads import HeadLimits, HeadTooLargeError, read_head
+
+LINE = b'a: b\r\n'
+REST = b'\r\n'
+
+
+@params(8192, 16)
+def test_head_is_read_up_to_its_limits(buffer_bytes):
+    """Guards against a limit that depends on how the bytes arrive."""
+    head = LINE * 9 + REST
+    for most_bytes, most_lines, is_read in (
+        (len(head), 10, True),
+        (len(head) - 1, 10, False),
+        (len(head), 9, False),
+    ):
+        stream = io.BytesIO(head + b'body')
+        reader = io.BufferedReader(stream, buffer_bytes)
+        try:
+            got = read_head(reader, HeadLimits(most_bytes, most_lines))
+        except HeadTooLargeError:
+            assert not is_read
+            continue
+        assert is_read
+        assert (got, reader.read()) == (head, b'body')
+
+
+def test_limits_of_the_settings_hold():
+    """Guards against settings that a node does not obey."""
+    with setting() as started:
+        limits = {
+            'head_bytes': 1024,
+            'head_lines': 16,
+            'idempotency_key_characters': 40,
+        }
+        node = started.node(**limits)
+        upstream = started.upstream()
+        node.announce(upstream)
+
+        def status(**headers):
+            got = call(node.http_address, 'POST', '/orders', headers=headers)
+            return got[0], got[1]['Waxwing-Outcome'], got[1]['Waxwing-Reason']
+
+        assert status(a='x' * 600)[:2] == (200, 'ran')
+        assert status(a='x' * 1100)[:2] == (431, 'not-run')
+        assert status(a='x' * 9000)[:2] == (431, 'not-run')
+        many = {f'h{number}': 'x' for number in range(16)}
+        assert status(**many)[:2] == (431, 'not-run')
+        key = {'Idempotency-Key': 'k' * 40}
+        assert status(**key)[:2] == (200, 'ran')
+        longer = {'Idempotency-Key': 'k' * 41}
+        assert status(**longer) == (400, 'not-run', 'bad-key')
--- a/waxwingsaddle/entry.py
+++ b/waxwingsaddle/entry.py
@@ -1,6 +1,7 @@
 """Takes HTTP calls of callers and answers each with its exact outcome."""
 
 from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
 from http.client import responses
 
 from waxwingsaddle import metrics
@@ -27,7 +28,6 @@
 from waxwingsaddle.web import Environ, StartResponse
 
 _KEY = KEY_HEADER.lower()
-_MOST_KEY_CHARACTERS = 255
 _DEADLINE_KEY = DEADLINE_HEADER.lower()
 _STATUS_BY_REASON = {
     'no-route': 404,
@@ -58,6 +58,19 @@
 _ran = _outcomes.labels('ran', '')
 
 
+@dataclass(frozen=True, slots=True)
+class CallLimits:
+    """Largest accepted parts of a call.
+
+    Attributes:
+        body_bytes: Largest request body.
+        key_characters: Longest idempotency key.
+    """
+
+    body_bytes: int
+    key_characters: int
+
+
 class Entry:
     """WSGI application for the calls of callers.
 
@@ -65,7 +78,7 @@
         routing: Finds the route of a call.
         calls: Runs calls.
         presence: Notices callers that go away.
-        body_limit_bytes: Largest request body.
+        limits: Largest accepted parts of a call.
         clock: Monotonic seconds.
     """
 
@@ -74,13 +87,13 @@
         routing: Routing,
         calls: KeyedCalls,
         presence: Presence,
-        body_limit_bytes: int,
+        limits: CallLimits,
         clock: Callable[[], float],
     ) -> None:
         self._routing = routing
         self._calls = calls
         self._presence = presence
-        self._body_limit_bytes = body_limit_bytes
+        self._limits = limits
         self._clock = clock
 
     def __call__(
@@ -113,7 +126,7 @@
         if timeout_ms is None:
             return not_run('bad-deadline')
         head = environ['waxwing.head']
-        if len(key) > _MOST_KEY_CHARACTERS:
+        if len(key) > self._limits.key_characters:
             return not_run('bad-key')
         body = self._body(environ)
         if isinstance(body, Answer):
@@ -139,7 +152,7 @@
         stream = environ['wsgi.input']
         if stream.is_whole:
             return b''
-        limit = self._body_limit_bytes
+        limit = self._limits.body_bytes
         if stream.length is not None and stream.length > limit:
             return not_run('body-too-large')
         try:
--- a/waxwingsaddle/heads.py
+++ b/waxwingsaddle/heads.py
@@ -8,6 +8,7 @@
 
 import re
 from dataclasses import dataclass
+from io import BufferedReader
 
 HeaderPairs = tuple[tuple[str, str], ...]
 
@@ -23,12 +24,39 @@
     rb'HTTP/1\.([01]) ([1-9][0-9][0-9])(?: %b)?\r\n%b' % (_TEXT, _FIELDS),
 )
 _FIELD_END = b'\r\n'
+_HEAD_END = b'\r\n\r\n'
 
 
 class MalformedError(ValueError):
     """A message that is not valid or could be read in two ways."""
 
 
+class HeadTooLargeError(MalformedError):
+    """A head beyond the limits."""
+
+
+@dataclass(frozen=True, slots=True)
+class HeadLimits:
+    """Largest accepted heads.
+
+    Attributes:
+        most_bytes: Bytes with the empty line at the end.
+        most_lines: Lines with the first one and the empty one.
+    """
+
+    most_bytes: int = 32_768
+    most_lines: int = 200
+
+    def check(self, size_bytes: int, lines: int) -> None:
+        """Checks a head, or the part of it that was read.
+
+        Raises:
+            HeadTooLargeError: It is beyond the limits.
+        """
+        if size_bytes > self.most_bytes or lines > self.most_lines:
+            raise HeadTooLargeError('the head is too large')
+
+
 @dataclass(frozen=True, slots=True)
 class Framing:
     """How the body of a message is delimited.
@@ -82,6 +110,44 @@
     framing: Framing
 
 
+def read_head(reader: BufferedReader, limits: HeadLimits) -> bytes:
+    """Reads a head, with the empty line at its end.
+
+    Args:
+        reader: Buffered stream.
+        limits: Largest accepted head.
+
+    Returns:
+        The head; nothing when the connection ended before it was whole.
+
+    Raises:
+        HeadTooLargeError: It is beyond the limits.
+        OSError: The connection broke off.
+    """
+    buffered = reader.peek()
+    # The usual case: the whole head came with one read.
+    end = buffered.find(_HEAD_END)
+    if end < 0:
+        return _read_lines(reader, limits) if buffered else b''
+    size_bytes = end + len(_HEAD_END)
+    limits.check(size_bytes, buffered.count(_FIELD_END, 0, size_bytes))
+    return reader.read(size_bytes)
+
+
+def _read_lines(reader: BufferedReader, limits: HeadLimits) -> bytes:
+    lines: list[bytes] = []
+    size_bytes = 0
+    while True:
+        line = reader.readline(limits.most_bytes - size_bytes + 1)
+        if not line:
+            return b''
+        lines.append(line)
+        size_bytes += len(line)
+        limits.check(size_bytes, len(lines))
+        if line == _FIELD_END:
+            return b''.join(lines)
+
+
 def parse_request(head: bytes) -> RequestHead:
     """Parses the head of a request, with the empty line at its end.
 
--- a/waxwingsaddle/http_leg.py
+++ b/waxwingsaddle/http_leg.py
@@ -6,7 +6,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from waxwingsaddle.bodies import Body
 from waxwingsaddle.calls import (
@@ -19,14 +19,14 @@
     passed_on,
     unknown,
 )
-from waxwingsaddle.heads import AnswerHead, MalformedError
+from waxwingsaddle.heads import AnswerHead, HeadLimits, MalformedError
 from waxwingsaddle.retry import RETRIED_HEADER
 from waxwingsaddle.upstream_connection import (
     BODYLESS,
     Connection,
     Exchange,
     body_of,
-    read_head,
+    read_answer,
 )
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
@@ -49,6 +49,7 @@
         inline_bytes: Larger answers are streamed.
         chunk_bytes: Largest piece of a streamed answer.
         stall_timeout_s: Longest wait for the next piece.
+        head_limits: Largest accepted heads of answers.
     """
 
     connections: int = 130
@@ -57,6 +58,7 @@
     inline_bytes: int = 65_536
     chunk_bytes: int = 65_536
     stall_timeout_s: float = 10
+    head_limits: HeadLimits = field(default_factory=HeadLimits)
 
 
 class UpstreamLeg:
@@ -141,7 +143,7 @@
         left_s = max(_LEAST_TIMEOUT_S, deadline_s - self._clock())
         connection.sock.settimeout(left_s)
         self._write(connection, request, left_s)
-        head = read_head(connection)
+        head = read_answer(connection, self._policy.head_limits)
         body = body_of(connection, request, head)
         inline = body.read(self._policy.inline_bytes)
         if body.is_whole:
--- a/waxwingsaddle/lean_http.py
+++ b/waxwingsaddle/lean_http.py
@@ -15,13 +15,16 @@
 
 from waxwingsaddle import logs, metrics
 from waxwingsaddle.bodies import Body
-from waxwingsaddle.heads import MalformedError, RequestHead, parse_request
+from waxwingsaddle.heads import (
+    HeadLimits,
+    HeadTooLargeError,
+    MalformedError,
+    RequestHead,
+    parse_request,
+    read_head,
+)
 from waxwingsaddle.web import Environ
 
-MAX_HEAD_BYTES = 32_768
-MAX_FIELDS_LINES = 200
-
-_HEAD_END = b'\r\n\r\n'
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _OUTCOME = 'Waxwing-Outcome: not-run\r\n'
 _BODYLESS = frozenset((204, 304))
@@ -57,13 +60,19 @@
 
 
 class LeanProtocol(wsgi.HttpProtocol):
-    """Serves the requests of one connection."""
+    """Serves the requests of one connection.
+
+    Attributes:
+        limits: Largest accepted heads.
+    """
+
+    limits = HeadLimits()
 
     def handle_one_request(self) -> None:
         """Reads and answers one request."""
         self.close_connection = True
         raw = self._read_head()
-        if raw is None:
+        if not raw:
             return
         self.conn_state[2] = wsgi.STATE_REQUEST
         try:
@@ -79,38 +88,16 @@
         finally:
             self.server.outstanding_requests -= 1
 
-    def _read_head(self) -> bytes | None:
+    def _read_head(self) -> bytes:
         try:
-            buffered = self.rfile.peek()
+            return read_head(self.rfile, self.limits)
+        except HeadTooLargeError as error:
+            status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            self._refuse(status, str(error))
         except (OSError, ValueError):
-            return None
-        if not buffered:
-            return None
-        # The usual case: the whole head came with one read.
-        end = buffered.find(_HEAD_END)
-        if end >= 0:
-            return self.rfile.read(end + len(_HEAD_END))
-        return self._read_long_head()
-
-    def _read_long_head(self) -> bytes | None:
-        lines = []
-        left = MAX_HEAD_BYTES
-        while left > 0 and len(lines) < MAX_FIELDS_LINES:
-            try:
-                line = self.rfile.readline(left)
-            except OSError:
-                return None
-            if not line:
-                return None
-            lines.append(line)
-            left -= len(line)
-            if line == b'\r\n':
-                return b''.join(lines)
-        self._refuse(
-            HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-            'the head is too large',
-        )
-        return None
+            # The caller is gone, or the server has closed the connection.
+            return b''
+        return b''
 
     def _refuse(self, status: HTTPStatus, problem: str) -> None:
         _malformed.inc()
@@ -142,6 +129,11 @@
                 result.close()
 
 
+def limited(limits: HeadLimits) -> type[LeanProtocol]:
+    """Returns the protocol with limits; the server makes its objects."""
+    return type('LimitedProtocol', (LeanProtocol,), {'limits': limits})
+
+
 def _environ(head: RequestHead, body: RequestBody) -> Environ:
     path, _, query = head.target.partition('?')
     return {
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -6,15 +6,16 @@
 
 from waxwingsaddle import keepers
 from waxwingsaddle.dispatch import Dispatch
-from waxwingsaddle.entry import Entry
+from waxwingsaddle.entry import CallLimits, Entry
 from waxwingsaddle.events import Timeline
 from waxwingsaddle.graceful import GracefulServer
 from waxwingsaddle.guarding import Guarding
+from waxwingsaddle.heads import HeadLimits
 from waxwingsaddle.hop import Hop
 from waxwingsaddle.http_leg import LegPolicy
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.keyed import KeyedCalls, report_done
-from waxwingsaddle.lean_http import LeanProtocol
+from waxwingsaddle.lean_http import limited
 from waxwingsaddle.link import LinkPolicy
 from waxwingsaddle.node_settings import NodeSettings
 from waxwingsaddle.presence import Presence
@@ -62,7 +63,10 @@
         Routing(kernel.find('configuration')),
         KeyedCalls(dispatch, kernel.find('keepers')),
         presence,
-        settings.request_body_limit_bytes,
+        CallLimits(
+            settings.request_body_limit_bytes,
+            settings.idempotency_key_characters,
+        ),
         monotonic_s,
     )
     _provide_server(kernel, settings, entry)
@@ -97,6 +101,7 @@
             inline_bytes=settings.inline_answer_bytes,
             chunk_bytes=settings.chunk_bytes,
             stall_timeout_s=settings.stall_timeout_ms / MS_PER_S,
+            head_limits=_head_limits(settings),
         ),
         partial(report_done, keepers.attach(kernel, settings)),
         settings.call_ids_kept_s,
@@ -158,7 +163,11 @@
     )
     shutdown = Shutdown(
         upstreams,
-        GracefulServer(settings.http_address, probed, LeanProtocol),
+        GracefulServer(
+            settings.http_address,
+            probed,
+            limited(_head_limits(settings)),
+        ),
         kernel.find('serving'),
         kernel.find('guarding'),
         kernel.find('keepers'),
@@ -168,6 +177,10 @@
     kernel.provide('shutdown', shutdown)
 
 
+def _head_limits(settings: NodeSettings) -> HeadLimits:
+    return HeadLimits(settings.head_bytes, settings.head_lines)
+
+
 def _link_policy(settings: NodeSettings) -> LinkPolicy:
     return LinkPolicy(
         connect_timeout_s=settings.connect_timeout_ms / MS_PER_S,
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -40,6 +40,12 @@
             another node.
         crossing_ms: Round trip to another availability zone.
         request_body_limit_bytes: Largest request body.
+        head_bytes: Largest head of a request or of an upstream's answer.
+        head_lines: Most lines of such a head, with the first and the empty
+            one.
+        idempotency_key_characters: Longest idempotency key, the same on every
+            node: a node with a lower limit refuses a key as not run that may
+            have run through another node.
         inline_answer_bytes: Larger answers are streamed in chunks, and larger
             request bodies use the connection for bulk data.
         chunk_bytes: Largest piece of a streamed answer.
@@ -83,6 +89,9 @@
     connect_timeout_ms: Positive
     crossing_ms: Positive
     request_body_limit_bytes: Positive
+    head_bytes: Annotated[int, msgspec.Meta(ge=1024, le=1_048_576)]
+    head_lines: Annotated[int, msgspec.Meta(ge=16, le=10_000)]
+    idempotency_key_characters: Annotated[int, msgspec.Meta(ge=36, le=4096)]
     inline_answer_bytes: Positive
     chunk_bytes: Positive
     credit_window_bytes: Positive
--- a/waxwingsaddle/upstream_connection.py
+++ b/waxwingsaddle/upstream_connection.py
@@ -4,12 +4,15 @@
 
 from waxwingsaddle.bodies import Body
 from waxwingsaddle.calls import Request
-from waxwingsaddle.heads import AnswerHead, MalformedError, parse_answer
+from waxwingsaddle.heads import (
+    AnswerHead,
+    HeadLimits,
+    MalformedError,
+    parse_answer,
+    read_head,
+)
 
 BODYLESS = frozenset((204, 304))
-_MAX_HEAD_BYTES = 32_768
-_HEAD_END = b'\r\n\r\n'
-_LINE_END = b'\r\n'
 _LEAST_FINAL_STATUS = 200
 
 
@@ -56,38 +59,22 @@
                 return
 
 
-def read_head(connection: Connection) -> AnswerHead:
+def read_answer(connection: Connection, limits: HeadLimits) -> AnswerHead:
     """Returns the head of the final answer.
 
     Raises:
-        MalformedError: It is malformed, or the connection ended.
+        MalformedError: It is malformed or too large, or the connection ended.
         OSError: The connection broke off.
     """
     while True:
-        head = parse_answer(_raw_head(connection))
+        raw = read_head(connection.reader, limits)
+        if not raw:
+            raise MalformedError('the upstream closed the connection')
+        head = parse_answer(raw)
         if head.status >= _LEAST_FINAL_STATUS:
             return head
 
 
-def _raw_head(connection: Connection) -> bytes:
-    reader = connection.reader
-    buffered = reader.peek()
-    end = buffered.find(_HEAD_END)
-    if end >= 0:
-        return reader.read(end + len(_HEAD_END))
-    lines = []
-    left = _MAX_HEAD_BYTES
-    while left > 0:
-        line = reader.readline(left)
-        lines.append(line)
-        left -= len(line)
-        if line == _LINE_END:
-            return b''.join(lines)
-        if not line:
-            raise MalformedError('the upstream closed the connection')
-    raise MalformedError('the head is too large')
-
-
 def body_of(connection: Connection, request: Request, head: AnswerHead) -> Body:
     """Returns the body that follows the head of an answer."""
     is_bodyless = request.method == 'HEAD' or head.status in BODYLESS
