Give all metrics the prefix waxwing_

Cause: 14 names had no prefix (leases, control_bytes and others), and one had the suffix _total that the exposition adds. Seen failing: test_metrics_have_prefix_and_unit with one name without it.

--- a/test/test_docs.py
+++ b/test/test_docs.py
@@ -54,3 +54,13 @@
     text = (DOCS / 'metrics.md').read_text()
     rows = re.findall(r'^\| `(\w+)` \| (.+) \| (.+) \|$', text, re.M)
     assert sorted(name for name, _, _ in rows) == sorted(_metric_names())
+
+
+def test_metrics_have_prefix_and_unit():
+    """Guards against names that collide or hide their unit."""
+    units = {'bytes': '_bytes', 'seconds': '_seconds', 'ratio': '_ratio'}
+    text = (DOCS / 'metrics.md').read_text()
+    for name, kind in re.findall(r'^\| `(\w+)` \| (\w+)', text, re.M):
+        assert name.startswith('waxwing_'), name
+        assert not name.endswith('_total'), name
+        assert name.endswith(units.get(kind, '')), name
--- a/waxwingsaddle/control_link.py
+++ b/waxwingsaddle/control_link.py
@@ -29,7 +29,7 @@
 CONNECT_POLL_S = 0.005
 
 BAD_MESSAGES = metrics.counter(
-    'control_messages_bad',
+    'waxwing_control_messages_bad',
     'Messages of control hosts that could not be decoded or handled.',
 )
 
--- a/waxwingsaddle/directory_exchange.py
+++ b/waxwingsaddle/directory_exchange.py
@@ -16,7 +16,7 @@
 from waxwingsaddle.directory_feed import DirectoryFeed
 
 REPAIRS = metrics.counter(
-    'directory_repairs',
+    'waxwing_directory_repairs',
     'Digests of a control host that differed and led to a pull.',
 )
 
--- a/waxwingsaddle/distribution.py
+++ b/waxwingsaddle/distribution.py
@@ -26,8 +26,10 @@
 PAUSE_MS = 500
 MAX_AGE_MS = 1_000_000_000
 
-LEASES = metrics.gauge('leases', 'Nodes whose lease this host holds.')
-EXPIRED = metrics.counter('leases_expired', 'Leases that were not renewed.')
+LEASES = metrics.gauge('waxwing_leases', 'Nodes whose lease this host holds.')
+EXPIRED = metrics.counter(
+    'waxwing_leases_expired', 'Leases that were not renewed.'
+)
 
 
 class Distribution:
--- a/waxwingsaddle/node_protocol.py
+++ b/waxwingsaddle/node_protocol.py
@@ -32,7 +32,9 @@
 from waxwingsaddle.node_server import count, encoded
 from waxwingsaddle.util.clock import monotonic_ms, monotonic_s
 
-REFUSED = metrics.counter('hello_refused', 'Nodes told to come back later.')
+REFUSED = metrics.counter(
+    'waxwing_hello_refused', 'Nodes told to come back later.'
+)
 
 
 @dataclass(slots=True)
--- a/waxwingsaddle/node_push.py
+++ b/waxwingsaddle/node_push.py
@@ -11,7 +11,7 @@
 from waxwingsaddle.site_encodings import Encoded, SiteCatalogue, SiteEncodings
 
 RESENT = metrics.counter(
-    'distribution_resent',
+    'waxwing_distribution_resent',
     'Messages sent again to nodes that had lost them.',
     ('kind',),
 )
--- a/waxwingsaddle/node_server.py
+++ b/waxwingsaddle/node_server.py
@@ -19,7 +19,7 @@
 MESSAGES_PER_TURN = 64
 
 BAD_MESSAGES = metrics.counter(
-    'node_messages_bad',
+    'waxwing_node_messages_bad',
     'Messages from nodes that could not be decoded or handled.',
 )
 
--- a/waxwingsaddle/node_session.py
+++ b/waxwingsaddle/node_session.py
@@ -33,7 +33,7 @@
 LEAVE_WAIT_S = 0.05
 
 MISFITS = metrics.counter(
-    'configuration_misfits',
+    'waxwing_configuration_misfits',
     'Received configurations that did not fit and were dropped as a whole.',
 )
 
--- a/waxwingsaddle/peers.py
+++ b/waxwingsaddle/peers.py
@@ -31,17 +31,17 @@
 MESSAGES_A_TURN = 16
 
 CONTROL_BYTES = metrics.counter(
-    'control_bytes',
+    'waxwing_control_bytes',
     'Bytes of control traffic with framing, by peer and message kind.',
     ('direction', 'peer', 'kind'),
 )
 DROPPED = metrics.counter(
-    'peer_messages_dropped',
+    'waxwing_peer_messages_dropped',
     'Messages to control hosts that were not connected or fell behind.',
     ('peer', 'kind'),
 )
 BAD_MESSAGES = metrics.counter(
-    'peer_messages_bad',
+    'waxwing_peer_messages_bad',
     'Messages from control hosts that could not be decoded or handled.',
     ('kind',),
 )
--- a/waxwingsaddle/standin.py
+++ b/waxwingsaddle/standin.py
@@ -33,7 +33,7 @@
 REPORTS_KEPT = 4096
 
 _executions = metrics.counter(
-    'standin_executions_total',
+    'waxwing_standin_executions',
     'Calls that the stand-in upstream ran, by end.',
     ('end',),
 )
--- a/waxwingsaddle/standin_control.py
+++ b/waxwingsaddle/standin_control.py
@@ -110,7 +110,7 @@
         samples = next(
             family.samples
             for family in metrics.REGISTRY.collect()
-            if family.name == 'control_bytes'
+            if family.name == 'waxwing_control_bytes'
         )
         return {
             'cpu_s': used.ru_utime + used.ru_stime,
@@ -118,7 +118,7 @@
             'bytes': [
                 [*sample.labels.values(), sample.value]
                 for sample in samples
-                if sample.name == 'control_bytes_total'
+                if sample.name == 'waxwing_control_bytes_total'
             ],
         }
 
--- a/waxwingsaddle/subscription.py
+++ b/waxwingsaddle/subscription.py
@@ -35,11 +35,11 @@
 INTERVAL_SPREAD = 0.2
 
 MOVES = metrics.counter(
-    'control_host_moves',
+    'waxwing_control_host_moves',
     'Leases taken with another control host.',
     ('reason',),
 )
-VERSION = metrics.gauge('configuration_version', 'Version in force.')
+VERSION = metrics.gauge('waxwing_configuration_version', 'Version in force.')
 
 
 class Subscription:
