--- a/waxwingsaddle/standin_control.py
+++ b/waxwingsaddle/standin_control.py
@@ -11,6 +11,7 @@
 from waxwingsaddle import distribution, metrics
 from waxwingsaddle.config import Refused, SourceSet, check_sources
 from waxwingsaddle.control_settings import ControlSettings
+from waxwingsaddle.fleet_events import FleetTimeline
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.peers import Peers
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
@@ -109,7 +110,7 @@
         samples = next(
             family.samples
             for family in metrics.REGISTRY.collect()
-            if family.name == 'control_bytes'
+            if family.name == 'waxwing_control_bytes'
         )
         return {
             'cpu_s': used.ru_utime + used.ru_stime,
@@ -117,7 +118,7 @@
             'bytes': [
                 [*sample.labels.values(), sample.value]
                 for sample in samples
-                if sample.name == 'control_bytes_total'
+                if sample.name == 'waxwing_control_bytes_total'
             ],
         }
 
@@ -135,6 +136,12 @@
         Peers(settings.this_host, settings.hosts, settings.peer_limits),
     )
     kernel.provide('replication', replication)
+    timeline = FleetTimeline(
+        settings.host,
+        settings.events_kept,
+        settings.node_events_kept,
+    )
+    kernel.provide('events', timeline)
     distribution.attach(kernel, settings)
     kernel.provide('api', StandInApi(kernel, settings, replication))
     return kernel
