Send a call on when the chosen upstream is full

Cause: the load that a node knows of an upstream is as old as its last answer from there. With 12 nodes and 3 upstreams calls of several nodes meet at an upstream that each thought idle, and short work queues although other upstreams have free slots. Long work makes this frequent because it holds up to a third of the slots.

Change: a call says that it may go elsewhere, a guard without a free slot refuses it at once as busy, and the node chooses again with the load that came with the refusal; at most twice a call and within spill_percent (20) of calls. The policy model has the services of the plans.

Both new tests of the mechanism fail with it taken out (the check in guard.offer; the charge of the budget).

--- a/test/policy_model.py
+++ b/test/policy_model.py
@@ -8,7 +8,16 @@
 import sys
 from dataclasses import replace
 
-from test.policy_plans import BAYS, GALLERY, LONG_S, SHORT_S, Kind, Plan
+from test.policy_plans import (
+    BAYS,
+    GALLERY,
+    LONG_S,
+    PLANS,
+    REPORTS,
+    SHORT_S,
+    Kind,
+    Plan,
+)
 from test.policy_simulation import Model
 from waxwingsaddle import config_models
 
@@ -29,6 +38,37 @@
     return p99s_ms[1] / p99s_ms[0], p99s_ms[2] / p99s_ms[0]
 
 
+def behind_long_work_as_planned(deployment):
+    """Returns the p99 ratios of short work in the plans, worst of 3 seeds.
+
+    Run times are exact, as those of the stand-in upstream are. First with
+    the policy, then without spilling.
+    """
+    short = Kind(
+        'short', 0.4 * deployment.capacity, deployment.short_s, spread=0
+    )
+    long_rate = 0.2 * deployment.upstreams * deployment.slots
+    long = Kind(
+        'long',
+        long_rate / deployment.long_s,
+        deployment.long_s,
+        'long',
+        spread=0,
+        left_s=20,
+    )
+    for service in (SERVICE, config_models.Service(spill_percent=0)):
+        yield max(
+            _p99_ms(deployment, (short, long), service, seed)
+            / _p99_ms(deployment, (short,), service, seed)
+            for seed in (1, 2, 3)
+        )
+
+
+def _p99_ms(deployment, kinds, service, seed):
+    figures = Model(deployment, Plan(kinds, 60), service, seed).run()
+    return figures.quantile_ms('short', 0.99, 5)
+
+
 def slowed(deployment, load=0.4):
     """Returns p99 and p99.9 while one upstream is slow, over those when not.
 
@@ -85,6 +125,9 @@
         _print(deployment, 'slowed p99, p99.9, attempts', policy, baseline)
         policy, baseline = crest(deployment)
         _print(deployment, 'crest goodput, refused, after', policy, baseline)
+    for deployment in (PLANS, REPORTS):
+        policy, baseline = behind_long_work_as_planned(deployment)
+        _print(deployment, 'short p99 ratio', (policy,), (baseline,))
 
 
 def _print(deployment, title, policy, baseline):
--- a/test/policy_plans.py
+++ b/test/policy_plans.py
@@ -16,15 +16,20 @@
     upstreams: int
     slots: int
     crossing_s: float
+    short_s: float = SHORT_S
+    long_s: float = LONG_S
 
     @property
     def capacity(self):
         """Short calls a second."""
-        return self.upstreams * self.slots / SHORT_S
+        return self.upstreams * self.slots / self.short_s
 
 
 GALLERY = Deployment('gallery', 6, 6, 0.01)
 BAYS = Deployment('bays', 5, 13, 0.008)
+# Services of the experiments of `waxwingsaddle.plans`, with their run times.
+PLANS = Deployment('plans', 3, 6, 0.01, 0.1, 3)
+REPORTS = Deployment('reports', 3, 13, 0.008, 0.1, 3)
 
 
 @dataclass(frozen=True)
@@ -37,6 +42,8 @@
     work: str = 'short'
     priority: str = 'normal'
     is_idempotent: bool = True
+    spread: float = SPREAD
+    left_s: float = 2
 
 
 @dataclass(frozen=True)
--- a/test/policy_simulation.py
+++ b/test/policy_simulation.py
@@ -8,19 +8,22 @@
 from functools import partial
 from itertools import count
 
-from test.policy_plans import (
-    SPREAD,
-    Figures,
-    Kind,
-)
+from test.policy_plans import Figures, Kind
 from test.virtual_network import Loop
 from waxwingsaddle.choice import Choice, Ended, key_of
 from waxwingsaddle.ejection import Evidence
 from waxwingsaddle.guard import Guard
 from waxwingsaddle.hedge import Hedges
 from waxwingsaddle.retry import Attempt, Retries
+from waxwingsaddle.spill import Spills
 from waxwingsaddle.util.outcome import Outcome
-from waxwingsaddle.verdicts import Admitted, GuardPolicy, Queued, Refused
+from waxwingsaddle.verdicts import (
+    BUSY,
+    Admitted,
+    GuardPolicy,
+    Queued,
+    Refused,
+)
 from waxwingsaddle.work import Call
 
 
@@ -51,6 +54,7 @@
     choice: Choice
     retries: Retries
     hedges: Hedges
+    spills: Spills
 
 
 @dataclass(eq=False)
@@ -62,6 +66,7 @@
     node: Node
     started_s: float
     attempts: int = 0
+    spilled: int = 0
     tried: set = field(default_factory=set)
     flying: dict = field(default_factory=dict)
     is_over: bool = False
@@ -95,6 +100,7 @@
                 ),
                 Retries(service, clock),
                 Hedges(service),
+                Spills(service),
             )
             for zone in 'abcabcabcabc'
         ]
@@ -122,12 +128,13 @@
             kind.work,
             kind.priority,
             kind.is_idempotent,
-            now_s + 2,
+            now_s + kind.left_s,
         )
         sent = Sent(kind, call, self.rng.choice(self.nodes), now_s)
         self.figures.calls += 1
         sent.node.choice.update(self.entries)
         sent.node.retries.call_started()
+        sent.node.spills.call_started()
         delay_s = sent.node.hedges.delay_s(call)
         self.attempt(sent)
         if delay_s is not None:
@@ -150,7 +157,16 @@
         sent.tried.add(key_of(entry))
         ticket = sent.node.choice.started(entry, sent.call)
         sent.flying[call_id] = (entry, ticket, self.loop.now_s)
-        call = replace(sent.call, call_id=call_id)
+        may_spill = (
+            not self.plan.is_random
+            and len(sent.flying) == 1
+            and sent.node.spills.may_spill(
+                sent.spilled,
+                self.entries,
+                sent.tried.union(sent.node.choice.ejected()) - {key_of(entry)},
+            )
+        )
+        call = replace(sent.call, call_id=call_id, may_spill=may_spill)
         self.waiting[call_id] = sent
         self.loop.at(self.trip_s(sent, entry), self.offer, entry, call)
         return True
@@ -177,7 +193,9 @@
         """The upstream runs the call."""
         call = admitted.call
         kind = self.waiting[call.call_id].kind
-        run_s = kind.run_s * self.rng.lognormvariate(-(SPREAD**2) / 2, SPREAD)
+        run_s = kind.run_s * self.rng.lognormvariate(
+            -(kind.spread**2) / 2, kind.spread
+        )
         if entry.is_slow:
             run_s *= self.plan.slow_factor
         self.loop.at(run_s, self.end, entry, call, run_s)
@@ -191,18 +209,23 @@
 
     def refuse(self, entry, refused):
         """The guard refuses."""
+        if refused.reason == BUSY:
+            self.reply(entry, refused.call, Evidence.REFUSED, is_busy=True)
+            return
         self.reply(
             entry, refused.call, Evidence.REFUSED, refused.retry_after_ms
         )
 
-    def reply(self, entry, call, evidence, retry_after_ms=0):
+    def reply(self, entry, call, evidence, retry_after_ms=0, *, is_busy=False):
         """The answer travels back."""
         sent = self.waiting[call.call_id]
         load = entry.guard.load()
-        done = partial(self.take, sent, call.call_id, evidence, load)
+        done = partial(
+            self.take, sent, call.call_id, evidence, load, is_busy=is_busy
+        )
         self.loop.at(self.trip_s(sent, entry), done, retry_after_ms)
 
-    def take(self, sent, call_id, evidence, load, retry_after_ms):
+    def take(self, sent, call_id, evidence, load, retry_after_ms, *, is_busy):
         """The entry node gets the answer."""
         flight = sent.flying.pop(call_id, None)
         if flight is None:
@@ -214,9 +237,15 @@
         if evidence is Evidence.ANSWERED:
             self.answer(sent)
             return
-        attempt = Attempt(sent.call, Outcome.NOT_RUN, sent.attempts)
         if sent.flying:
             return
+        if is_busy:
+            sent.node.spills.spilled()
+            sent.spilled += 1
+            self.attempt(sent)
+            return
+        number = sent.attempts - sent.spilled
+        attempt = Attempt(sent.call, Outcome.NOT_RUN, number)
         if not (sent.node.retries.may_retry(attempt) and self.attempt(sent)):
             sent.is_over = True
             route = sent.kind.route
@@ -247,7 +276,8 @@
 
     def hedge(self, sent):
         """The delay of a hedge is over."""
-        is_late = not sent.is_over and sent.attempts == 1
+        first = 1 + sent.spilled
+        is_late = not sent.is_over and sent.attempts == first
         if is_late and sent.flying and sent.node.hedges.may_hedge():
             self.attempt(sent)
 
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -105,3 +105,38 @@
             eventlet.sleep(0.01)
     upstreams.release.send()
     assert call.wait().outcome is Outcome.RAN
+
+
+def test_busy_upstream_sends_the_call_on():
+    """Guards against spilled calls that count as failed or as retries."""
+    ends = [not_run('busy'), Answer(Outcome.RAN, 200)]
+    seen = []
+
+    def run(upstream, call, *_):
+        seen.append((upstream, call.may_spill))
+        return ends.pop(0)
+
+    answer = _dispatch(run).run(_task())
+    assert (answer.outcome, answer.was_retried) == (Outcome.RAN, False)
+    assert {name for name, _ in seen} == {'x', 'y'}
+    # Only one upstream is left for the second attempt, so it may queue there.
+    assert [may_spill for _, may_spill in seen] == [True, False]
+
+
+def test_spills_stay_within_their_percent():
+    """Guards against a second attempt of each call when all are full."""
+    attempts = []
+
+    def run(_upstream, call, *_):
+        attempts.append(call)
+        if call.may_spill:
+            return not_run('busy')
+        return Answer(Outcome.RAN, 200)
+
+    dispatch = _dispatch(run)
+    # Not idempotent, so that no hedges come on top.
+    calls = [_task(is_idempotent=False) for _ in range(1000)]
+    outcomes = {dispatch.run(call).outcome for call in calls}
+    assert outcomes == {Outcome.RAN}
+    # 20% of the calls, and the tokens held at the start.
+    assert 1200 <= len(attempts) <= 1211
--- a/test/test_guard.py
+++ b/test/test_guard.py
@@ -217,6 +217,16 @@
     assert [late.call.call_id for late in upstream.guard.expire()] == ['c']
 
 
+def test_call_that_may_spill_never_queues():
+    """Guards against short work that waits while other upstreams are idle."""
+    upstream = Upstream(slots=1)
+    assert isinstance(upstream.offer('a', may_spill=True), Admitted)
+    verdict = upstream.offer('b', may_spill=True)
+    assert isinstance(verdict, Refused)
+    assert verdict.reason == 'busy'
+    assert isinstance(upstream.offer('c'), Queued)
+
+
 def test_duplicate_is_dropped():
     """Guards against a call that runs twice because its message came twice."""
     upstream = Upstream(1)
--- a/waxwingsaddle/calls.py
+++ b/waxwingsaddle/calls.py
@@ -126,6 +126,7 @@
         target: Path and query.
         headers: Fields of the request.
         claim: Encoded claim of the idempotency key; empty without one.
+        may_spill: Whether a full guard refuses it at once.
     """
 
     call_id: str
@@ -139,6 +140,7 @@
     target: str
     headers: HeaderPairs
     claim: bytes = b''
+    may_spill: bool = False
 
     def call(self, deadline_s: float) -> Call:
         """Returns the call as the guard sees it."""
@@ -149,6 +151,7 @@
             priority=self.priority,
             is_idempotent=self.is_idempotent,
             deadline_s=deadline_s,
+            may_spill=self.may_spill,
         )
 
 
--- a/waxwingsaddle/config_models.py
+++ b/waxwingsaddle/config_models.py
@@ -30,6 +30,8 @@
         retention_s: How long the outcome of an idempotency key is kept.
         hedge_percent: Hedged calls allowed, in percent of idempotent calls.
         retry_percent: Retries allowed, in percent of calls.
+        spill_percent: Attempts that a full guard may send on to another
+            upstream, in percent of calls.
         long_slots_percent: Most slots of an upstream that long work may hold.
         long_ratio: Multiple of the median run time from which a route whose
             work is learned counts as long.
@@ -53,6 +55,7 @@
     retention_s: Annotated[int, msgspec.Meta(ge=1, le=MAX_RETENTION_S)] = 86_400
     hedge_percent: Percent = 5
     retry_percent: Percent = 10
+    spill_percent: Percent = 20
     long_slots_percent: Percent = 34
     long_ratio: Ratio = 4
     initial_run_ms: TimeoutMs = 20
--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -1,4 +1,4 @@
-"""Takes a call of this node to an upstream: choice, retries and hedges."""
+"""Takes a call of this node to an upstream: choice, retries, hedges, spills."""
 
 import os
 from collections.abc import Callable
@@ -9,29 +9,26 @@
 import eventlet
 from eventlet.queue import Empty, LightQueue
 
-from waxwingsaddle import metrics
 from waxwingsaddle.calls import Answer, not_run, unknown
 from waxwingsaddle.choice import Key, Upstream, key_of
 from waxwingsaddle.guarding import Guarding
 from waxwingsaddle.remote import RemoteCalls
 from waxwingsaddle.retry import Attempt
 from waxwingsaddle.service_policies import PolicyTable, ServicePolicies
-from waxwingsaddle.tasks import Task, close_rest, ended
+from waxwingsaddle.tasks import (
+    Task,
+    close_rest,
+    count_attempt,
+    ended,
+    hedged_attempts,
+)
 from waxwingsaddle.util.outcome import Outcome
+from waxwingsaddle.verdicts import BUSY
 from waxwingsaddle.work import Call
 
-_attempts = metrics.counter(
-    'waxwing_attempts',
-    'Attempts of calls at upstreams, the first of each call included.',
-    ('kind',),
-)
 # After these, the caller knows whether the attempt ran.
 _EXACT_OUTCOMES = frozenset((Outcome.RAN, Outcome.NOT_RUN))
 
-_first_attempts = _attempts.labels('first')
-_retries = _attempts.labels('retry')
-_hedges = _attempts.labels('hedge')
-
 
 class Dispatch:
     """Runs calls at the upstreams of their services.
@@ -89,23 +86,43 @@
     def _run(self, task: Task) -> Answer:
         policies = self._policies.of(task.match)
         policies.retries.call_started()
+        policies.spills.call_started()
         tried: set[Key] = set()
         while True:
-            entries = self._directory.upstreams_of(task.match.route.service)
-            policies.choice.update(entries)
-            call = self._call(task)
-            upstream = policies.choice.choose(call, tried)
+            call, upstream = self._choose(policies, task, tried)
             if upstream is None:
                 return not_run('no-upstream')
             task.number += 1
-            (_first_attempts if task.number == 1 else _retries).inc()
             answer = self._first_or_hedge(policies, task, call, upstream, tried)
             if task.is_cancelled or not self._is_failed(answer):
                 return answer
+            if answer.reason == BUSY:
+                policies.spills.spilled()
+                task.number -= 1
+                task.spilled += 1
+                continue
             if not self._may_retry(policies, task, call, answer, tried):
                 answer.was_retried = answer.was_retried or task.number > 1
                 return answer
 
+    def _choose(
+        self,
+        policies: ServicePolicies,
+        task: Task,
+        tried: set[Key],
+    ) -> tuple[Call, Upstream | None]:
+        entries = self._directory.upstreams_of(task.match.route.service)
+        policies.choice.update(entries)
+        excluded = tried.union(policies.choice.ejected())
+        may_spill = policies.spills.may_spill(task.spilled, entries, excluded)
+        call = self._call(task, may_spill)
+        upstream = policies.choice.choose(call, tried)
+        if upstream is None and task.spilled:
+            # What was left is gone: wait in the queue of a busy one.
+            tried.clear()
+            upstream = policies.choice.choose(call)
+        return call, upstream
+
     def _may_retry(
         self,
         policies: ServicePolicies,
@@ -133,6 +150,7 @@
         tried: set[Key],
     ) -> Answer:
         tried.add(key_of(upstream))
+        count_attempt(task)
         may_hedge = task.number == 1 and policies.service.hedge_percent
         delay_s = policies.hedges.delay_s(call) if may_hedge else None
         begun_s = self._clock()
@@ -163,11 +181,11 @@
         try:
             _, answer = answers.get(timeout=delay_s)
         except Empty:
-            second = replace(call, call_id=self._next_id())
+            second = replace(call, call_id=self._next_id(), may_spill=False)
             other = policies.choice.choose(second, tried)
             if other is not None and policies.hedges.may_hedge():
                 tried.add(key_of(other))
-                _hedges.inc()
+                hedged_attempts.inc()
                 eventlet.spawn_n(attempt, second, other)
                 running.append(second)
             return self._first_good(task, answers, running)
@@ -256,7 +274,7 @@
         else:
             self._remote.cancel(call_id)
 
-    def _call(self, task: Task) -> Call:
+    def _call(self, task: Task, may_spill: bool) -> Call:
         route = task.match.route
         return Call(
             call_id=self._next_id(),
@@ -265,6 +283,7 @@
             priority=route.priority,
             is_idempotent=route.idempotent,
             deadline_s=task.deadline_s,
+            may_spill=may_spill,
         )
 
     def _next_id(self) -> str:
--- a/waxwingsaddle/guard.py
+++ b/waxwingsaddle/guard.py
@@ -11,6 +11,7 @@
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.verdicts import (
+    BUSY,
     Admitted,
     Duplicate,
     GuardPolicy,
@@ -97,6 +98,8 @@
             return Refused(call, 'deadline', 0)
         if not self._queues[lane] and self._has_room(lane):
             return self._admit(call, lane)
+        if call.may_spill:
+            return Refused(call, BUSY, 0)
         ahead = self._queues[lane].ahead_of(call)
         wait_s = self._wait_s(lane, ahead)
         usable_s = left_s - self._times.expected_s(call.route)
--- a/waxwingsaddle/remote.py
+++ b/waxwingsaddle/remote.py
@@ -275,4 +275,5 @@
         target=request.target,
         headers=request.headers,
         claim=claim,
+        may_spill=call.may_spill,
     )
--- a/waxwingsaddle/retry.py
+++ b/waxwingsaddle/retry.py
@@ -41,6 +41,19 @@
         earned = self._tokens + self.percent / _PERCENT
         self._tokens = min(self._capacity, earned)
 
+    @property
+    def has_tokens(self) -> bool:
+        """Whether an extra attempt may be made."""
+        return bool(self.percent) and self._tokens >= 1
+
+    def charge(self) -> None:
+        """Takes a token for an extra attempt that was allowed before.
+
+        Attempts allowed at the same time may overdraw the budget; later calls
+        make up for it.
+        """
+        self._tokens -= 1
+
     def spend(self, left_share: float = 0) -> bool:
         """Takes a token for one extra attempt, and says whether it did.
 
--- a/waxwingsaddle/service_policies.py
+++ b/waxwingsaddle/service_policies.py
@@ -1,4 +1,4 @@
-"""What a node learned of each service: choice, retries and hedges."""
+"""What a node learned of each service: choice, retries, hedges, spills."""
 
 import random
 from collections.abc import Callable
@@ -9,6 +9,7 @@
 from waxwingsaddle.hedge import Hedges
 from waxwingsaddle.retry import Retries
 from waxwingsaddle.routing import Match
+from waxwingsaddle.spill import Spills
 
 
 @dataclass(slots=True)
@@ -19,6 +20,7 @@
     choice: Choice
     retries: Retries
     hedges: Hedges
+    spills: Spills
 
     def configure(self, service: Service) -> None:
         """Adopts the tunables of a new configuration."""
@@ -27,6 +29,7 @@
             self.choice.configure(service)
             self.retries.configure(service)
             self.hedges.configure(service)
+            self.spills.configure(service)
 
 
 class PolicyTable:
@@ -67,6 +70,7 @@
                 choice,
                 Retries(service, self._clock),
                 Hedges(service),
+                Spills(service),
             )
             self._policies[name] = policies
         policies.configure(match.service)
--- a/waxwingsaddle/tasks.py
+++ b/waxwingsaddle/tasks.py
@@ -4,12 +4,23 @@
 
 from eventlet.queue import LightQueue
 
+from waxwingsaddle import metrics
 from waxwingsaddle.calls import Answer, Request
 from waxwingsaddle.choice import Ended, Upstream
 from waxwingsaddle.ejection import Evidence
 from waxwingsaddle.routing import Match
 from waxwingsaddle.util.outcome import Outcome
 
+_attempts = metrics.counter(
+    'waxwing_attempts',
+    'Attempts of calls at upstreams, the first of each call included.',
+    ('kind',),
+)
+_first_attempts = _attempts.labels('first')
+_retries = _attempts.labels('retry')
+hedged_attempts = _attempts.labels('hedge')
+_spills = _attempts.labels('spill')
+
 
 @dataclass(slots=True)
 class Task:
@@ -23,7 +34,8 @@
         claim: Encoded claim of the idempotency key; empty without one.
         running: Attempts in flight: call identifier and upstream.
         withdrawn: Attempts withdrawn before they began.
-        number: Attempts made so far.
+        number: Attempts made so far, without those that were sent on.
+        spilled: Attempts that full guards sent on.
         may_have_run: Whether the outcome of an attempt is unknown.
     """
 
@@ -35,9 +47,20 @@
     running: dict[str, Upstream] = field(default_factory=dict)
     withdrawn: set[str] = field(default_factory=set)
     number: int = 0
+    spilled: int = 0
     may_have_run: bool = False
 
 
+def count_attempt(task: Task) -> None:
+    """Counts an attempt that is not a hedge."""
+    if task.number > 1:
+        _retries.inc()
+    elif task.spilled:
+        _spills.inc()
+    else:
+        _first_attempts.inc()
+
+
 def ended(answer: Answer | None, took_s: float) -> Ended:
     """Returns what the choice learns from an attempt."""
     return Ended(
--- a/waxwingsaddle/verdicts.py
+++ b/waxwingsaddle/verdicts.py
@@ -6,6 +6,9 @@
 from waxwingsaddle.limit import LimitPolicy
 from waxwingsaddle.work import Call, Lane
 
+# Reason of a call that another upstream may take without a wait.
+BUSY = 'busy'
+
 
 @dataclass(frozen=True, slots=True)
 class GuardPolicy:
@@ -56,7 +59,7 @@
 
     Attributes:
         call: The call.
-        reason: `overload`, `deadline`, `displaced` or `draining`.
+        reason: `overload`, `deadline`, `displaced`, `draining` or `busy`.
         retry_after_ms: When an attempt may succeed.
     """
 
--- a/waxwingsaddle/work.py
+++ b/waxwingsaddle/work.py
@@ -26,6 +26,8 @@
         priority: Order of shedding from the route.
         is_idempotent: Whether it may run more than once.
         deadline_s: When the caller gives up, on the clock of the guard.
+        may_spill: Whether a guard without a free slot refuses it at once as
+            `busy`, since another upstream may have one.
     """
 
     call_id: str
@@ -34,6 +36,7 @@
     priority: Literal['high', 'normal', 'low']
     is_idempotent: bool
     deadline_s: float
+    may_spill: bool = False
 
     @property
     def rank(self) -> int:
