Test kills and lost answers at each stage of a call, and cut zones

A call that was queued at the guard when its entry was killed never ran, but its claim stays held: a resend gets unknown.

--- a/test/fixed_node.py
+++ b/test/fixed_node.py
@@ -21,7 +21,11 @@
 
     def __init__(self, settings, kernel, others, nodes):
         self._settings = settings
-        self._nodes = tuple(SimpleNamespace(**one) for one in nodes)
+        self._nodes = {}
+        for one in nodes:
+            zone = one['availability_zone']
+            listed = (*self._nodes.get(zone, ()), SimpleNamespace(**one))
+            self._nodes[zone] = listed
         self._kernel = kernel
         self._others = others
         self._entries = {}
@@ -49,9 +53,9 @@
             )
         return self._entries[service]
 
-    def nodes_of(self, _zone):
-        """Returns the nodes that keep claims."""
-        return self._nodes
+    def nodes_of(self, zone):
+        """Returns the nodes of a zone; the same tuple each time."""
+        return self._nodes.get(zone, ())
 
 
 def subscribe(kernel, settings):
--- a/test/nodes.py
+++ b/test/nodes.py
@@ -133,48 +133,52 @@
         Process.start(self.process)
         wait_until(lambda: is_ready(self.http_address), self.host)
 
-    def entry(self, upstream):
+    def entry(self, upstream, call_address=''):
         """Returns the directory entry of an upstream behind this node."""
         return {
             'name': upstream.name,
             'service': 'orders',
             'host': self.host,
-            'availability_zone': 'zone-1',
-            'call_address': self.call_address,
+            'availability_zone': self.settings['availability_zone'],
+            'call_address': call_address or self.call_address,
             'slots': upstream.slots,
             'state': 'ready',
             'started_ms_ago': 3_600_000,
         }
 
-    def as_node(self):
+    def as_node(self, call_address=''):
         """Returns the directory entry of this node."""
         return {
             'host': self.host,
-            'availability_zone': 'zone-1',
-            'call_address': self.call_address,
+            'availability_zone': self.settings['availability_zone'],
+            'call_address': call_address or self.call_address,
             'incarnation': 1,
         }
 
     def start(self, others=(), nodes=(), base=BASE):
         """Writes the files, starts the node and waits until it is ready."""
+        listed = [one.as_node() for one in nodes or (self,)]
+        self.begin(others, listed, base)
+        wait_until(lambda: is_ready(self.http_address), self.host)
+        return self
+
+    def begin(self, others, listed, base=BASE):
+        """Starts the node with these directory entries; does not wait."""
         lines = [
             f'{key} = {json.dumps(value)}'
             for key, value in self.settings.items()
         ]
         text = '\n'.join(['[node]', *lines, 'controls = []'])
         (self.folder / 'node.toml').write_text(text, 'utf-8')
-        keepers = [one.as_node() for one in nodes or (self,)]
-        fixed = {'base': base, 'others': list(others), 'nodes': keepers}
+        fixed = {'base': base, 'others': list(others), 'nodes': listed}
         (self.folder / 'fixed.json').write_text(json.dumps(fixed), 'utf-8')
         self.process.start()
-        wait_until(lambda: is_ready(self.http_address), self.host)
-        return self
 
-    def announce(self, upstream, state='ready'):
+    def announce(self, upstream, state='ready', address=''):
         """Announces an upstream to this node."""
         body = {
             'service': 'orders',
-            'address': upstream.address,
+            'address': address or upstream.address,
             'slots': upstream.slots,
             'state': state,
         }
