Bound the calls in flight and the bodies held by the entry of a node

Cause: guards bound the work at upstreams, but the entry took every call of its callers; a crest or a slow service grew green threads and bodies without limit.

Change: entry_bound counts calls in flight (streamed answers until their end) and bytes of request bodies. The share of the bounds rises with the rank from 75% to all of them. Bodies of unknown length are counted in pieces of 64 KB as they come. Metric waxwing_entry_refused.

Conclusion: low ranks are refused before higher ones. The cost per call was not measured.

--- a/test/test_entry.py
+++ b/test/test_entry.py
@@ -1,10 +1,14 @@
-"""Outcomes that the entry gives before a call is claimed."""
+"""Outcomes that the entry gives before a call is claimed, and its bound."""
 
 from types import SimpleNamespace
 
 from nose2.tools import params
 
+from test.nodes import setting
+from test.processes import wait_until
+from test.zones import Caller
 from waxwingsaddle.entry import Entry
+from waxwingsaddle.entry_bound import EntryBound
 from waxwingsaddle.util.clock import monotonic_s
 
 NO_ROUTE = SimpleNamespace(match=lambda _method, _path: None)
@@ -19,7 +23,7 @@
 def test_refusal_before_the_claim_is_read(table, key, outcome, status):
     """Guards against a resend told not-run while its first attempt ran."""
     routing = SimpleNamespace(table=table)
-    entry = Entry(routing, None, None, 1000, monotonic_s)
+    entry = Entry(routing, None, None, None, 1000, monotonic_s)
     fields = {'idempotency-key': key} if key else {}
     environ = {
         'waxwing.head': SimpleNamespace(fields=fields),
@@ -31,3 +35,47 @@
     line, headers = told[0]
     assert line.startswith(status), line
     assert dict(headers)['Waxwing-Outcome'] == outcome
+
+
+def _refused_calls(caller):
+    return caller.ended().outcome, caller.reason
+
+
+def test_calls_beyond_the_bound_are_refused_lowest_rank_first():
+    """Guards against a node that takes calls until its memory is gone."""
+    with setting() as started:
+        node = started.node(entry_calls=10)
+        upstream = started.upstream(slots=20)
+        node.announce(upstream)
+        address = node.http_address
+        # Orders have rank 3 of 5: nine of ten calls.
+        held = [Caller(address, f'h{number}', 1500) for number in range(9)]
+        wait_until(lambda: upstream.count('begin', 'h8'), 'h8')
+        refused = _refused_calls(Caller(address, 'r1'))
+        assert refused == ('not-run', 'entry-full'), refused
+        # With a key, an attempt before this one may have run.
+        keyed = _refused_calls(Caller(address, 'r2', key='r2'))
+        assert keyed == ('unknown', 'entry-full'), keyed
+        assert node.metric('waxwing_entry_refused_total{bound="calls"}') == 2
+        assert all(one.ended().outcome == 'ran' for one in held)
+        assert Caller(address, 'after').ended().outcome == 'ran'
+        assert not upstream.count('begin', 'r1')
+
+
+def test_bound_gives_back_what_a_call_held():
+    """Guards against bounds that fill up over time, or refuse all bodies."""
+    bound = EntryBound(max_calls=8, max_body_bytes=1000)
+    low, high = 0, 5
+    held = [bound.enter(low) for _ in range(6)]
+    assert None not in held
+    assert bound.enter(low) is None
+    booking = bound.enter(high)
+    # One body of any size fits; then those of low rank have no room first.
+    assert booking.grow(800)
+    assert not held[0].grow(100)
+    assert booking.grow(200)
+    assert not booking.grow(1)
+    for one in (*held, booking):
+        one.release()
+    assert (bound.calls, bound.body_bytes) == (0, 0)
+    assert bound.enter(low).grow(5000)
--- a/waxwingsaddle/entry.py
+++ b/waxwingsaddle/entry.py
@@ -11,6 +11,7 @@
     REASON_HEADER,
     RETRY_AFTER_HEADER,
     Answer,
+    BodyStream,
     Request,
     not_run,
     passed_on,
@@ -18,6 +19,7 @@
 )
 from waxwingsaddle.config_models import MAX_TIMEOUT_MS
 from waxwingsaddle.dispatch import Task
+from waxwingsaddle.entry_bound import EntryBound, Held
 from waxwingsaddle.keyed import KeyedCalls
 from waxwingsaddle.presence import Presence
 from waxwingsaddle.retry import RETRIED_HEADER
@@ -25,9 +27,11 @@
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.web import Environ, StartResponse
+from waxwingsaddle.work import rank_of
 
 _KEY = KEY_HEADER.lower()
 _MOST_KEY_CHARACTERS = 255
+_PIECE_BYTES = 65_536
 _DEADLINE_KEY = DEADLINE_HEADER.lower()
 _STATUS_BY_REASON = {
     'no-route': 404,
@@ -65,6 +69,7 @@
         routing: Finds the route of a call.
         calls: Runs calls.
         presence: Notices callers that go away.
+        bound: Bounds on the calls in flight.
         body_limit_bytes: Largest request body.
         clock: Monotonic seconds.
     """
@@ -74,12 +79,14 @@
         routing: Routing,
         calls: KeyedCalls,
         presence: Presence,
+        bound: EntryBound,
         body_limit_bytes: int,
         clock: Callable[[], float],
     ) -> None:
         self._routing = routing
         self._calls = calls
         self._presence = presence
+        self._bound = bound
         self._body_limit_bytes = body_limit_bytes
         self._clock = clock
 
@@ -112,17 +119,44 @@
         timeout_ms = _timeout_ms(environ, match)
         if timeout_ms is None:
             return not_run('bad-deadline')
-        head = environ['waxwing.head']
         if len(key) > _MOST_KEY_CHARACTERS:
             return not_run('bad-key')
-        body = self._body(environ)
+        route = match.route
+        held = self._bound.enter(rank_of(route.priority, route.idempotent))
+        if held is None:
+            return self._refused_full(key)
+        answer = None
+        try:
+            deadline_s = arrived_s + timeout_ms / MS_PER_S
+            answer = self._answer_held(environ, match, deadline_s, held)
+        finally:
+            if answer is None or answer.stream is None:
+                held.release()
+        if answer.stream is not None:
+            answer.stream = _HeldStream(answer.stream, held)
+        return answer
+
+    def _answer_held(
+        self,
+        environ: Environ,
+        match: Match,
+        deadline_s: float,
+        held: Held,
+    ) -> Answer:
+        body = self._body(environ, held)
         if isinstance(body, Answer):
             return body
+        head = environ['waxwing.head']
         headers = passed_on(head.headers)
+        method = environ['REQUEST_METHOD']
         request = Request(method, head.target, headers, body)
-        deadline_s = arrived_s + timeout_ms / MS_PER_S
         return self._run(environ, Task(match, request, deadline_s))
 
+    def _refused_full(self, key: str) -> Answer:
+        answer = _refused_unread('entry-full', key)
+        answer.retry_after_ms = self._bound.retry_after_ms()
+        return answer
+
     def _run(self, environ: Environ, task: Task) -> Answer:
         sock = environ['wsgi.input'].get_socket()
         watched = self._presence.watch(sock, lambda: self._cancel(task))
@@ -135,20 +169,49 @@
     def _cancel(self, task: Task) -> None:
         self._calls.cancel(task)
 
-    def _body(self, environ: Environ) -> bytes | Answer:
+    def _body(self, environ: Environ, held: Held) -> bytes | Answer:
         stream = environ['wsgi.input']
         if stream.is_whole:
             return b''
         limit = self._body_limit_bytes
         if stream.length is not None and stream.length > limit:
             return not_run('body-too-large')
+        # A body of unknown length is held as it comes, piece by piece.
+        piece_bytes = min(limit + 1, stream.length or _PIECE_BYTES)
+        pieces = []
         try:
-            body = stream.read(limit + 1)
+            while not stream.is_whole and held.body_bytes <= limit:
+                if not held.grow(piece_bytes):
+                    key = environ['waxwing.head'].fields.get(_KEY, '')
+                    return self._refused_full(key)
+                pieces.append(stream.read(piece_bytes))
         except (OSError, ValueError):
             return not_run('bad-body')
+        body = b''.join(pieces)
         return not_run('body-too-large') if len(body) > limit else body
 
 
+class _HeldStream:
+    """Streamed body of an answer that counts as in flight until its end."""
+
+    def __init__(self, stream: BodyStream, held: Held) -> None:
+        self._stream = stream
+        self._held: Held | None = held
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._stream)
+
+    def close(self) -> None:
+        """Ends the stream."""
+        held = self._held
+        self._held = None
+        try:
+            self._stream.close()
+        finally:
+            if held is not None:
+                held.release()
+
+
 class _Streamed:
     """Body of a streamed answer, closed by the server in all cases."""
 
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from functools import partial
 
-from waxwingsaddle import keepers
+from waxwingsaddle import entry_bound, keepers
 from waxwingsaddle.dispatch import Dispatch
 from waxwingsaddle.entry import Entry
 from waxwingsaddle.events import Timeline
@@ -62,6 +62,10 @@
         Routing(kernel.find('configuration')),
         KeyedCalls(dispatch, kernel.find('keepers')),
         presence,
+        entry_bound.EntryBound(
+            settings.entry_calls,
+            settings.entry_body_bytes,
+        ),
         settings.request_body_limit_bytes,
         monotonic_s,
     )
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -40,6 +40,9 @@
             another node.
         crossing_ms: Round trip to another availability zone.
         request_body_limit_bytes: Largest request body.
+        entry_calls: Most calls of callers in flight; calls of the lowest rank
+            are refused from three quarters of it on.
+        entry_body_bytes: Most bytes of request bodies held for such calls.
         inline_answer_bytes: Larger answers are streamed in chunks, and larger
             request bodies use the connection for bulk data.
         chunk_bytes: Largest piece of a streamed answer.
@@ -83,6 +86,8 @@
     connect_timeout_ms: Positive
     crossing_ms: Positive
     request_body_limit_bytes: Positive
+    entry_calls: Positive
+    entry_body_bytes: Positive
     inline_answer_bytes: Positive
     chunk_bytes: Positive
     credit_window_bytes: Positive
--- a/waxwingsaddle/work.py
+++ b/waxwingsaddle/work.py
@@ -6,6 +6,7 @@
 from typing import Final, Literal
 
 _PRIORITY_RANKS: Final = MappingProxyType({'low': 0, 'normal': 2, 'high': 4})
+MAX_RANK: Final = 5
 
 
 class Lane(Enum):
@@ -37,9 +38,14 @@
 
     @property
     def rank(self) -> int:
-        """Rank in queues: the lowest is shed first.
+        """Rank in queues: the lowest is shed first."""
+        return rank_of(self.priority, self.is_idempotent)
 
-        At equal priority idempotent calls go first, because they are cheap to
-        send again.
-        """
-        return _PRIORITY_RANKS[self.priority] + (not self.is_idempotent)
+
+def rank_of(priority: str, is_idempotent: bool) -> int:
+    """Returns the rank of a call, from 0 to `MAX_RANK`.
+
+    At equal priority idempotent calls are shed first, because they are cheap
+    to send again.
+    """
+    return _PRIORITY_RANKS[priority] + (not is_idempotent)
