--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from functools import partial
 
-from waxwingsaddle import keepers
+from waxwingsaddle import entry_bound, keepers
 from waxwingsaddle.dispatch import Dispatch
 from waxwingsaddle.entry import CallLimits, Entry
 from waxwingsaddle.events import Timeline
@@ -63,6 +63,10 @@
         Routing(kernel.find('configuration')),
         KeyedCalls(dispatch, kernel.find('keepers')),
         presence,
+        entry_bound.EntryBound(
+            settings.entry_calls,
+            settings.entry_body_bytes,
+        ),
         CallLimits(
             settings.request_body_limit_bytes,
             settings.idempotency_key_characters,
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -46,6 +46,9 @@
         idempotency_key_characters: Longest idempotency key, the same on every
             node: a node with a lower limit refuses a key as not run that may
             have run through another node.
+        entry_calls: Most calls of callers in flight; calls of the lowest rank
+            are refused from three quarters of it on.
+        entry_body_bytes: Most bytes of request bodies held for such calls.
         inline_answer_bytes: Larger answers are streamed in chunks, and larger
             request bodies use the connection for bulk data.
         chunk_bytes: Largest piece of a streamed answer.
@@ -92,6 +95,8 @@
     head_bytes: Annotated[int, msgspec.Meta(ge=1024, le=1_048_576)]
     head_lines: Annotated[int, msgspec.Meta(ge=16, le=10_000)]
     idempotency_key_characters: Annotated[int, msgspec.Meta(ge=36, le=4096)]
+    entry_calls: Positive
+    entry_body_bytes: Positive
     inline_answer_bytes: Positive
     chunk_bytes: Positive
     credit_window_bytes: Positive
