Test that a forwarded restore stays a restore

Cause: no test noticed a forwarded edit that lost its mark as a restore, which an empty log would then refuse.

--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -5,6 +5,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec import structs
 
 from waxwingsaddle.config import SourceSet, check_sources
 from waxwingsaddle.distribution_rig import base_file
@@ -49,7 +50,8 @@
     packed = pack_edit(edit, sender.current)
     got = unpack_edit(packed, receiver, LIMIT_BYTES)
     assert got is None
-    assert unpack_edit(pack_edit(edit), receiver, LIMIT_BYTES) == edit
+    restore = structs.replace(edit, is_restore=True)
+    assert unpack_edit(pack_edit(restore), receiver, LIMIT_BYTES) == restore
 
 
 _line = st.text('ab# ', max_size=4).map('#{}\n'.format)
