Measure control hosts and the source

Cause: docs/CAPACITY.md had no measured cost of waxwing-source, and those of waxwing-control came from a stand-in without the log. Conclusion: processor time has to be measured again on a quiet machine; a full buffer of node events is not measured.

--- /dev/null
+++ b/waxwingsaddle/control_bench.py
@@ -0,0 +1,177 @@
+"""Measures processor time and memory of control hosts and of the source.
+
+Starts three control hosts, stand-in nodes and a source as processes. The
+source submits the edits, as in use: the measurement writes its files.
+"""
+
+import os
+import subprocess
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from waxwingsaddle import convergence
+from waxwingsaddle.distribution_rig import (
+    SITE,
+    base_file,
+    wait_for,
+)
+from waxwingsaddle.util.clock import MS_PER_S
+from waxwingsaddle.util.ports import free_address
+
+TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
+MEGABYTE = 1_000_000
+S_PER_MINUTE = 60
+# The fault proxy is the first process, the control hosts follow it.
+CONTROLS = slice(1, 1 + len(convergence.ZONES))
+# Places of user and system time after the name in /proc/PID/stat.
+CPU_FIELDS = slice(11, 13)
+
+
+@dataclass(frozen=True, slots=True)
+class Point:
+    """One point to measure.
+
+    Attributes:
+        nodes: Number of nodes.
+        edits_per_minute: Edits that the source submits a minute; 0 for none.
+        services: Services of the configuration.
+    """
+
+    nodes: int
+    edits_per_minute: float
+    services: int
+
+
+@dataclass(frozen=True, slots=True)
+class Spent:
+    """What a process spent so far.
+
+    Attributes:
+        cpu_s: Processor time of its own.
+        rss_bytes: Resident memory.
+    """
+
+    cpu_s: float
+    rss_bytes: int
+
+
+class SourcedDeployment(convergence.Deployment):
+    """Control hosts and fleets with a source that submits the edits.
+
+    Args:
+        plan: Sizes of the configuration, and links between control hosts.
+        folder: Folder for settings, state and the files of the source.
+    """
+
+    def __init__(self, plan: convergence.Plan, folder: str) -> None:
+        super().__init__(plan, folder)
+        self._files = Path(folder) / 'files'
+        self._overlays = self._files / 'overlays'
+
+    def start_source(self) -> None:
+        """Writes the accepted files and starts the source."""
+        self._overlays.mkdir(parents=True)
+        sites = [f'site-{number}' for number in range(1, self._plan.sites)]
+        for site in (SITE, *sites):
+            (self._overlays / f'{site}.toml').touch()
+        self._write()
+        address = free_address()
+        settings = {
+            'host': 'source',
+            'http_address': address,
+            'base_file': str(self._files / 'base.toml'),
+            'overlay_folder': str(self._overlays),
+            'controls': self.controls,
+            'log_level': 'error',
+        }
+        self._start('source', 'source', settings)
+        wait_for(lambda: convergence.is_ready(address))
+
+    def edit(self) -> None:
+        """Writes the files of the next version."""
+        self._rig.version += 1
+        self._write()
+
+    def wait_in_force(self, nodes: int) -> None:
+        """Waits until all nodes have the newest version."""
+        wait_for(lambda: len(self._rig.in_force()) == nodes)
+
+    def spent(self) -> tuple[Spent, ...]:
+        """Returns what the control hosts and the source spent so far."""
+        processes = (*self._processes[CONTROLS], self._processes[-1])
+        return tuple(map(_spent, processes))
+
+    def _write(self) -> None:
+        text = base_file(self._rig.version, self._plan.services)
+        written = self._files / 'base.new'
+        written.write_text(text, encoding='utf-8')
+        written.replace(self._files / 'base.toml')
+
+
+def measure(plan: convergence.Plan, point: Point) -> dict[str, float]:
+    """Measures one point.
+
+    Args:
+        plan: Its services are those of the point.
+        point: What to measure.
+
+    Returns:
+        Figures by name, with the unit in the name. The busiest control host
+        is told apart, since the leader also replicates.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        running = SourcedDeployment(plan, folder)
+        try:
+            running.start(point.nodes)
+            running.start_source()
+            time.sleep(plan.settle_s)
+            return _measured(running, plan, point)
+        finally:
+            running.stop()
+
+
+def _measured(
+    running: SourcedDeployment,
+    plan: convergence.Plan,
+    point: Point,
+) -> dict[str, float]:
+    before = running.spent()
+    began_s = time.monotonic()
+    edits = round(plan.idle_s * point.edits_per_minute / S_PER_MINUTE)
+    for number in range(edits):
+        running.edit()
+        due_s = began_s + (number + 1) * S_PER_MINUTE / point.edits_per_minute
+        running.wait_in_force(point.nodes)
+        time.sleep(max(due_s - time.monotonic(), 0))
+    time.sleep(max(began_s + plan.idle_s - time.monotonic(), 0))
+    took_s = time.monotonic() - began_s
+    after = running.spent()
+    cpu_ms_per_s = [
+        (late.cpu_s - early.cpu_s) * MS_PER_S / took_s
+        for early, late in zip(before, after, strict=True)
+    ]
+    controls, others = sorted(cpu_ms_per_s[:-1]), after[:-1]
+    return {
+        'nodes': point.nodes,
+        'services': point.services,
+        'edits_per_minute': edits * S_PER_MINUTE / took_s,
+        'busiest_cpu_ms_per_s': controls[-1],
+        'other_cpu_ms_per_s': sum(controls[:-1]) / len(controls[:-1]),
+        'control_rss_mb': max(one.rss_bytes for one in others) / MEGABYTE,
+        'source_cpu_ms_per_s': cpu_ms_per_s[-1],
+        'source_rss_mb': after[-1].rss_bytes / MEGABYTE,
+        'load_average': os.getloadavg()[0],
+    }
+
+
+def _spent(process: subprocess.Popen) -> Spent:
+    folder = Path('/proc') / str(process.pid)
+    fields = (folder / 'stat').read_text().rpartition(')')[2].split()
+    pages = int((folder / 'statm').read_text().split()[1])
+    return Spent(
+        sum(map(int, fields[CPU_FIELDS])) / TICKS_PER_S,
+        pages * PAGE_BYTES,
+    )
--- /dev/null
+++ b/waxwingsaddle/ui/control_bench.py
@@ -0,0 +1,46 @@
+"""Command `control_bench`: cost of control hosts and of the source."""
+
+import argparse
+from itertools import product
+
+from waxwingsaddle.control_bench import Point, measure
+from waxwingsaddle.convergence import Plan
+
+SEED = 1
+
+
+def main() -> None:
+    """Prints a line of figures for each combination of the sizes."""
+    parser = argparse.ArgumentParser(prog='control-bench')
+    parser.add_argument('--nodes', default='30,100,300')
+    parser.add_argument('--edits-per-minute', default='30')
+    parser.add_argument('--services', default='62')
+    parser.add_argument('--sites', type=int, default=6)
+    parser.add_argument('--settle-s', type=float, default=14)
+    parser.add_argument('--measure-s', type=float, default=20)
+    given = parser.parse_args()
+    points = product(
+        map(int, given.nodes.split(',')),
+        map(float, given.edits_per_minute.split(',')),
+        map(int, given.services.split(',')),
+    )
+    for number, point in enumerate(map(Point, *zip(*points, strict=True))):
+        plan = Plan(
+            edits=0,
+            delay_ms=0,
+            jitter_ms=0,
+            loss_percent=0,
+            services=point.services,
+            sites=given.sites,
+            settle_s=given.settle_s,
+            idle_s=given.measure_s,
+            seed=SEED,
+        )
+        row = measure(plan, point)
+        if number == 0:
+            print(' '.join(f'{name:>20}' for name in row), flush=True)
+        print(' '.join(f'{part:20.2f}' for part in row.values()), flush=True)
+
+
+if __name__ == '__main__':
+    main()
