Merge repeated code of the API, the stand-ins and the measures

Change: util.usage, web.reply_work, and one conversion in api_fleet. Kept apart: settings models of several programs, which only look alike; WireEvent and Event, of which one lacks the host; the socket options, which differ.

--- a/waxwingsaddle/api_fleet.py
+++ b/waxwingsaddle/api_fleet.py
@@ -2,6 +2,9 @@
 
 from collections import Counter
 from functools import partial
+from typing import TypeVar
+
+import msgspec
 
 from waxwingsaddle.api_endpoints import Endpoint, Parameter, Request
 from waxwingsaddle.api_fleet_models import (
@@ -20,6 +23,8 @@
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.read_scope import is_visible_event, service_needed
 
+_Model = TypeVar('_Model', bound=msgspec.Struct)
+
 
 class FleetHandlers:
     """Handlers of `/v1/status` and `/v1/upstreams`.
@@ -56,15 +61,20 @@
                 for known in sorted(counts, reverse=True)
             ),
             lagging=tuple(
-                _node_version(node)
+                _document(NodeVersion, node)
                 for node in sorted(nodes, key=_by_version_and_host)
                 if node.version < version
             ),
             missing_hosts=tuple(fleet.missing_hosts),
             nodes=tuple(
-                _node_version(node) for node in nodes if request.query['nodes']
+                _document(NodeVersion, node)
+                for node in nodes
+                if request.query['nodes']
+            ),
+            replication=_document(
+                ReplicationStatus,
+                replication.status(),
             ),
-            replication=_replication_status(replication.status()),
         )
 
     def get_upstreams(self, request: Request) -> Upstreams | Failure:
@@ -76,7 +86,7 @@
         entries = self._kernel.find('directory').entries()
         return Upstreams(
             upstreams=tuple(
-                _upstream(entry)
+                _document(Upstream, entry)
                 for entry in sorted(entries, key=_by_service_and_name)
                 if request.caller.has_service(entry.service)
                 and (not wanted or entry.service == wanted)
@@ -150,28 +160,6 @@
     return frozenset(filter(None, text.split(',')))
 
 
-def _replication_status(status) -> ReplicationStatus:
-    return ReplicationStatus(
-        identity=status.identity,
-        is_leader=status.is_leader,
-        leader=status.leader,
-        term=status.term,
-        version=status.version,
-        problem=status.problem,
-    )
-
-
-def _node_version(node) -> NodeVersion:
-    return NodeVersion(
-        host=node.host,
-        availability_zone=node.availability_zone,
-        site=node.site,
-        control_host=node.control_host,
-        version=node.version,
-        age_ms=int(node.age_ms),
-    )
-
-
 def _by_version_and_host(node) -> tuple[int, str]:
     return node.version, node.host
 
@@ -180,14 +168,6 @@
     return entry.service, entry.name
 
 
-def _upstream(entry) -> Upstream:
-    return Upstream(
-        name=entry.name,
-        service=entry.service,
-        host=entry.host,
-        availability_zone=entry.availability_zone,
-        call_address=entry.call_address,
-        slots=entry.slots,
-        state=entry.state,
-        started_ms_ago=int(entry.started_ms_ago),
-    )
+def _document(model: type[_Model], known: object) -> _Model:
+    """Returns a document with the attributes of the same names."""
+    return msgspec.convert(known, model, from_attributes=True)
--- a/waxwingsaddle/control_bench.py
+++ b/waxwingsaddle/control_bench.py
@@ -5,7 +5,6 @@
 """
 
 import os
-import subprocess
 import tempfile
 import time
 from dataclasses import dataclass
@@ -19,15 +18,12 @@
 )
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.ports import free_address
+from waxwingsaddle.util.usage import Spent, spent
 
-TICKS_PER_S = os.sysconf('SC_CLK_TCK')
-PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
 MEGABYTE = 1_000_000
 S_PER_MINUTE = 60
 # The fault proxy is the first process, the control hosts follow it.
 CONTROLS = slice(1, 1 + len(convergence.ZONES))
-# Places of user and system time after the name in /proc/PID/stat.
-CPU_FIELDS = slice(11, 13)
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,19 +41,6 @@
     services: int
 
 
-@dataclass(frozen=True, slots=True)
-class Spent:
-    """What a process spent so far.
-
-    Attributes:
-        cpu_s: Processor time of its own.
-        rss_bytes: Resident memory.
-    """
-
-    cpu_s: float
-    rss_bytes: int
-
-
 class SourcedDeployment(convergence.Deployment):
     """Control hosts and fleets with a source that submits the edits.
 
@@ -102,7 +85,7 @@
     def spent(self) -> tuple[Spent, ...]:
         """Returns what the control hosts and the source spent so far."""
         processes = (*self._processes[CONTROLS], self._processes[-1])
-        return tuple(map(_spent, processes))
+        return tuple(spent(process.pid) for process in processes)
 
     def _write(self) -> None:
         text = base_file(self._rig.version, self._plan.services)
@@ -165,13 +148,3 @@
         'source_rss_mb': after[-1].rss_bytes / MEGABYTE,
         'load_average': os.getloadavg()[0],
     }
-
-
-def _spent(process: subprocess.Popen) -> Spent:
-    folder = Path('/proc') / str(process.pid)
-    fields = (folder / 'stat').read_text().rpartition(')')[2].split()
-    pages = int((folder / 'statm').read_text().split()[1])
-    return Spent(
-        sum(map(int, fields[CPU_FIELDS])) / TICKS_PER_S,
-        pages * PAGE_BYTES,
-    )
--- a/waxwingsaddle/fleet.py
+++ b/waxwingsaddle/fleet.py
@@ -2,8 +2,6 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
-from pathlib import Path
-from resource import getpagesize
 from typing import Annotated, Literal
 
 import msgspec
@@ -17,19 +15,18 @@
 from waxwingsaddle.subscription import Subscription
 from waxwingsaddle.subscription_settings import SubscriptionSettings
 from waxwingsaddle.util.clock import monotonic_ms, monotonic_s
-from waxwingsaddle.util.codec import unpack_json
+from waxwingsaddle.util.usage import spent
 from waxwingsaddle.web import (
     Environ,
     Probes,
     Server,
     StartResponse,
-    reply_json,
+    reply_work,
 )
 
 # Each link has one socket and questions open a few more for a moment.
 SOCKETS_PER_NODE = 5
 SLOTS = 6
-PAGE_BYTES = getpagesize()
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 
@@ -211,18 +208,14 @@
         environ: Environ,
         start_response: StartResponse,
     ) -> Iterable[bytes]:
-        report = {
+        reports = {
             '/v1/in-force': self._times,
             '/v1/versions': self._versions,
             '/v1/upstreams': self._upstreams,
             '/v1/state': self._set_state,
-            '/v1/usage': _resident_bytes,
-        }.get(environ['PATH_INFO'])
-        if report is None:
-            return reply_json(start_response, '404 Not Found', {})
-        body = environ['wsgi.input'].read()
-        asked = unpack_json(body) if body else {}
-        return reply_json(start_response, '200 OK', report(asked))
+            '/v1/usage': lambda _asked: spent().rss_bytes,
+        }
+        return reply_work(environ, start_response, reports)
 
     def _times(self, asked: dict[str, int]) -> list[float]:
         """Returns when each node had a version in force."""
@@ -261,9 +254,3 @@
     kernel = Kernel()
     kernel.provide('fleet', Fleet(settings))
     return kernel
-
-
-def _resident_bytes(_asked: object) -> int:
-    """Returns the resident memory of this process."""
-    pages = int(Path('/proc/self/statm').read_text().split()[1])
-    return pages * PAGE_BYTES
--- a/waxwingsaddle/standin_control.py
+++ b/waxwingsaddle/standin_control.py
@@ -1,8 +1,6 @@
 """Stand-in for a control host: distribution with versions set over HTTP."""
 
-import resource
 from collections.abc import Iterable
-from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
 
@@ -15,17 +13,15 @@
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.peers import Peers
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
-from waxwingsaddle.util.codec import unpack_json
+from waxwingsaddle.util.usage import spent
 from waxwingsaddle.web import (
     Environ,
     Probes,
     Server,
     StartResponse,
-    reply_json,
+    reply_work,
 )
 
-PAGE_BYTES = resource.getpagesize()
-
 
 class StandInReplication:
     """Service `replication` without consensus: versions come from outside."""
@@ -76,17 +72,13 @@
         environ: Environ,
         start_response: StartResponse,
     ) -> Iterable[bytes]:
-        work = {
+        works = {
             '/v1/accept': self._accept,
             '/v1/isolate': self._isolate,
             '/v1/usage': self._usage,
             '/v1/status': self._status,
-        }.get(environ['PATH_INFO'])
-        if work is None:
-            return reply_json(start_response, '404 Not Found', {})
-        body = environ['wsgi.input'].read()
-        asked = unpack_json(body) if body else {}
-        return reply_json(start_response, '200 OK', work(asked))
+        }
+        return reply_work(environ, start_response, works)
 
     def _accept(self, asked: dict[str, Any]) -> float:
         """Accepts an edit and returns the monotonic time before its push."""
@@ -105,16 +97,15 @@
 
     def _usage(self, _asked: object) -> dict[str, Any]:
         """Returns processor time, memory and bytes by kind."""
-        used = resource.getrusage(resource.RUSAGE_SELF)
-        pages = int(Path('/proc/self/statm').read_text().split()[1])
+        used = spent()
         samples = next(
             family.samples
             for family in metrics.REGISTRY.collect()
             if family.name == 'waxwing_control_bytes'
         )
         return {
-            'cpu_s': used.ru_utime + used.ru_stime,
-            'rss_bytes': pages * PAGE_BYTES,
+            'cpu_s': used.cpu_s,
+            'rss_bytes': used.rss_bytes,
             'bytes': [
                 [*sample.labels.values(), sample.value]
                 for sample in samples
--- a/waxwingsaddle/web.py
+++ b/waxwingsaddle/web.py
@@ -1,7 +1,7 @@
 """HTTP server of every program: eventlet's WSGI server with probes."""
 
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from contextlib import suppress
 from typing import Any
 
@@ -11,7 +11,7 @@
 from waxwingsaddle import metrics
 from waxwingsaddle.events import Timeline
 from waxwingsaddle.listening import listening
-from waxwingsaddle.util.codec import pack_json
+from waxwingsaddle.util.codec import pack_json, unpack_json
 from waxwingsaddle.util.numbers import parse_number
 
 Environ = dict[str, Any]
@@ -72,6 +72,26 @@
     return [encoded]
 
 
+def reply_work(
+    environ: Environ,
+    start_response: StartResponse,
+    works: Mapping[str, Callable[[Any], Any]],
+) -> list[bytes]:
+    """Answers a request of a measurement with the result of its path.
+
+    Args:
+        environ: The request; its body is a JSON document or empty.
+        start_response: Takes status and fields.
+        works: By path, takes the document and returns the result.
+    """
+    work = works.get(environ['PATH_INFO'])
+    if work is None:
+        return reply_json(start_response, '404 Not Found', {})
+    body = environ['wsgi.input'].read()
+    asked = unpack_json(body) if body else {}
+    return reply_json(start_response, '200 OK', work(asked))
+
+
 def parse_since(query: str) -> int:
     """Returns the number in `since=NUMBER`; 0 for any other query."""
     name, _, given = query.partition('=')
