--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -1,5 +1,6 @@
 """Outcome of a call over several attempts."""
 
+from functools import partial
 from types import SimpleNamespace
 
 import eventlet
@@ -111,12 +112,7 @@
     """Guards against spilled calls that count as failed or as retries."""
     ends = [not_run('busy'), Answer(Outcome.RAN, 200)]
     seen = []
-
-    def run(upstream, call, *_):
-        seen.append((upstream, call.may_spill))
-        return ends.pop(0)
-
-    answer = _dispatch(run).run(_task())
+    answer = _dispatch(partial(_end_next, ends, seen)).run(_task())
     assert (answer.outcome, answer.was_retried) == (Outcome.RAN, False)
     assert {name for name, _ in seen} == {'x', 'y'}
     # Only one upstream is left for the second attempt, so it may queue there.
@@ -126,17 +122,22 @@
 def test_spills_stay_within_their_percent():
     """Guards against a second attempt of each call when all are full."""
     attempts = []
-
-    def run(_upstream, call, *_):
-        attempts.append(call)
-        if call.may_spill:
-            return not_run('busy')
-        return Answer(Outcome.RAN, 200)
-
-    dispatch = _dispatch(run)
+    dispatch = _dispatch(partial(_busy_if_allowed, attempts))
     # Not idempotent, so that no hedges come on top.
     calls = [_task(is_idempotent=False) for _ in range(1000)]
     outcomes = {dispatch.run(call).outcome for call in calls}
     assert outcomes == {Outcome.RAN}
     # 20% of the calls, and the tokens held at the start.
     assert 1200 <= len(attempts) <= 1211
+
+
+def _end_next(ends, seen, upstream, call, *_):
+    seen.append((upstream, call.may_spill))
+    return ends.pop(0)
+
+
+def _busy_if_allowed(attempts, _upstream, call, *_):
+    attempts.append(call)
+    if call.may_spill:
+        return not_run('busy')
+    return Answer(Outcome.RAN, 200)
--- a/test/test_fleet_events.py
+++ b/test/test_fleet_events.py
@@ -1,5 +1,7 @@
 """Events of nodes on their way to a control host."""
 
+from itertools import repeat
+
 from test.test_distribution import fleet, until
 from waxwingsaddle.event_batches import LOST_KIND
 from waxwingsaddle.events import Timeline
@@ -96,8 +98,8 @@
 def test_control_host_records_after_what_it_received():
     """Guards against an effect before its cause on a slow clock."""
     control = FleetTimeline('c', 9, 9, HybridClock(lambda: 10))
-    fast = Timeline('node', 'n', 9, HybridClock(lambda: 5000))
-    node = NodeEvents(fast, RATE, lambda: 0)
+    fast = Timeline('node', 'n', 9, HybridClock(repeat(5000).__next__))
+    node = NodeEvents(fast, RATE, int)
     node.record('cause')
     control.receive('n', node.batch(), 0)
     control.record('effect')
--- a/test/test_head_limits.py
+++ b/test/test_head_limits.py
@@ -1,6 +1,7 @@
 """Limits of heads and of idempotency keys, from the settings of a node."""
 
 import io
+from functools import partial
 
 from nose2.tools import params
 
@@ -20,7 +21,7 @@
         (len(head) - 1, 10, False),
         (len(head), 9, False),
     ):
-        stream = io.BytesIO(head + b'body')
+        stream = io.BytesIO(b'%bbody' % head)
         reader = io.BufferedReader(stream, buffer_bytes)
         try:
             got = read_head(reader, HeadLimits(most_bytes, most_lines))
@@ -42,11 +43,7 @@
         node = started.node(**limits)
         upstream = started.upstream()
         node.announce(upstream)
-
-        def status(**headers):
-            got = call(node.http_address, 'POST', '/orders', headers=headers)
-            return got[0], got[1]['Waxwing-Outcome'], got[1]['Waxwing-Reason']
-
+        status = partial(_status, node.http_address)
         assert status(a='x' * 600)[:2] == (200, 'ran')
         assert status(a='x' * 1100)[:2] == (431, 'not-run')
         assert status(a='x' * 9000)[:2] == (431, 'not-run')
@@ -56,3 +53,8 @@
         assert status(**key)[:2] == (200, 'ran')
         longer = {'Idempotency-Key': 'k' * 41}
         assert status(**longer) == (400, 'not-run', 'bad-key')
+
+
+def _status(address, **headers):
+    status, answered, _ = call(address, 'POST', '/orders', headers=headers)
+    return status, answered['Waxwing-Outcome'], answered['Waxwing-Reason']
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -10,7 +10,6 @@
 from waxwingsaddle.events import Timeline
 from waxwingsaddle.graceful import GracefulServer
 from waxwingsaddle.guarding import Guarding
-from waxwingsaddle.heads import HeadLimits
 from waxwingsaddle.hop import Hop
 from waxwingsaddle.http_leg import LegPolicy
 from waxwingsaddle.kernel import Kernel
@@ -105,7 +104,7 @@
             inline_bytes=settings.inline_answer_bytes,
             chunk_bytes=settings.chunk_bytes,
             stall_timeout_s=settings.stall_timeout_ms / MS_PER_S,
-            head_limits=_head_limits(settings),
+            head_limits=settings.head_limits,
         ),
         partial(report_done, keepers.attach(kernel, settings)),
         settings.call_ids_kept_s,
@@ -170,7 +169,7 @@
         GracefulServer(
             settings.http_address,
             probed,
-            limited(_head_limits(settings)),
+            limited(settings.head_limits),
         ),
         kernel.find('serving'),
         kernel.find('guarding'),
@@ -181,10 +180,6 @@
     kernel.provide('shutdown', shutdown)
 
 
-def _head_limits(settings: NodeSettings) -> HeadLimits:
-    return HeadLimits(settings.head_bytes, settings.head_lines)
-
-
 def _link_policy(settings: NodeSettings) -> LinkPolicy:
     return LinkPolicy(
         connect_timeout_s=settings.connect_timeout_ms / MS_PER_S,
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -5,9 +5,30 @@
 import msgspec
 
 from waxwingsaddle.addresses import Address, HostName, NodeControl
+from waxwingsaddle.heads import HeadLimits
 from waxwingsaddle.subscription_settings import SubscriptionSettings
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
+# Smaller limits would refuse usual calls; a head is held whole for each call.
+LEAST_HEAD_BYTES = 1024
+MOST_HEAD_BYTES = 1_048_576
+LEAST_HEAD_LINES = 16
+MOST_HEAD_LINES = 10_000
+# A UUID has 36 characters.
+LEAST_KEY_CHARACTERS = 36
+MOST_KEY_CHARACTERS = 4096
+HeadBytes = Annotated[
+    int,
+    msgspec.Meta(ge=LEAST_HEAD_BYTES, le=MOST_HEAD_BYTES),
+]
+HeadLines = Annotated[
+    int,
+    msgspec.Meta(ge=LEAST_HEAD_LINES, le=MOST_HEAD_LINES),
+]
+KeyCharacters = Annotated[
+    int,
+    msgspec.Meta(ge=LEAST_KEY_CHARACTERS, le=MOST_KEY_CHARACTERS),
+]
 
 
 class NodeSettings(
@@ -92,9 +113,9 @@
     connect_timeout_ms: Positive
     crossing_ms: Positive
     request_body_limit_bytes: Positive
-    head_bytes: Annotated[int, msgspec.Meta(ge=1024, le=1_048_576)]
-    head_lines: Annotated[int, msgspec.Meta(ge=16, le=10_000)]
-    idempotency_key_characters: Annotated[int, msgspec.Meta(ge=36, le=4096)]
+    head_bytes: HeadBytes
+    head_lines: HeadLines
+    idempotency_key_characters: KeyCharacters
     entry_calls: Positive
     entry_body_bytes: Positive
     inline_answer_bytes: Positive
@@ -114,3 +135,8 @@
     claim_grace_ms: Positive
     claim_pause_ms: Positive
     claims_max_bytes: Positive
+
+    @property
+    def head_limits(self) -> HeadLimits:
+        """Largest accepted heads of requests and answers."""
+        return HeadLimits(self.head_bytes, self.head_lines)
--- a/waxwingsaddle/subscription_settings.py
+++ b/waxwingsaddle/subscription_settings.py
@@ -5,6 +5,9 @@
 import msgspec
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
+# With less, one long event would exceed the budget of several seconds.
+LEAST_EVENT_BYTES_PER_S = 64
+EventRate = Annotated[int, msgspec.Meta(ge=LEAST_EVENT_BYTES_PER_S)]
 
 
 class SubscriptionSettings(
@@ -38,5 +41,5 @@
     home_check_ms: Positive
     reconnect_ms: Positive
     reconnect_limit_ms: Positive
-    event_bytes_per_s: Annotated[int, msgspec.Meta(ge=64)]
+    event_bytes_per_s: EventRate
     control_queue_messages: Positive
