Lose no idempotent call to dead upstreams while others answer

Each node tries a dead upstream three times before it ejects it, and again at each probe; low-priority retries may use half of the budget of ten tokens, which starts half full. In the rolling restart 2 reads of 5,476 met a restarted node that listened before it had a configuration.

Change: a retry after an attempt of which no byte reached an upstream is free while an upstream without a recent failure is left, up to twice max_attempts. After one failure of each upstream none is, so a service that is down still costs few extra attempts. A call at a node that has just started waits up to configuration_wait_ms for its first configuration. Ended moved to estimate.

--- a/test/policy_simulation.py
+++ b/test/policy_simulation.py
@@ -14,8 +14,9 @@
     Kind,
 )
 from test.virtual_network import Loop
-from waxwingsaddle.choice import Choice, Ended, key_of
+from waxwingsaddle.choice import Choice, key_of
 from waxwingsaddle.ejection import Evidence
+from waxwingsaddle.estimate import Ended
 from waxwingsaddle.guard import Guard
 from waxwingsaddle.hedge import Hedges
 from waxwingsaddle.retry import Attempt, Retries
--- a/test/test_choice.py
+++ b/test/test_choice.py
@@ -9,8 +9,9 @@
 from hypothesis import strategies as st
 
 from waxwingsaddle import config_models
-from waxwingsaddle.choice import Choice, Ended, key_of
+from waxwingsaddle.choice import Choice, key_of
 from waxwingsaddle.ejection import Evidence
+from waxwingsaddle.estimate import Ended
 from waxwingsaddle.verdicts import Load
 from waxwingsaddle.work import Call
 
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -1,5 +1,7 @@
 """Outcome of a call over several attempts."""
 
+from dataclasses import replace
+from functools import partial
 from types import SimpleNamespace
 
 import eventlet
@@ -77,6 +79,33 @@
     assert outcome == (expected, 0)
 
 
+def _answer_unless_down(down, attempts, name, *_):
+    attempts.append(name)
+    if name in down:
+        return not_run('unreachable')
+    return Answer(Outcome.RAN, 200)
+
+
+def test_unreachable_upstreams_cost_no_call_while_another_answers():
+    """Guards against calls lost with a zone, and free retries without end."""
+    down = {'x'}
+    attempts = []
+    dispatch = _dispatch(partial(_answer_unless_down, down, attempts))
+    task = _task()
+    # No budget at all.
+    service = config_models.Service(retry_percent=0, hedge_percent=0)
+    task.match = Match('r', task.match.route, service)
+    outcomes = {dispatch.run(replace(task)).outcome for _ in range(200)}
+    assert outcomes == {Outcome.RAN}
+    assert 'x' in attempts
+    down.add('y')
+    attempts.clear()
+    for _ in range(200):
+        dispatch.run(replace(task))
+    # Once each upstream has failed, no retry is free.
+    assert len(attempts) <= 200 + len(down), len(attempts)
+
+
 class _HeldUpstreams:
     """Answers at once until it is held, then all at one time."""
 
--- a/test/test_entry.py
+++ b/test/test_entry.py
@@ -1,5 +1,6 @@
 """Outcomes that the entry gives before a call is claimed, and its bound."""
 
+from itertools import chain, repeat
 from types import SimpleNamespace
 
 from nose2.tools import params
@@ -23,18 +24,51 @@
 def test_refusal_before_the_claim_is_read(table, key, outcome, status):
     """Guards against a resend told not-run while its first attempt ran."""
     routing = SimpleNamespace(table=table)
-    entry = Entry(routing, None, None, None, 1000, monotonic_s)
+    entry = _entry(routing)
+    told = []
+    list(entry(_environ(key), lambda *given: told.append(given)))
+    line, headers = told[0]
+    assert line.startswith(status), line
+    assert dict(headers)['Waxwing-Outcome'] == outcome
+
+
+def _environ(key=''):
     fields = {'idempotency-key': key} if key else {}
-    environ = {
+    return {
         'waxwing.head': SimpleNamespace(fields=fields),
         'REQUEST_METHOD': 'POST',
         'PATH_INFO': '/orders',
     }
+
+
+def _entry(routing, wait_s=0):
+    bound = EntryBound(10, 1000)
+    return Entry(routing, None, None, bound, 1000, wait_s, monotonic_s)
+
+
+class _LateRouting:
+    """Has its routes only when asked for the fourth time."""
+
+    def __init__(self):
+        self._tables = chain((None,) * 3, repeat(NO_ROUTE))
+
+    @property
+    def table(self):
+        """The table, or None."""
+        return next(self._tables)
+
+
+def test_call_waits_for_the_first_configuration():
+    """Guards against calls refused by a node that has just restarted."""
     told = []
-    list(entry(environ, lambda *given: told.append(given)))
-    line, headers = told[0]
-    assert line.startswith(status), line
-    assert dict(headers)['Waxwing-Outcome'] == outcome
+
+    def start_response(line, _headers):
+        told.append(line[:3])
+
+    for wait_s in (5, 0):
+        entry = _entry(_LateRouting(), wait_s)
+        list(entry(_environ(), start_response))
+    assert told == ['404', '503'], told
 
 
 def _refused_calls(caller):
--- a/test/test_retry.py
+++ b/test/test_retry.py
@@ -43,6 +43,16 @@
     assert not _retries(now_s=2).may_retry(attempt), 'past the deadline'
 
 
+def test_free_retries_do_not_need_the_budget():
+    """Guards against calls lost with a zone while other upstreams answer."""
+    retries = Retries(config_models.Service(retry_percent=0), float)
+    attempt = Attempt(READ, Outcome.NOT_RUN, 1, is_free=True)
+    assert retries.may_retry(attempt)
+    assert not retries.may_retry(replace(attempt, number=6))
+    assert not retries.may_retry(replace(attempt, was_retried=True))
+    assert not retries.may_retry(replace(attempt, is_free=False))
+
+
 def test_low_priority_retries_leave_tokens_for_bookings():
     """Guards against a booking refused because reads spent the budget."""
     retries = _retries()
--- a/waxwingsaddle/callers.py
+++ b/waxwingsaddle/callers.py
@@ -140,7 +140,15 @@
     def _send(self, arrival: Arrival) -> Answer:
         flow = arrival.flow
         addresses = flow.direct if self._is_direct else self._experiment.nodes
-        address = self._rng.choice(addresses)
+        tried = self._rng.sample(addresses, min(flow.connects, len(addresses)))
+        for address in tried:
+            answer = self._send_to(arrival, address)
+            if answer.outcome != 'no-connection':
+                break
+        return answer
+
+    def _send_to(self, arrival: Arrival, address: str) -> Answer:
+        flow = arrival.flow
         url = (
             f'http://{address}{flow.path}'
             f'?work_ms={flow.work_ms}&size_bytes={flow.size_bytes}'
@@ -152,8 +160,10 @@
             timeout_s = flow.deadline_ms / MS_PER_S + TIMEOUT_MARGIN_S
         if flow.is_keyed:
             headers['Idempotency-Key'] = arrival.call_id
+        begun_s = monotonic_s()
         answer = self._exchange(arrival, url, headers, timeout_s)
-        self._write(arrival, answer, address)
+        took_ms = (monotonic_s() - begun_s) * MS_PER_S
+        self._write(arrival, answer, address, took_ms)
         return answer
 
     def _exchange(
@@ -191,7 +201,13 @@
             reason=response.headers.get('Waxwing-Reason', ''),
         )
 
-    def _write(self, arrival: Arrival, answer: Answer, address: str) -> None:
+    def _write(
+        self,
+        arrival: Arrival,
+        answer: Answer,
+        address: str,
+        took_ms: float,
+    ) -> None:
         line = {
             'call_id': arrival.call_id,
             'flow': arrival.flow.name,
@@ -202,6 +218,8 @@
             'is_whole': answer.is_whole,
             'reason': answer.reason,
             'wall_ms': wall_ms(),
+            'at_s': arrival.at_s,
+            'took_ms': took_ms,
         }
         self._answers.write(line)
 
--- a/waxwingsaddle/choice.py
+++ b/waxwingsaddle/choice.py
@@ -9,8 +9,7 @@
 
 from waxwingsaddle import config_models
 from waxwingsaddle.ejection import Evidence, Standing
-from waxwingsaddle.estimate import Estimate, Running
-from waxwingsaddle.guard import Load
+from waxwingsaddle.estimate import Ended, Estimate, Running
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.quantile import Quantile
 from waxwingsaddle.work import Call
@@ -55,23 +54,6 @@
     is_local: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Ended:
-    """How an attempt ended.
-
-    Attributes:
-        evidence: What it says about the upstream.
-        took_s: Time from start to end, in seconds.
-        load: Load carried on the answer, if any.
-        retry_after_ms: Hint of a refusal.
-    """
-
-    evidence: Evidence
-    took_s: float
-    load: Load | None = None
-    retry_after_ms: int = 0
-
-
 def key_of(entry: Upstream) -> Key:
     """Returns what identifies an upstream across directory updates."""
     return entry.host, entry.name
@@ -160,6 +142,15 @@
         ]
         return self._best(call.route, is_open or ready, now_s)
 
+    def has_sound(self, tried: AbstractSet[Key]) -> bool:
+        """Says whether an upstream without a recent failure is left to try."""
+        return any(
+            entry.state == 'ready'
+            and key_of(entry) not in tried
+            and self._estimates[key_of(entry)].ejection.is_sound
+            for entry in self._entries
+        )
+
     def started(self, entry: Upstream, call: Call) -> Ticket:
         """Counts an attempt that is being sent."""
         ticket = Ticket(
--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -27,6 +27,8 @@
 )
 # After these, the caller knows whether the attempt ran.
 _EXACT_OUTCOMES = frozenset((Outcome.RAN, Outcome.NOT_RUN))
+# With these reasons, no byte of the attempt reached an upstream.
+_NOT_SENT = frozenset(('unreachable', 'upstream-refused', 'no-upstream'))
 
 _first_attempts = _attempts.labels('first')
 _retries = _attempts.labels('retry')
@@ -121,6 +123,8 @@
             was_retried=answer.was_retried,
             retry_after_ms=answer.retry_after_ms,
             has_alternative=policies.choice.choose(call, tried) is not None,
+            is_free=answer.reason in _NOT_SENT
+            and policies.choice.has_sound(tried),
         )
         return policies.retries.may_retry(attempt)
 
--- a/waxwingsaddle/ejection.py
+++ b/waxwingsaddle/ejection.py
@@ -58,6 +58,11 @@
     until_s: float = 0
     returned_s: float = float('-inf')
 
+    @property
+    def is_sound(self) -> bool:
+        """Whether nothing speaks against the upstream since its last answer."""
+        return not self.until_s and not self.failures
+
     def standing(self, now_s: float) -> Standing:
         """Returns whether the upstream may be chosen."""
         if not self.until_s:
--- a/waxwingsaddle/entry.py
+++ b/waxwingsaddle/entry.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Iterable, Iterator
 from http.client import responses
 
+import eventlet
+
 from waxwingsaddle import metrics
 from waxwingsaddle.calls import (
     DEADLINE_HEADER,
@@ -23,7 +25,7 @@
 from waxwingsaddle.keyed import KeyedCalls
 from waxwingsaddle.presence import Presence
 from waxwingsaddle.retry import RETRIED_HEADER
-from waxwingsaddle.routing import Match, Routing
+from waxwingsaddle.routing import Match, RouteTable, Routing
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.web import Environ, StartResponse
@@ -32,6 +34,7 @@
 _KEY = KEY_HEADER.lower()
 _MOST_KEY_CHARACTERS = 255
 _PIECE_BYTES = 65_536
+_POLL_S = 0.02
 _DEADLINE_KEY = DEADLINE_HEADER.lower()
 _STATUS_BY_REASON = {
     'no-route': 404,
@@ -71,6 +74,8 @@
         presence: Notices callers that go away.
         bound: Bounds on the calls in flight.
         body_limit_bytes: Largest request body.
+        configuration_wait_s: Longest wait of a call for the first
+            configuration.
         clock: Monotonic seconds.
     """
 
@@ -81,6 +86,7 @@
         presence: Presence,
         bound: EntryBound,
         body_limit_bytes: int,
+        configuration_wait_s: float,
         clock: Callable[[], float],
     ) -> None:
         self._routing = routing
@@ -88,6 +94,7 @@
         self._presence = presence
         self._bound = bound
         self._body_limit_bytes = body_limit_bytes
+        self._configuration_wait_s = configuration_wait_s
         self._clock = clock
 
     def __call__(
@@ -109,7 +116,7 @@
     def _answer(self, environ: Environ) -> Answer:
         arrived_s = self._clock()
         key = environ['waxwing.head'].fields.get(_KEY, '')
-        table = self._routing.table
+        table = self._routing.table or self._awaited_table()
         if table is None:
             return _refused_unread('no-configuration', key)
         method = environ['REQUEST_METHOD']
@@ -152,6 +159,22 @@
         request = Request(method, head.target, headers, body)
         return self._run(environ, Task(match, request, deadline_s))
 
+    def _awaited_table(self) -> RouteTable | None:
+        """Waits for the first configuration of a node that has just started.
+
+        Callers come back as soon as it listens.
+        """
+        limit_s = self._clock() + self._configuration_wait_s
+        held = self._bound.enter(0)
+        if held is None:
+            return None
+        try:
+            while self._routing.table is None and self._clock() < limit_s:
+                eventlet.sleep(_POLL_S)
+        finally:
+            held.release()
+        return self._routing.table
+
     def _refused_full(self, key: str) -> Answer:
         answer = _refused_unread('entry-full', key)
         answer.retry_after_ms = self._bound.retry_after_ms()
--- a/waxwingsaddle/estimate.py
+++ b/waxwingsaddle/estimate.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from math import exp
 
-from waxwingsaddle.ejection import Ejection
+from waxwingsaddle.ejection import Ejection, Evidence
 from waxwingsaddle.guard import Load
 from waxwingsaddle.util.clock import MS_PER_S
 
@@ -18,6 +18,23 @@
 _UNHEALTHY_FACTOR = 1.5
 
 
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """How an attempt ended.
+
+    Attributes:
+        evidence: What it says about the upstream.
+        took_s: Time from start to end, in seconds.
+        load: Load carried on the answer, if any.
+        retry_after_ms: Hint of a refusal.
+    """
+
+    evidence: Evidence
+    took_s: float
+    load: Load | None = None
+    retry_after_ms: int = 0
+
+
 @dataclass(slots=True)
 class Running:
     """An attempt in flight.
--- a/waxwingsaddle/experiment.py
+++ b/waxwingsaddle/experiment.py
@@ -43,6 +43,8 @@
         deadline_ms: Deadline a call carries; 0 for none.
         is_keyed: Whether a call carries an idempotency key.
         resends: Resends of a keyed call whose outcome is unknown.
+        connects: Nodes tried in turn until one takes the connection; nothing
+            was sent to the ones before.
         measure_from_s: Answers before this time stay out of the report.
         direct: Addresses of the upstreams for the direct baseline.
     """
@@ -56,6 +58,7 @@
     deadline_ms: Annotated[int, msgspec.Meta(ge=0)] = 0
     is_keyed: bool = False
     resends: Annotated[int, msgspec.Meta(ge=0)] = 0
+    connects: Annotated[int, msgspec.Meta(ge=1)] = 1
     measure_from_s: NotNegative = 0
     direct: tuple[Address, ...] = ()
 
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -67,6 +67,7 @@
             settings.entry_body_bytes,
         ),
         settings.request_body_limit_bytes,
+        settings.configuration_wait_ms / MS_PER_S,
         monotonic_s,
     )
     _provide_server(kernel, settings, entry)
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -40,6 +40,8 @@
             another node.
         crossing_ms: Round trip to another availability zone.
         request_body_limit_bytes: Largest request body.
+        configuration_wait_ms: Longest wait of a call at a node that has just
+            started and has no configuration yet.
         entry_calls: Most calls of callers in flight; calls of the lowest rank
             are refused from three quarters of it on.
         entry_body_bytes: Most bytes of request bodies held for such calls.
@@ -86,6 +88,7 @@
     connect_timeout_ms: Positive
     crossing_ms: Positive
     request_body_limit_bytes: Positive
+    configuration_wait_ms: Positive
     entry_calls: Positive
     entry_body_bytes: Positive
     inline_answer_bytes: Positive
--- a/waxwingsaddle/retry.py
+++ b/waxwingsaddle/retry.py
@@ -12,6 +12,9 @@
 RETRIED_HEADER = 'Waxwing-Retried'
 
 _PERCENT = 100
+# Where half of the upstreams are lost at once, one call in twenty meets only
+# lost ones in three attempts.
+_FREE_FACTOR = 2
 # Tokens that low-priority retries must leave for others, as a share.
 _LEFT_FOR_OTHERS: Final = MappingProxyType(
     {'high': 0.0, 'normal': 0.25, 'low': 0.5},
@@ -66,6 +69,9 @@
             answer bore `Waxwing-Retried`.
         retry_after_ms: Hint of the refusal.
         has_alternative: Whether another upstream can be tried.
+        is_free: Whether nothing reached the upstream and another one has not
+            failed lately. Such a retry costs no token: it adds no work, and
+            after one failure of each upstream none is left.
     """
 
     call: Call
@@ -74,6 +80,7 @@
     was_retried: bool = False
     retry_after_ms: int = 0
     has_alternative: bool = True
+    is_free: bool = False
 
 
 class Retries:
@@ -105,12 +112,16 @@
     def may_retry(self, attempt: Attempt) -> bool:
         """Decides whether to try again now, and spends a token if so."""
         call = attempt.call
-        if attempt.was_retried or attempt.number >= self._max_attempts:
+        factor = _FREE_FACTOR if attempt.is_free else 1
+        most = self._max_attempts * factor
+        if attempt.was_retried or attempt.number >= most:
             return False
         if not _is_repeatable(attempt) or not attempt.has_alternative:
             return False
         if call.deadline_s <= self._clock():
             return False
+        if attempt.is_free:
+            return True
         return self._budget.spend(_LEFT_FOR_OTHERS[call.priority])
 
 
--- a/waxwingsaddle/tasks.py
+++ b/waxwingsaddle/tasks.py
@@ -5,8 +5,9 @@
 from eventlet.queue import LightQueue
 
 from waxwingsaddle.calls import Answer, Request
-from waxwingsaddle.choice import Ended, Upstream
+from waxwingsaddle.choice import Upstream
 from waxwingsaddle.ejection import Evidence
+from waxwingsaddle.estimate import Ended
 from waxwingsaddle.routing import Match
 from waxwingsaddle.util.outcome import Outcome
 
