Test the check of an announced length and ejection of slow answers

Cause: docs/promises.md listed both as mechanisms whose removal no test notices; test_slow_upstream_is_ejected passes without ejection, because cost alone steers calls away.

Change: a test for each.

--- a/test/test_choice.py
+++ b/test/test_choice.py
@@ -154,6 +154,23 @@
     assert slow < 10, slow
 
 
+def test_slow_answers_in_a_row_eject():
+    """Guards against a slow upstream avoided by its cost alone.
+
+    Cost fades within seconds; an ejection doubles.
+    """
+    node = _three()
+    node.shares(200)
+    for endings, ejected in (
+        ((SLOW, SLOW, GOOD, SLOW, SLOW), ()),
+        ((SLOW,), (key_of(node.entries[0]),)),
+    ):
+        for ended in endings:
+            ticket = node.choice.started(node.entries[0], READ)
+            node.choice.finished(ticket, ended)
+        assert node.choice.ejected() == ejected, endings
+
+
 def test_only_idempotent_calls_probe():
     """Guards against bookings lost to find out about an upstream."""
     node = _three()
--- a/test/test_entry.py
+++ b/test/test_entry.py
@@ -8,8 +8,10 @@
 from test.nodes import setting
 from test.processes import wait_until
 from test.zones import Caller
+from waxwingsaddle.config_models import Route, Service
 from waxwingsaddle.entry import Entry
 from waxwingsaddle.entry_bound import EntryBound
+from waxwingsaddle.routing import Match
 from waxwingsaddle.util.clock import monotonic_s
 
 NO_ROUTE = SimpleNamespace(match=lambda _method, _path: None)
@@ -71,6 +73,22 @@
     assert told == ['404', '503'], told
 
 
+def test_announced_length_is_refused_before_the_body_is_read():
+    """Guards against a node that reads a body which it can't take."""
+    route = Route(path_prefix='/', service='s')
+    match = Match('r', route, Service())
+    table = SimpleNamespace(match=lambda _method, _path: match)
+    environ = _environ()
+    # It has no `read`.
+    environ['wsgi.input'] = SimpleNamespace(is_whole=False, length=1001)
+    told = []
+    entry = _entry(SimpleNamespace(table=table))
+    list(entry(environ, lambda *given: told.append(given)))
+    line, headers = told[0]
+    assert line.startswith('413'), line
+    assert dict(headers)['Waxwing-Outcome'] == 'not-run'
+
+
 def _refused_calls(caller):
     return caller.ended().outcome, caller.reason
 
