Show whether the keepers of a node have settled

Cause: nothing outside showed keepers.is_settled, so a rolling restart could stop the second of three keepers before the first knew its claims again.

Change: gauge waxwing_claims_settled. /readyz does not depend on it: a node that can't settle, because a dead node is still listed for 6 s or for as long as a zone is cut off, serves all other calls, and a balancer would take it off.

--- a/test/test_keyed.py
+++ b/test/test_keyed.py
@@ -1,9 +1,13 @@
 """Calls with an idempotency key through real nodes."""
 
+import time
+
 from test.nodes import call, setting
 from test.processes import wait_until
 from test.test_node_failures import Caller
 
+# Several claim windows.
+SETTLE_S = 2
 KEY = {'Idempotency-Key': 'zone-1.k1'}
 
 
@@ -21,6 +25,18 @@
     )
 
 
+def test_node_that_can_not_settle_is_ready_and_shows_it():
+    """Guards against restarts of keepers faster than they learn claims."""
+    with setting() as started:
+        alone = started.node('alone')
+        wait_until(lambda: alone.metric('waxwing_claims_settled'), 'settled')
+        # This node is listed with one that is dead.
+        waiting = started.new_node('waiting')
+        waiting.start(nodes=(waiting, started.new_node('dead')))
+        time.sleep(SETTLE_S)
+        assert not waiting.metric('waxwing_claims_settled')
+
+
 def test_resend_gets_the_stored_answer():
     """Guards against a resent order that runs twice."""
     with setting() as started:
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from functools import partial
 
-from waxwingsaddle import entry_bound, keepers
+from waxwingsaddle import entry_bound, keepers, metrics
 from waxwingsaddle.dispatch import Dispatch
 from waxwingsaddle.entry import Entry
 from waxwingsaddle.events import Timeline
@@ -91,6 +91,17 @@
         return self.entry(environ, start_response)
 
 
+def _provide_keepers(kernel: Kernel, settings: NodeSettings) -> keepers.Keepers:
+    kept = keepers.attach(kernel, settings)
+    # Not a condition of readiness: a node that can't settle, because a dead
+    # node is still listed, serves all calls but the claims it keeps.
+    metrics.gauge(
+        'waxwing_claims_settled',
+        'Whether this node knows all claims that it has to keep.',
+    ).set_function(lambda: kept.is_settled)
+    return kept
+
+
 def _provide_guarding(kernel: Kernel, settings: NodeSettings) -> Guarding:
     guarding = Guarding(
         kernel.find('upstreams'),
@@ -103,7 +114,7 @@
             chunk_bytes=settings.chunk_bytes,
             stall_timeout_s=settings.stall_timeout_ms / MS_PER_S,
         ),
-        partial(report_done, keepers.attach(kernel, settings)),
+        partial(report_done, _provide_keepers(kernel, settings)),
         settings.call_ids_kept_s,
         settings.drain_wait_ms / MS_PER_S,
         monotonic_s,
