--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -28,6 +28,8 @@
 
 # After these, the caller knows whether the attempt ran.
 _EXACT_OUTCOMES = frozenset((Outcome.RAN, Outcome.NOT_RUN))
+# With these reasons, no byte of the attempt reached an upstream.
+_NOT_SENT = frozenset(('unreachable', 'upstream-refused', 'no-upstream'))
 
 
 class Dispatch:
@@ -138,6 +140,8 @@
             was_retried=answer.was_retried,
             retry_after_ms=answer.retry_after_ms,
             has_alternative=policies.choice.choose(call, tried) is not None,
+            is_free=answer.reason in _NOT_SENT
+            and policies.choice.has_sound(tried),
         )
         return policies.retries.may_retry(attempt)
 
--- a/waxwingsaddle/entry.py
+++ b/waxwingsaddle/entry.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from http.client import responses
 
+import eventlet
+
 from waxwingsaddle import metrics
 from waxwingsaddle.calls import (
     DEADLINE_HEADER,
@@ -24,7 +26,7 @@
 from waxwingsaddle.keyed import KeyedCalls
 from waxwingsaddle.presence import Presence
 from waxwingsaddle.retry import RETRIED_HEADER
-from waxwingsaddle.routing import Match, Routing
+from waxwingsaddle.routing import Match, RouteTable, Routing
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.web import Environ, StartResponse
@@ -32,6 +34,7 @@
 
 _KEY = KEY_HEADER.lower()
 _PIECE_BYTES = 65_536
+_POLL_S = 0.02
 _DEADLINE_KEY = DEADLINE_HEADER.lower()
 _STATUS_BY_REASON = {
     'no-route': 404,
@@ -64,15 +67,17 @@
 
 @dataclass(frozen=True, slots=True)
 class CallLimits:
-    """Largest accepted parts of a call.
+    """Limits of one call.
 
     Attributes:
         body_bytes: Largest request body.
         key_characters: Longest idempotency key.
+        configuration_wait_s: Longest wait for the first configuration.
     """
 
     body_bytes: int
     key_characters: int
+    configuration_wait_s: float
 
 
 class Entry:
@@ -83,7 +88,7 @@
         calls: Runs calls.
         presence: Notices callers that go away.
         bound: Bounds on the calls in flight.
-        limits: Largest accepted parts of a call.
+        limits: Limits of one call.
         clock: Monotonic seconds.
     """
 
@@ -122,7 +127,7 @@
     def _answer(self, environ: Environ) -> Answer:
         arrived_s = self._clock()
         key = environ['waxwing.head'].fields.get(_KEY, '')
-        table = self._routing.table
+        table = self._routing.table or self._awaited_table()
         if table is None:
             return _refused_unread('no-configuration', key)
         method = environ['REQUEST_METHOD']
@@ -165,6 +170,22 @@
         request = Request(method, head.target, headers, body)
         return self._run(environ, Task(match, request, deadline_s))
 
+    def _awaited_table(self) -> RouteTable | None:
+        """Waits for the first configuration of a node that has just started.
+
+        Callers come back as soon as it listens.
+        """
+        limit_s = self._clock() + self._limits.configuration_wait_s
+        held = self._bound.enter(0)
+        if held is None:
+            return None
+        try:
+            while self._routing.table is None and self._clock() < limit_s:
+                eventlet.sleep(_POLL_S)
+        finally:
+            held.release()
+        return self._routing.table
+
     def _refused_full(self, key: str) -> Answer:
         answer = _refused_unread('entry-full', key)
         answer.retry_after_ms = self._bound.retry_after_ms()
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -67,6 +67,8 @@
         idempotency_key_characters: Longest idempotency key, the same on every
             node: a node with a lower limit refuses a key as not run that may
             have run through another node.
+        configuration_wait_ms: Longest wait of a call at a node that has just
+            started and has no configuration yet.
         entry_calls: Most calls of callers in flight; calls of the lowest rank
             are refused from three quarters of it on.
         entry_body_bytes: Most bytes of request bodies held for such calls.
@@ -116,6 +118,7 @@
     head_bytes: HeadBytes
     head_lines: HeadLines
     idempotency_key_characters: KeyCharacters
+    configuration_wait_ms: Positive
     entry_calls: Positive
     entry_body_bytes: Positive
     inline_answer_bytes: Positive
