--- /dev/null
+++ b/test/journal_node.py
@@ -0,0 +1,60 @@
+"""A real node that also journals each configuration it puts in force.
+
+The journal outlives the process, so that versions can be compared over kills
+and restarts. A line is the version, the routes whose service is missing, and
+the service of each route.
+"""
+
+from waxwingsaddle import ui  # noqa: F401  isort:skip
+
+import json
+import sys
+from functools import partial
+from pathlib import Path
+
+from waxwingsaddle import program
+from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.node import build
+from waxwingsaddle.node_settings import NodeSettings
+from waxwingsaddle.subscription import attach
+
+
+def main() -> int:
+    """Runs a node; the journal is the first argument."""
+    journal = Path(sys.argv[1])
+    return program.run(
+        'node',
+        NodeSettings,
+        partial(_build, journal),
+        sys.argv[2:],
+    )
+
+
+def _build(journal: Path, settings: NodeSettings) -> Kernel:
+    kernel = build(settings, attach)
+    kernel.subscribe(
+        'configuration-in-force',
+        partial(_write, journal, kernel.find('configuration')),
+    )
+    return kernel
+
+
+def _write(journal: Path, configuration, version: int) -> None:
+    current = configuration.current
+    routes = current.tree.get('routes', {})
+    services = current.tree.get('services', {})
+    line = {
+        'version': version,
+        'routes': {name: route['service'] for name, route in routes.items()},
+        'dangling': [
+            name
+            for name, route in routes.items()
+            if route['service'] not in services
+        ],
+    }
+    with journal.open('a', encoding='utf-8') as lines:
+        lines.write(f'{json.dumps(line)}\n')
+
+
+if __name__ == '__main__':
+    sys.exit(main())
