Say why a node is not ready; test cut-off zones and herds of real nodes

Cause: restarts in a cut-off zone were tested with fakes only, and a node that could not serve gave no reason. A started node also waited the whole `floor_wait_ms` (1.5 s) for unreachable control hosts although a fresh one had answered, and asked its silent home control host alone each time before it asked everyone: with the pause of up to 2 s that is 4 s after a control host can be reached again, above the target of 3 s.

Change: `readiness` gives the reason on `/readyz` (`problem`) and in one log line. `inquiry.everyone` gives the others `answer_wait_ms` once a fresh control host has answered, and a node that is not ready does not ask a silent home alone again.

--- a/test/fixed_node.py
+++ b/test/fixed_node.py
@@ -62,7 +62,9 @@
         config.SourceSet(base=fixed['base'], overlays={settings.site: ''}),
     )
     current = config.snapshot(settings.site, 1, checked.sites[settings.site])
-    kernel.provide('configuration', SimpleNamespace(current=current))
+    kernel.provide(
+        'configuration', SimpleNamespace(current=current, problem='')
+    )
     kernel.provide(
         'directory',
         FixedDirectory(settings, kernel, fixed['others'], fixed['nodes']),
--- a/test/zones.py
+++ b/test/zones.py
@@ -15,9 +15,11 @@
 from contextlib import contextmanager, suppress
 from itertools import permutations, product
 from pathlib import Path
+from urllib.error import HTTPError
 
 from test.bench import fault_proxy
 from test.processes import ROOT, Process, get_json, is_ready, wait_until
+from test.zone_tables import control_table, node_table
 from waxwingsaddle.deployment import toml_text
 from waxwingsaddle.distribution_rig import ask, base_file
 from waxwingsaddle.util.ports import free_address
@@ -109,12 +111,12 @@
         """Starts all processes and waits for version 1 on all nodes."""
         self.links = links
         for host in self.controls:
-            table = toml_text('control', _control_table(self, host))
+            table = toml_text('control', control_table(self, host))
             self._add(Process, 'control', host, table)
         for host in self.controls:
             self.wait_ready(host)
         for host in self.nodes:
-            table = toml_text('node', _node_table(self, host))
+            table = toml_text('node', node_table(self, host))
             self._add(JournalNode, 'node', host, table)
         self.edit()
         self.wait_in_force()
@@ -141,7 +143,7 @@
         """Waits until a host is ready."""
         try:
             wait_until(
-                lambda: self.is_ready(host),
+                lambda: _is_ready(self, host),
                 f'{host} is ready',
                 limit_s,
             )
@@ -149,12 +151,6 @@
             log = self.processes[host].log_text()[-LOG_SHOWN:]
             raise AssertionError(f'{error}\n{log}') from None
 
-    def is_ready(self, host: str) -> bool:
-        """Says whether a host answers that it is ready."""
-        with suppress(OSError):
-            return is_ready(self.http(host))
-        return False
-
     def submit(self, control: str, base: str, **overlays: str) -> dict:
         """Submits an edit and returns the answer."""
         edit = {
@@ -170,6 +166,16 @@
         assert answer.get('version') == self.version + 1, answer
         self.version += 1
 
+    def problem(self, host: str) -> str:
+        """Returns why a host is not ready; empty when it does not tell."""
+        try:
+            get_json(self.http(host), '/readyz')
+        except HTTPError as refusal:
+            return json.load(refusal)['problem']
+        except OSError:
+            return ''
+        return ''
+
     def edit(self, control: str = 'c-zone-b') -> None:
         """Makes the next version accepted through a control host."""
         self.accept(control, base_file(self.version + 1, SERVICES))
@@ -283,42 +289,10 @@
 
 def _is_newest(running: Zones, host: str) -> bool:
     is_held = running.versions(host)[-1:] == [running.version]
-    return is_held and running.is_ready(host)
-
-
-def _control_table(running: Zones, host: str) -> dict:
-    return {
-        'host': host,
-        'data_folder': str(running.folder / host),
-        'hosts': [
-            {
-                **entry,
-                'peer_address': running.links.addresses.get(
-                    f'{host}-{other}',
-                    entry['peer_address'],
-                ),
-            }
-            for other, entry in running.controls.items()
-        ],
-    }
-
-
-def _node_table(running: Zones, host: str) -> dict:
-    own = running.nodes[host]
-    return {
-        **own,
-        'neighbours': [
-            running.nodes[other]['call_address']
-            for other in running.of(own['availability_zone'])
-            if other != host
-        ],
-        'controls': [
-            {
-                'host': control,
-                'availability_zone': entry['availability_zone'],
-                'node_address': running.links.addresses[f'{host}-{control}'],
-            }
-            for control, entry in running.controls.items()
-        ],
-        **running.settings,
-    }
+    return is_held and _is_ready(running, host)
+
+
+def _is_ready(running: Zones, host: str) -> bool:
+    with suppress(OSError):
+        return is_ready(running.http(host))
+    return False
--- a/waxwingsaddle/inquiry.py
+++ b/waxwingsaddle/inquiry.py
@@ -4,12 +4,14 @@
 from dataclasses import dataclass
 from typing import Any
 
-import eventlet
+from eventlet import Timeout, greenthread
 
 from waxwingsaddle.addresses import NodeControl
 from waxwingsaddle.control_choice import Answer, in_order
 from waxwingsaddle.control_link import ask_versions
 from waxwingsaddle.neighbours import Neighbours
+from waxwingsaddle.util.clock import MS_PER_S
+from waxwingsaddle.util.wake import Wake
 
 
 @dataclass(slots=True)
@@ -56,15 +58,29 @@
         return self._ask(others[:limit], self.settings.answer_wait_ms)
 
     def everyone(self) -> tuple[Answer, ...]:
-        """Asks all control hosts and, where none is fresh, the neighbours."""
+        """Asks all control hosts and, where none is fresh, the neighbours.
+
+        Once a fresh control host has answered, the others get the usual time
+        of an answer only: a fresh one that answers later would not be much
+        newer, and unreachable ones would hold up a node that cannot serve.
+        """
         wait_ms = self.settings.floor_wait_ms
-        asked = eventlet.spawn(self.neighbours.ask_versions, wait_ms)
-        controls = self._ask(self.settings.controls, wait_ms)
-        limit_ms = self.settings.majority_age_limit_ms
-        if any(answer.is_fresh(limit_ms) for answer in controls):
-            asked.kill()
-            return controls
-        return controls + asked.wait()
+        asked = greenthread.spawn(self.neighbours.ask_versions, wait_ms)
+        settled = Wake()
+        answers: list[Answer] = []
+        threads = [
+            greenthread.spawn(self._take_answer, control, answers, settled)
+            for control in self.settings.controls
+        ]
+        settled.wait(wait_ms / MS_PER_S)
+        if settled.is_set():
+            with Timeout(self.settings.answer_wait_ms / MS_PER_S, False):
+                _join(threads)
+            for thread in (asked, *threads):
+                thread.kill()
+            return tuple(answers)
+        _join(threads)
+        return (*answers, *asked.wait())
 
     def whole(self, answers: tuple[Answer, ...]) -> Any:
         """Takes the whole configuration of the newest neighbour, if any.
@@ -83,9 +99,27 @@
             self.settings.floor_wait_ms,
         )
 
+    def _take_answer(
+        self,
+        control: NodeControl,
+        answers: list[Answer],
+        settled: Wake,
+    ) -> None:
+        """Asks a control host and wakes the inquiry if it is fresh."""
+        taken = self._ask((control,), self.settings.floor_wait_ms)
+        answers.extend(taken)
+        limit_ms = self.settings.majority_age_limit_ms
+        if any(answer.is_fresh(limit_ms) for answer in taken):
+            settled.set()
+
     def _ask(self, controls: Any, wait_ms: int) -> tuple[Answer, ...]:
         return ask_versions(tuple(controls), self.settings.site, wait_ms)
 
 
+def _join(threads: list[greenthread.GreenThread]) -> None:
+    for thread in threads:
+        thread.wait()
+
+
 def _newest_neighbour_last(answer: Answer) -> tuple[int, bool]:
     return answer.version, answer.control is None
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -154,6 +154,7 @@
     probed = Probes(
         _Paths(upstreams, entry),
         lambda: configuration.current is not None and not shutdown.is_draining,
+        lambda: {'problem': configuration.problem},
         timeline=kernel.find('events'),
     )
     shutdown = Shutdown(
--- a/waxwingsaddle/subscription.py
+++ b/waxwingsaddle/subscription.py
@@ -21,6 +21,7 @@
 from waxwingsaddle.neighbours import Neighbours
 from waxwingsaddle.node_directory import NodeDirectory
 from waxwingsaddle.node_session import Session
+from waxwingsaddle.readiness import Readiness
 from waxwingsaddle.util.backoff import Backoff
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
 
@@ -60,8 +61,11 @@
         self._settings = settings
         self._rng = rng or random.Random()
         self._held = HeldConfiguration(settings.site)
-        self._floor: int | None = None
+        self._readiness = Readiness(self._held)
         self._published = 0
+        self._is_home_silent = False
+        self._zone = settings.availability_zone
+        self._limit_ms = settings.majority_age_limit_ms
         self.directory = NodeDirectory()
         self.session = Session(
             settings,
@@ -88,11 +92,12 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node holds its version floor or a later version."""
-        return (
-            self._floor is not None
-            and self._held.snapshot is not None
-            and self._held.version >= self._floor
-        )
+        return self._readiness.is_ready
+
+    @property
+    def problem(self) -> str:
+        """One line that says why the node is not ready; empty when it is."""
+        return self._readiness.problem
 
     def start(self) -> None:
         """Takes a lease and holds it in a green thread."""
@@ -133,13 +138,18 @@
             self._leave_isolated()
         if not self.is_ready:
             self._learn_floor(self._inquiry.home())
+            self._readiness.log()
         self._return_home()
         spread = self._rng.uniform(1 - INTERVAL_SPREAD, 1)
         interval_s = self._settings.lease_renew_ms / MS_PER_S
         self.session.attention.wait(interval_s * spread)
 
     def _find_control(self) -> None:
-        answers = self._inquiry.home()
+        # A silent control host of the own zone is not waited for again while
+        # the node cannot serve; the question to everyone includes it.
+        is_skipped = self._is_home_silent and not self.is_ready
+        answers = () if is_skipped else self._inquiry.home()
+        self._is_home_silent = not answers
         if not self.is_ready:
             answers = self._learn_floor(answers)
         elif not answers:
@@ -149,6 +159,7 @@
             )
         best = best_control(answers, self._zone, self._limit_ms, self._rng)
         if best is None or not self._join(best, 'start'):
+            self._readiness.log()
             self._pause()
 
     def _learn_floor(self, home: tuple[Answer, ...]) -> tuple[Answer, ...]:
@@ -159,7 +170,7 @@
         floor = version_floor(answers, self._limit_ms)
         if floor is None:
             return answers
-        self._floor = floor
+        self._readiness.floor = floor
         whole = None if self.is_ready else self._inquiry.whole(answers)
         if whole is not None:
             self._held.apply_whole(whole.version, whole.digest, whole.tree)
@@ -211,14 +222,6 @@
             self._record('lease', control_host=host, reason=reason)
         return is_joined
 
-    @property
-    def _zone(self) -> str:
-        return self._settings.availability_zone
-
-    @property
-    def _limit_ms(self) -> int:
-        return self._settings.majority_age_limit_ms
-
     def _home_interval_s(self) -> float:
         spread = self._rng.uniform(1 - INTERVAL_SPREAD, 1)
         return self._settings.home_check_ms / MS_PER_S * spread
@@ -254,6 +257,7 @@
             return
         self._published = self._held.version
         VERSION.set(self._held.version)
+        self._readiness.log()
         self.session.acknowledge()
         self._record('in-force', version=self._held.version)
         self._kernel.publish(
