Measure convergence with delayed node links and whole files beside deltas

Cause: links between nodes and their control host were undelayed in `convergence`, and the baseline of whole files needed another command.

Change: all links of nodes go through fault proxies (one a zone); a node is `--node-delay-ms` (0.5) and `--node-loss-percent` (1) from the control host of its zone, and as far as its zone from the others. Each size is measured with deltas and then with wholes; bytes are given per node and per link. Modules `convergence_links` and `convergence_rig` are split off.

Seen failing: `test_convergence` with wholes in both halves (a first form of the check, deltas below wholes without the factor 2, passed by noise) and with node links past the proxy.

--- a/test/test_convergence.py
+++ b/test/test_convergence.py
@@ -1,6 +1,7 @@
 """Convergence between availability zones, on real processes."""
 
-from waxwingsaddle.convergence import Plan, measure
+from waxwingsaddle.convergence import compare
+from waxwingsaddle.convergence_links import Plan
 
 TARGET_MS = 3000
 PLAN = Plan(
@@ -8,16 +9,20 @@
     delay_ms=4.5,
     jitter_ms=0,
     loss_percent=1,
-    services=5,
+    node_delay_ms=0.5,
+    node_loss_percent=1,
+    services=62,
     sites=2,
     settle_s=0,
-    idle_s=1,
+    idle_s=2,
     seed=1,
 )
 
 
 def test_converges_under_delay_and_loss():
     """Guards against edits in force later than 3 s over lossy links."""
-    figures = measure(PLAN, 6)
-    assert figures['submit_max_ms'] < TARGET_MS, figures
-    assert figures['link_bytes_per_edit'] > 0, figures
+    figures = compare(PLAN, 6)
+    assert max(figures['submit_max_ms']) < TARGET_MS, figures
+    assert min(figures['edit_bytes_per_link']) > 0, figures
+    deltas_bytes, wholes_bytes = figures['edit_bytes_per_node']
+    assert 0 < 2 * deltas_bytes < wholes_bytes, figures
--- /dev/null
+++ b/waxwingsaddle/convergence_links.py
@@ -0,0 +1,155 @@
+"""Links of a convergence measurement, and the fault proxies they go through."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from http.client import HTTPConnection
+from itertools import permutations, product
+
+from waxwingsaddle.distribution_rig import START_LIMIT_S
+from waxwingsaddle.util.codec import unpack_json
+from waxwingsaddle.util.ports import free_address
+from waxwingsaddle.web import split_address
+
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+HTTP_OK = 200
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Plan:
+    """What to measure.
+
+    Attributes:
+        edits: Edits at each size of the fleet.
+        delay_ms: One-way delay between availability zones.
+        jitter_ms: Largest addition to a delay.
+        loss_percent: Segments lost between availability zones.
+        node_delay_ms: One-way delay between a node and the control host of
+            its own zone.
+        node_loss_percent: Segments lost between them.
+        services: Services of the configuration.
+        sites: Sites of the configuration.
+        settle_s: Time for the directory to settle before the measurement.
+        idle_s: Length of the measurement of bytes without edits.
+        seed: Seed of delays and losses.
+    """
+
+    edits: int
+    delay_ms: float
+    jitter_ms: float
+    loss_percent: float
+    node_delay_ms: float
+    node_loss_percent: float
+    services: int
+    sites: int
+    settle_s: float
+    idle_s: float
+    seed: int
+
+
+class Links:
+    """Links between control hosts, and between zones and control hosts.
+
+    Args:
+        plan: What to measure.
+        hosts: Entry of each control host by its name.
+
+    Attributes:
+        peers: Address to use by sending and receiving control host.
+        nodes: Address to use by zone of the node and control host.
+    """
+
+    def __init__(self, plan: Plan, hosts: Mapping[str, dict]) -> None:
+        self._plan = plan
+        self._hosts = hosts
+        self._peer_proxy = free_address()
+        # A proxy a zone, because one process would limit the throughput.
+        self._node_proxies = {zone: free_address() for zone in ZONES}
+        self.peers = {pair: free_address() for pair in permutations(hosts, 2)}
+        self.nodes = {pair: free_address() for pair in product(ZONES, hosts)}
+
+    def proxies(self) -> Iterator[dict]:
+        """Yields the settings of each fault proxy."""
+        yield self._peer_faults()
+        for number, zone in enumerate(ZONES, 1):
+            yield self._node_faults(zone, number)
+
+    def are_ready(self) -> bool:
+        """Says whether all proxies answer that they are ready."""
+        return all(
+            map(is_ready, (self._peer_proxy, *self._node_proxies.values()))
+        )
+
+    def peer_bytes(self) -> int:
+        """Returns the bytes between control hosts so far, without headers."""
+        return _counted_bytes(self._peer_proxy)
+
+    def node_bytes(self) -> int:
+        """Returns the bytes of nodes and control hosts, without headers."""
+        return sum(map(_counted_bytes, self._node_proxies.values()))
+
+    def _peer_faults(self) -> dict:
+        far = self._condition(self._plan.delay_ms, self._plan.loss_percent)
+        return {
+            'host': 'faults',
+            'http_address': self._peer_proxy,
+            'seed': self._plan.seed,
+            'links': [
+                {
+                    'name': f'{source}-to-{target}',
+                    'listen_address': address,
+                    'target_address': self._hosts[target]['peer_address'],
+                    'condition': far,
+                }
+                for (source, target), address in self.peers.items()
+            ],
+        }
+
+    def _node_faults(self, zone: str, number: int) -> dict:
+        plan = self._plan
+        far = self._condition(plan.delay_ms, plan.loss_percent)
+        near = self._condition(plan.node_delay_ms, plan.node_loss_percent)
+        return {
+            'host': f'faults-{zone}',
+            'http_address': self._node_proxies[zone],
+            'seed': plan.seed + number,
+            'links': [
+                {
+                    'name': f'{zone}-to-{host}',
+                    'listen_address': self.nodes[zone, host],
+                    'target_address': entry['node_address'],
+                    'condition': near
+                    if entry['availability_zone'] == zone
+                    else far,
+                }
+                for host, entry in self._hosts.items()
+            ],
+        }
+
+    def _condition(self, delay_ms: float, loss_percent: float) -> dict:
+        return {
+            'delay_ms': delay_ms,
+            'jitter_ms': self._plan.jitter_ms,
+            'loss_percent': loss_percent,
+        }
+
+
+def is_ready(address: str) -> bool:
+    """Says whether a program answers that it is ready."""
+    return _get(address, '/readyz')[0] == HTTP_OK
+
+
+def _counted_bytes(proxy: str) -> int:
+    return sum(
+        link['forward_bytes'] + link['backward_bytes']
+        for link in _get(proxy, '/links')[1].values()
+    )
+
+
+def _get(address: str, path: str) -> tuple[int, dict]:
+    connection = HTTPConnection(*split_address(address), timeout=START_LIMIT_S)
+    try:
+        connection.request('GET', path)
+        answer = connection.getresponse()
+        return answer.status, unpack_json(answer.read())
+    finally:
+        connection.close()
--- /dev/null
+++ b/waxwingsaddle/convergence_rig.py
@@ -0,0 +1,189 @@
+"""Control hosts, links and stand-in nodes of a convergence measurement.
+
+Starts one control host in each of three availability zones and stand-in nodes
+beside them, each as a process of its own. Every connection between two control
+hosts, and between the nodes of a zone and a control host, goes through a fault
+proxy.
+"""
+
+import subprocess
+import tempfile
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from waxwingsaddle.convergence_links import ZONES, Links, Plan, is_ready
+from waxwingsaddle.deployment import toml_text
+from waxwingsaddle.distribution_rig import (
+    NODES_PER_PROCESS,
+    SITE,
+    STEPS_KEPT,
+    WHOLES_ONLY,
+    Rig,
+    ask,
+    base_file,
+    start,
+    stop,
+    wait_for,
+)
+from waxwingsaddle.util.clock import MS_PER_S
+from waxwingsaddle.util.ports import free_address
+
+ADDRESSES = ('peer_address', 'node_address', 'http_address')
+
+
+@dataclass(frozen=True, slots=True)
+class Span:
+    """Times of one edit until it is in force on every node.
+
+    Attributes:
+        from_submit_ms: Time from the submit.
+        from_answer_ms: Time from the answer; negative where the last node
+            was earlier than the answer.
+    """
+
+    from_submit_ms: float
+    from_answer_ms: float
+
+
+class Deployment:
+    """Control hosts, links and fleets, running.
+
+    Args:
+        plan: What to measure.
+        folder: Folder for settings and state.
+        is_whole: Whether whole configurations are sent in place of deltas.
+    """
+
+    def __init__(self, plan: Plan, folder: str, is_whole: bool) -> None:
+        self._plan = plan
+        self._folder = folder
+        self._steps_kept = WHOLES_ONLY if is_whole else STEPS_KEPT
+        self._processes: list[subprocess.Popen] = []
+        self._hosts = {
+            f'control-{zone}': {
+                'host': f'control-{zone}',
+                'availability_zone': zone,
+                **{name: free_address() for name in ADDRESSES},
+            }
+            for zone in ZONES
+        }
+        self.links = Links(plan, self._hosts)
+        self.controls = [one['http_address'] for one in self._hosts.values()]
+        self._rig = Rig(self.controls[0])
+
+    def start(self, nodes: int) -> None:
+        """Starts all processes and waits for the first version on all nodes."""
+        for settings in self.links.proxies():
+            self._start('load', 'faults', settings, 'faults')
+        wait_for(self.links.are_ready)
+        for host in self._hosts:
+            self._start('control', 'control', self._control(host))
+        wait_for(lambda: all(map(is_ready, self.controls)))
+        self.submit(self.controls[0])
+        for number, zone in enumerate(ZONES):
+            size = (nodes + number) // len(ZONES)
+            for first in range(0, size, NODES_PER_PROCESS):
+                part = min(NODES_PER_PROCESS, size - first)
+                self._start('fleet', 'fleet', self._fleet(zone, first, part))
+        wait_for(lambda: len(self._rig.in_force()) == nodes)
+
+    def stop(self) -> None:
+        """Stops all processes."""
+        stop(self._processes)
+
+    def submit(self, control: str) -> None:
+        """Submits the next version through a control host.
+
+        Raises:
+            RuntimeError: It is not accepted.
+        """
+        self._rig.version += 1
+        overlays = {SITE: ''} | {
+            f'site-{number}': '' for number in range(1, self._plan.sites)
+        }
+        edit = {
+            'base': base_file(self._rig.version, self._plan.services),
+            'overlays': overlays,
+            'author': 'convergence',
+        }
+        answer = ask(control, '/v1/edits', edit)
+        if answer.get('version') != self._rig.version:
+            raise RuntimeError(f'the edit is not accepted: {answer}')
+
+    def span(self, control: str, nodes: int) -> Span:
+        """Makes an edit through a control host and measures its spread."""
+        submitted_s = time.monotonic()
+        self.submit(control)
+        answered_s = time.monotonic()
+        wait_for(lambda: len(self._rig.in_force()) == nodes)
+        last_s = max(self._rig.in_force())
+        return Span(
+            (last_s - submitted_s) * MS_PER_S,
+            (last_s - answered_s) * MS_PER_S,
+        )
+
+    def _start(
+        self,
+        program: str,
+        table: str,
+        settings: dict,
+        *arguments: str,
+    ) -> None:
+        text = toml_text(table, settings)
+        self._processes.append(start(program, text, self._folder, *arguments))
+
+    def _control(self, host: str) -> dict:
+        return {
+            'host': host,
+            'data_folder': f'{self._folder}/{host}',
+            'log_level': 'warning',
+            'config_steps_kept': self._steps_kept,
+            'hosts': [
+                {
+                    **entry,
+                    'peer_address': self.links.peers.get(
+                        (host, other),
+                        entry['peer_address'],
+                    ),
+                }
+                for other, entry in self._hosts.items()
+            ],
+        }
+
+    def _fleet(self, zone: str, first: int, nodes: int) -> dict:
+        address = free_address()
+        self._rig.fleets.append(address)
+        return {
+            'host': f'fleet-{zone}-{first}',
+            'site': SITE,
+            'nodes': nodes,
+            'availability_zones': [zone],
+            'services': self._plan.services,
+            'http_address': address,
+            'controls': [
+                {
+                    'host': host,
+                    'availability_zone': entry['availability_zone'],
+                    'node_address': self.links.nodes[zone, host],
+                }
+                for host, entry in self._hosts.items()
+            ],
+        }
+
+
+@contextmanager
+def deployed(
+    plan: Plan,
+    nodes: int,
+    is_whole: bool,
+) -> Iterator[Deployment]:
+    """Runs a deployment while the context is open."""
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = Deployment(plan, folder, is_whole)
+        try:
+            deployment.start(nodes)
+            yield deployment
+        finally:
+            deployment.stop()
