--- /dev/null
+++ b/test/test_distribution_starts.py
@@ -0,0 +1,107 @@
+"""Starts and restarts of nodes, over real sockets in one process."""
+
+from test.distribution_fakes import Control, FakeHop, Node, control_hosts
+from test.distribution_fleet import ZONES, fleet, until
+from waxwingsaddle.control_link import ask_versions
+from waxwingsaddle.node_messages import (
+    FloorQuery,
+    FloorReply,
+    WholeQuery,
+    WholeReply,
+)
+
+
+def test_restarted_node_takes_configuration_from_neighbour():
+    """Guards against a cut-off zone whose restarted nodes cannot serve."""
+    hop_network = {}
+    with fleet(node_options={'floor_wait_ms': 300}) as (controls, nodes):
+        first = Node(
+            'node-x',
+            nodes[0].hosts,
+            hop=FakeHop('127.0.0.1:7', hop_network),
+        )
+        until(lambda: first.version == 1, 'version 1')
+        controls[0].kernel.stop()
+        second = Node(
+            'node-y',
+            nodes[0].hosts,
+            options={'neighbours': ['127.0.0.1:7'], 'floor_wait_ms': 300},
+            hop=FakeHop('127.0.0.1:8', hop_network),
+        )
+        until(lambda: second.version == 1, 'version from the neighbour')
+        assert second.service.current.tree == first.service.current.tree
+        first.kernel.stop()
+        second.kernel.stop()
+
+
+def test_restarted_node_waits_for_its_floor():
+    """Guards against a restarted node that serves an older version."""
+    hosts = control_hosts(ZONES)
+    network = {}
+    behind, newest = (Control(host, hosts, network) for host in hosts)
+    behind.accept(1)
+    newest.accept(2)
+    behind.replication.majority_age_ms = lambda: 9000
+    node = Node('node-1', hosts)
+    until(lambda: node.version, 'a version')
+    for part in (node, behind, newest):
+        part.kernel.stop()
+    assert node.seen == [2]
+
+
+def test_no_service_below_the_floor():
+    """Guards against a restarted node that serves what it gets first."""
+    hosts = control_hosts(ZONES[:1])
+    control = Control(hosts[0], hosts, {})
+    control.accept(1)
+    control.replication.majority_age_ms = lambda: 9000
+    hop_network = {}
+    neighbour = FakeHop('127.0.0.1:7', hop_network)
+    neighbour.subscribe(FloorQuery, lambda query: FloorReply(2))
+    neighbour.subscribe(WholeQuery, lambda query: WholeReply(0, '', b''))
+    node = Node(
+        'node-1',
+        hosts,
+        options={'neighbours': ['127.0.0.1:7'], 'floor_wait_ms': 200},
+        hop=FakeHop('127.0.0.1:8', hop_network),
+    )
+    until(lambda: node.service._held.version == 1, 'an old version')
+    control.accept(2)
+    until(lambda: node.version == 2, 'the floor')
+    assert node.seen == [2]
+    node.kernel.stop()
+    control.kernel.stop()
+
+
+def test_questions_are_answered():
+    """Guards against a lost wake-up between sender and receiver of a link."""
+    with fleet() as (_controls, nodes):
+        control = nodes[0].service.session.control
+        for _ in range(20):
+            answers = ask_versions((control,) * 10, 'north', 2000)
+            assert len(answers) == 10
+
+
+def test_clock_that_went_back():
+    """Guards against a node whose new entry loses against its old one."""
+    hosts = control_hosts(ZONES[:1])
+    control = Control(hosts[0], hosts, {})
+    control.accept(1)
+    node = Node('node-1', hosts)
+    until(lambda: node.version == 1, 'version 1')
+    node.kernel.stop()
+    again = Node('node-1', hosts)
+    again.service.session._incarnation = 5
+    until(lambda: again.version == 1, 'version 1 after the restart')
+    directory = again.service.directory
+    until(lambda: directory.nodes_of('zone-a'), 'own entry')
+    assert directory.nodes_of('zone-a')[0].incarnation > 5
+    again.kernel.stop()
+    control.kernel.stop()
+
+
+def test_refused_nodes_come_back():
+    """Guards against a node that a busy control host leaves out."""
+    options = {'hello_rate_per_s': 20, 'hello_burst': 1}
+    with fleet(nodes=10, **options) as (controls, _nodes):
+        assert len(controls[0].versions()) == 10
