--- a/test/test_fleet_events.py
+++ b/test/test_fleet_events.py
@@ -2,7 +2,7 @@
 
 from itertools import repeat
 
-from test.test_distribution import fleet, until
+from test.distribution_fleet import fleet, until
 from waxwingsaddle.event_batches import LOST_KIND
 from waxwingsaddle.events import Timeline
 from waxwingsaddle.fleet_events import FleetTimeline, selected
