--- a/test/test_entry.py
+++ b/test/test_entry.py
@@ -63,27 +63,37 @@
 
 def test_call_waits_for_the_first_configuration():
     """Guards against calls refused by a node that has just restarted."""
-    told = []
-    for wait_s in (5, 0):
-        entry = _entry(_LateRouting(), wait_s)
-        list(entry(_environ(), lambda *given: told.append(given[0][:3])))
-    assert told == ['404', '503'], told
+    assert _status_after(wait_s=5) == '404'
+    assert _status_after(wait_s=0) == '503'
 
 
-def test_announced_length_is_refused_before_the_body_is_read():
+@params(('', 'not-run', '413'), ('k', 'unknown', '502'))
+def test_announced_length_is_refused_before_the_body_is_read(
+    key, outcome, status
+):
     """Guards against a node that reads a body which it can't take."""
-    route = Route(path_prefix='/', service='s')
-    match = Match('r', route, Service())
-    table = SimpleNamespace(match=lambda _method, _path: match)
-    environ = _environ()
+    environ = _environ(key)
     # It has no `read`.
     environ['wsgi.input'] = SimpleNamespace(is_whole=False, length=1001)
+    assert _refusal(environ) == (outcome, status)
+
+
+@params(('', 'not-run', '400'), ('k', 'unknown', '502'))
+def test_deadline_that_is_no_number(key, outcome, status):
+    """Guards against a resend told not-run because of its deadline."""
+    environ = _environ(key)
+    environ['waxwing.head'].fields['waxwing-deadline-ms'] = 'soon'
+    assert _refusal(environ) == (outcome, status)
+
+
+def _refusal(environ):
+    match = Match('r', Route(path_prefix='/', service='s'), Service())
+    table = SimpleNamespace(match=lambda _method, _path: match)
     told = []
     entry = _entry(SimpleNamespace(table=table))
     list(entry(environ, lambda *given: told.append(given)))
     line, headers = told[0]
-    assert line.startswith('413'), line
-    assert dict(headers)['Waxwing-Outcome'] == 'not-run'
+    return dict(headers)['Waxwing-Outcome'], line[:3]
 
 
 def _refused_calls(caller):
@@ -128,3 +138,10 @@
         one.release()
     assert (bound.calls, bound.body_bytes) == (0, 0)
     assert bound.enter(low).grow(5000)
+
+
+def _status_after(wait_s):
+    told = []
+    entry = _entry(_LateRouting(), wait_s)
+    list(entry(_environ(), lambda *given: told.append(given)))
+    return told[0][0][:3]
--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -19,6 +19,7 @@
     Task,
     close_rest,
     count_attempt,
+    end_attempt,
     ended,
     hedged_attempts,
 )
@@ -26,8 +27,6 @@
 from waxwingsaddle.verdicts import BUSY
 from waxwingsaddle.work import Call
 
-# After these, the caller knows whether the attempt ran.
-_EXACT_OUTCOMES = frozenset((Outcome.RAN, Outcome.NOT_RUN))
 # With these reasons, no byte of the attempt reached an upstream.
 _NOT_SENT = frozenset(('unreachable', 'upstream-refused', 'no-upstream'))
 
@@ -239,7 +238,7 @@
         try:
             answer = self._send(call, upstream, task)
         finally:
-            _end_attempt(task, call.call_id, answer)
+            end_attempt(task, call.call_id, answer)
             policies.choice.finished(
                 ticket,
                 ended(answer, self._clock() - begun_s),
@@ -295,9 +294,3 @@
 
     def _is_failed(self, answer: Answer) -> bool:
         return answer.outcome is not Outcome.RAN
-
-
-def _end_attempt(task: Task, call_id: str, answer: Answer | None) -> None:
-    task.running.pop(call_id, None)
-    if answer is None or answer.outcome not in _EXACT_OUTCOMES:
-        task.may_have_run = True
--- a/waxwingsaddle/entry.py
+++ b/waxwingsaddle/entry.py
@@ -14,7 +14,6 @@
     REASON_HEADER,
     RETRY_AFTER_HEADER,
     Answer,
-    BodyStream,
     Request,
     not_run,
     passed_on,
@@ -22,7 +21,7 @@
 )
 from waxwingsaddle.config_models import MAX_TIMEOUT_MS
 from waxwingsaddle.dispatch import Task
-from waxwingsaddle.entry_bound import EntryBound, Held
+from waxwingsaddle.entry_bound import EntryBound, Held, HeldStream
 from waxwingsaddle.keyed import KeyedCalls
 from waxwingsaddle.presence import Presence
 from waxwingsaddle.retry import RETRIED_HEADER
@@ -136,7 +135,7 @@
             return _refused_unread('no-route', key)
         timeout_ms = _timeout_ms(environ, match)
         if timeout_ms is None:
-            return not_run('bad-deadline')
+            return _refused_unread('bad-deadline', key)
         if len(key) > self._limits.key_characters:
             return not_run('bad-key')
         route = match.route
@@ -151,7 +150,7 @@
             if answer is None or answer.stream is None:
                 held.release()
         if answer.stream is not None:
-            answer.stream = _HeldStream(answer.stream, held)
+            answer.stream = HeldStream(answer.stream, held)
         return answer
 
     def _answer_held(
@@ -207,43 +206,24 @@
         stream = environ['wsgi.input']
         if stream.is_whole:
             return b''
+        key = environ['waxwing.head'].fields.get(_KEY, '')
         limit = self._limits.body_bytes
         if stream.length is not None and stream.length > limit:
-            return not_run('body-too-large')
+            return _refused_unread('body-too-large', key)
         # A body of unknown length is held as it comes, piece by piece.
         piece_bytes = min(limit + 1, stream.length or _PIECE_BYTES)
         pieces = []
         try:
             while not stream.is_whole and held.body_bytes <= limit:
                 if not held.grow(piece_bytes):
-                    key = environ['waxwing.head'].fields.get(_KEY, '')
                     return self._refused_full(key)
                 pieces.append(stream.read(piece_bytes))
         except (OSError, ValueError):
-            return not_run('bad-body')
+            return _refused_unread('bad-body', key)
         body = b''.join(pieces)
-        return not_run('body-too-large') if len(body) > limit else body
-
-
-class _HeldStream:
-    """Streamed body of an answer that counts as in flight until its end."""
-
-    def __init__(self, stream: BodyStream, held: Held) -> None:
-        self._stream = stream
-        self._held: Held | None = held
-
-    def __iter__(self) -> Iterator[bytes]:
-        return iter(self._stream)
-
-    def close(self) -> None:
-        """Ends the stream."""
-        held = self._held
-        self._held = None
-        try:
-            self._stream.close()
-        finally:
-            if held is not None:
-                held.release()
+        if len(body) > limit:
+            return _refused_unread('body-too-large', key)
+        return body
 
 
 class _Streamed:
--- a/waxwingsaddle/entry_bound.py
+++ b/waxwingsaddle/entry_bound.py
@@ -1,9 +1,11 @@
 """Bound on the calls that a node has taken from callers and not answered."""
 
 import random
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from waxwingsaddle import metrics
+from waxwingsaddle.calls import BodyStream
 from waxwingsaddle.work import MAX_RANK
 
 # The lowest rank is refused from this share of the bounds on; the share rises
@@ -79,5 +81,26 @@
         return random.randint(_LEAST_RETRY_MS, _MOST_RETRY_MS)
 
 
+class HeldStream:
+    """Streamed body of an answer that counts as in flight until its end."""
+
+    def __init__(self, stream: BodyStream, held: Held) -> None:
+        self._stream = stream
+        self._held: Held | None = held
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._stream)
+
+    def close(self) -> None:
+        """Ends the stream."""
+        held = self._held
+        self._held = None
+        try:
+            self._stream.close()
+        finally:
+            if held is not None:
+                held.release()
+
+
 def _share(rank: int) -> float:
     return _LEAST_SHARE + (1 - _LEAST_SHARE) * rank / MAX_RANK
--- a/waxwingsaddle/tasks.py
+++ b/waxwingsaddle/tasks.py
@@ -21,6 +21,8 @@
 _retries = _attempts.labels('retry')
 hedged_attempts = _attempts.labels('hedge')
 _spills = _attempts.labels('spill')
+# After these, the caller knows whether the attempt ran.
+_EXACT_OUTCOMES = frozenset((Outcome.RAN, Outcome.NOT_RUN))
 
 
 @dataclass(slots=True)
@@ -91,3 +93,16 @@
         answer = answers.get()[1]
         if answer.stream is not None:
             answer.stream.close()
+
+
+def end_attempt(task: Task, call_id: str, answer: Answer | None) -> None:
+    """Takes an attempt off a task, and notes whether it may have run.
+
+    Args:
+        task: The call.
+        call_id: The attempt.
+        answer: Its answer; absent when it was cut off.
+    """
+    task.running.pop(call_id, None)
+    if answer is None or answer.outcome not in _EXACT_OUTCOMES:
+        task.may_have_run = True
