--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -8,6 +8,7 @@
 
 from waxwingsaddle import peers
 from waxwingsaddle.addresses import ControlHost
+from waxwingsaddle.util.clock import Stamp
 from waxwingsaddle.util.ports import free_address
 
 LIMITS = peers.PeerLimits(
@@ -124,3 +125,14 @@
         _until(lambda: first.send('c9', Greeting('new')))
         _until(lambda: got)
         added.stop()
+
+
+def test_messages_carry_the_clock():
+    """Guards against a leader change dated before its cause elsewhere."""
+    with _connected(2) as (first, second):
+        got = _collect(second)
+        ahead_ms = first.clock.tick().wall_ms + 60_000
+        first.clock.observe(Stamp(ahead_ms, 3))
+        _until(lambda: first.send('c1', Greeting('x')))
+        _until(lambda: got)
+        assert second.clock.tick() > Stamp(ahead_ms, 3)
