--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -11,6 +11,7 @@
 from test.bench import fault_proxy
 from waxwingsaddle import peers
 from waxwingsaddle.addresses import ControlHost
+from waxwingsaddle.util.clock import Stamp
 from waxwingsaddle.util.ports import free_address
 
 LIMITS = peers.PeerLimits(
@@ -181,3 +182,14 @@
         _cut(links, is_cut=False)
         _until(lambda: first.send('c1', Greeting('after')))
         _until(lambda: ('c0', Greeting('after')) in got)
+
+
+def test_messages_carry_the_clock():
+    """Guards against a leader change dated before its cause elsewhere."""
+    with _connected(2) as (first, second):
+        got = _collect(second)
+        ahead_ms = first.clock.tick().wall_ms + 60_000
+        first.clock.observe(Stamp(ahead_ms, 3))
+        _until(lambda: first.send('c1', Greeting('x')))
+        _until(lambda: got)
+        assert second.clock.tick() > Stamp(ahead_ms, 3)
