Give processes that run at the same time different ports

Change: a process takes blocks of 100 ports and keeps the first port of each bound, which tells others that the block is taken.

--- a/test/test_claims.py
+++ b/test/test_claims.py
@@ -1,4 +1,4 @@
-"""Claims of idempotency keys: placement, keepers, claimant, random runs."""
+"""Claims of idempotency keys: placement, keepers, random runs."""
 
 import random
 import tracemalloc
@@ -8,30 +8,13 @@
 from nose2.tools import params
 
 from test import claim_simulation
+from test.claim_parts import HOSTS, PLACE, Clock, claim_of
 from test.claim_zone import few_buckets
 from waxwingsaddle import claims
-from waxwingsaddle.claim_outbox import ClaimOutbox
 from waxwingsaddle.claim_table import CLAIM_BYTES, ClaimTable
-from waxwingsaddle.claimant import Claimant, ClaimPolicy, Pause, Peer, Wanted
 from waxwingsaddle.keeper import Keeper
 from waxwingsaddle.placement import BUCKETS, Placement, home_zone
 
-PLACE = claims.place_of('orders', 'k1')
-HOSTS = ('a', 'b', 'c')
-POLICY = ClaimPolicy(window_s=0.5, grace_s=0, pause_s=0.1, max_bytes=10_000)
-
-
-class Clock:
-    """A clock that is set by hand."""
-
-    def __init__(self):
-        """Starts at zero."""
-        self.now_s = 0
-
-    def __call__(self):
-        """Returns the time that was set."""
-        return self.now_s
-
 
 def _keeper(host, clock, members=HOSTS, max_bytes=10_000):
     keeper = Keeper(host, ClaimTable(max_bytes, clock), 0.5, clock, host)
@@ -60,10 +43,6 @@
     return claims.ClaimRequest(PLACE, claim_id, keepers, 60_000)
 
 
-def _claim(state, claim_id='x', answer=None):
-    return claims.Claim(PLACE, claim_id, state, 60_000, answer)
-
-
 @params(*range(0, 40, 4))
 def test_random_runs_keep_all_promises(first_seed):
     """Guards against double runs, false not-run and wrong stored answers."""
@@ -80,10 +59,10 @@
 def test_merge_ignores_order_and_copies(order, copies):
     """Guards against a late copy that takes back an outcome."""
     states = [
-        _claim(claims.ClaimState.CLAIMED),
-        _claim(claims.ClaimState.DONE),
-        _claim(claims.ClaimState.DONE, answer=b'ok'),
-        _claim(claims.ClaimState.RELEASED),
+        claim_of(claims.ClaimState.CLAIMED),
+        claim_of(claims.ClaimState.DONE),
+        claim_of(claims.ClaimState.DONE, answer=b'ok'),
+        claim_of(claims.ClaimState.RELEASED),
     ]
     merged = None
     for index in (*order, *copies):
@@ -134,7 +113,7 @@
     assert keeper.claim(_request('x')).verdict == 'granted'
     assert keeper.claim(_request('x')).verdict == 'granted'
     assert keeper.claim(_request('y')).verdict == 'claimed'
-    keeper.keep([_claim(claims.ClaimState.RELEASED)])
+    keeper.keep([claim_of(claims.ClaimState.RELEASED)])
     assert keeper.claim(_request('y')).verdict == 'granted'
     # A late copy of the first request must not stand again.
     assert keeper.claim(_request('x')).verdict == 'claimed'
@@ -143,7 +122,7 @@
 def test_release_that_overtakes_its_request_holds():
     """Guards against a key blocked by a request that comes late."""
     _, keeper, *_ = _settled(*HOSTS)
-    keeper.keep([_claim(claims.ClaimState.RELEASED)])
+    keeper.keep([claim_of(claims.ClaimState.RELEASED)])
     assert keeper.claim(_request('x')).verdict == 'claimed'
     assert keeper.claim(_request('y')).verdict == 'granted'
 
@@ -220,7 +199,7 @@
     copies = dict(leaving.leave())
     assert set(copies) == set(members) - {leaving.host}
     assert all(part[0].claim_id == 'x' for part in copies.values())
-    leaving.keep([_claim(claims.ClaimState.RELEASED)])
+    leaving.keep([claim_of(claims.ClaimState.RELEASED)])
     assert leaving.claim(_request('y', asked)).verdict == 'syncing'
 
 
@@ -233,7 +212,7 @@
     assert keeper.claim(_request('x', ('a',))).verdict == 'granted'
     other = claims.ClaimRequest(b'0' * 16, 'z', ('a',), 60_000)
     assert keeper.claim(other).verdict == 'full'
-    keeper.keep([_claim(claims.ClaimState.DONE, answer=b'ok')])
+    keeper.keep([claim_of(claims.ClaimState.DONE, answer=b'ok')])
     assert keeper.claim(_request('y', ('a',))).answer == b'ok'
 
 
@@ -254,7 +233,7 @@
     """Guards against claims that are never forgotten, or too soon."""
     clock = Clock()
     table = ClaimTable(10**6, clock)
-    table.merge(_claim(claims.ClaimState.DONE))
+    table.merge(claim_of(claims.ClaimState.DONE))
     clock.now_s = 59
     for _ in range(64):
         table.expire()
@@ -281,71 +260,3 @@
     used_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     assert used_bytes <= table.size_bytes, used_bytes / 5000
-
-
-def _claimant(clock):
-    peers = tuple(Peer(host, host) for host in HOSTS)
-    return Claimant(POLICY, lambda *_: peers, clock, random.Random(1))
-
-
-def _answer(verdicts, takes_s=0, deadline_s=0.9):
-    """Runs one claim against fixed verdicts by host."""
-    clock = Clock()
-    wanted = Wanted(PLACE, 'z', 60_000, deadline_s)
-    steps = _claimant(clock).claim(wanted)
-    replies = None
-    while True:
-        try:
-            step = steps.send(replies)
-        except StopIteration as stop:
-            return stop.value
-        if isinstance(step, Pause):
-            clock.now_s += step.pause_s
-            replies = None
-            continue
-        clock.now_s += takes_s
-        replies = {
-            host: _reply(step.message, verdict)
-            for host, verdict in verdicts.items()
-        }
-
-
-def _reply(message, verdict):
-    if isinstance(message, claims.ClaimRelease):
-        return claims.ClaimKept(1)
-    return claims.ClaimReply(verdict, b'ok' if verdict == 'done' else None)
-
-
-@params(
-    ({'a': 'granted', 'b': 'granted'}, 0, claims.Granted),
-    ({'a': 'granted', 'b': 'granted', 'c': 'claimed'}, 0, claims.InDoubt),
-    ({'a': 'granted'}, 0, claims.InDoubt),
-    ({'a': 'granted', 'b': 'granted'}, 0.6, claims.InDoubt),
-    ({'a': 'granted', 'b': 'granted', 'c': 'done'}, 0, claims.Stored),
-    ({'a': 'full', 'b': 'granted'}, 0, claims.Absent),
-    ({'a': 'full', 'b': 'syncing'}, 0, claims.InDoubt),
-    ({'a': 'full', 'b': 'full', 'c': 'claimed'}, 0, claims.InDoubt),
-    ({}, 0, claims.InDoubt),
-)
-def test_replies_decide_the_claim(verdicts, takes_s, expected):
-    """Guards against a claim on too few, late or contradicted grants."""
-    outcome = _answer(verdicts, takes_s)
-    assert isinstance(outcome, expected), outcome
-
-
-def test_outcome_is_sent_until_each_keeper_confirms():
-    """Guards against an outcome that reaches one keeper only."""
-    clock = Clock()
-    peers = tuple(Peer(host, host) for host in HOSTS)
-    outbox = ClaimOutbox(lambda *_: peers, 60, clock)
-    number = outbox.put(_claim(claims.ClaimState.DONE), 'z')
-    outbox.confirm(number, 'a')
-    _, message, rest = outbox.due()[0]
-    assert isinstance(message, claims.ClaimDone)
-    assert [peer.host for peer in rest] == ['b', 'c']
-    outbox.confirm(number, 'b')
-    outbox.confirm(number, 'c')
-    assert not outbox.due()
-    outbox.put(_claim(claims.ClaimState.RELEASED), 'z')
-    clock.now_s = 61
-    assert not outbox.due()
--- a/waxwingsaddle/util/ports.py
+++ b/waxwingsaddle/util/ports.py
@@ -2,13 +2,14 @@
 
 import random
 import socket
-from contextlib import suppress
-from itertools import cycle, islice
+from collections.abc import Iterator
 
+LOOPBACK = '127.0.0.1'
 FIRST_PORT = 10_000
+# The system gives outgoing connections ports from 32,768 on.
 END_PORT = 32_000
-PORTS = range(FIRST_PORT, END_PORT)
-_SHUFFLED_PORTS = cycle(random.SystemRandom().sample(PORTS, len(PORTS)))
+# Ports that a process takes at once; the first one marks them as taken.
+BLOCK = 100
 
 
 def free_address() -> str:
@@ -16,15 +17,38 @@
 
     The port lies below those that the system gives to outgoing connections,
     because one of these could take it before the program under test binds.
-    No port is returned twice until all were, because a port stays free until
-    its program binds it: independent random choices once gave two programs of
-    one deployment the same port.
+    No two calls get the same port, in this process or in another that runs at
+    the same time: a port stays free until its program binds it, and
+    independent choices gave two programs the same one.
 
     Raises:
-        OSError: No port is free.
+        OSError: No port is left.
     """
-    for port in islice(_SHUFFLED_PORTS, len(PORTS)):
-        with socket.socket() as probe, suppress(OSError):
-            probe.bind(('127.0.0.1', port))
-            return f'127.0.0.1:{port}'
+    for port in _ports:
+        if _bound(port) is not None:
+            return f'{LOOPBACK}:{port}'
     raise OSError(f'no free port from {FIRST_PORT} to {END_PORT - 1}')
+
+
+def _all_ports() -> Iterator[int]:
+    blocks = range(FIRST_PORT, END_PORT, BLOCK)
+    # Bound for the life of this process, which keeps others away.
+    marks = []
+    for first in random.SystemRandom().sample(blocks, len(blocks)):
+        mark = _bound(first)
+        if mark is not None:
+            marks.append(mark)
+            yield from range(first + 1, first + BLOCK)
+
+
+def _bound(port: int) -> socket.socket | None:
+    probe = socket.socket()
+    try:
+        probe.bind((LOOPBACK, port))
+    except OSError:
+        probe.close()
+        return None
+    return probe
+
+
+_ports = _all_ports()
