--- a/waxwingsaddle/ui/control_bench.py
+++ b/waxwingsaddle/ui/control_bench.py
@@ -4,7 +4,7 @@
 from itertools import product
 
 from waxwingsaddle.control_bench import Point, measure
-from waxwingsaddle.convergence import Plan
+from waxwingsaddle.convergence_links import Plan
 
 SEED = 1
 
@@ -30,6 +30,8 @@
             delay_ms=0,
             jitter_ms=0,
             loss_percent=0,
+            node_delay_ms=0,
+            node_loss_percent=0,
             services=point.services,
             sites=given.sites,
             settle_s=given.settle_s,
