--- a/test/measure_calls.py
+++ b/test/measure_calls.py
@@ -7,13 +7,11 @@
 import argparse
 import subprocess
 import sys
-import tempfile
 from pathlib import Path
 
-from test.meshes import Mesh
+from test.meshes import deployed
 from test.processes import ROOT
-from waxwingsaddle import deployment, plans
-from waxwingsaddle.util.ports import free_address
+from waxwingsaddle import plans
 
 RUN_LIMIT_S = 300
 
@@ -23,19 +21,9 @@
     parser = argparse.ArgumentParser()
     parser.add_argument('plan', choices=sorted(plans.SCENARIOS))
     given = parser.parse_args()
-    with tempfile.TemporaryDirectory() as name:
-        plan = plans.PLANS[given.plan]
-        written = deployment.write(Path(name), plan, free_address)
-        running = Mesh(written)
-        try:
-            running.start('control')
-            running.submit_text(plan.base)
-            running.start('node')
-            running.start('load')
-            for file in plans.write_experiments(given.plan, written):
-                _run(file)
-        finally:
-            running.stop()
+    with deployed(plans.PLANS[given.plan]) as running:
+        for file in plans.write_experiments(given.plan, running.written):
+            _run(file)
     return 0
 
 
--- a/test/measure_failures.py
+++ b/test/measure_failures.py
@@ -9,20 +9,17 @@
 import random
 import subprocess
 import sys
-import tempfile
 import time
 from collections import Counter
 from collections.abc import Callable
 from contextlib import contextmanager
 from dataclasses import replace
-from pathlib import Path
 
-from test.meshes import Mesh
+from test.meshes import Mesh, deployed
 from test.processes import ROOT
 from waxwingsaddle import checker, deployment, plans
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.jsonlines import read_lines
-from waxwingsaddle.util.ports import free_address
 
 RUN_LIMIT_S = 300
 FAULT_AT_S = 5
@@ -128,18 +125,9 @@
 def _deployed(scenario: plans.Scenario):
     look = LOOK.format(write=scenario.write[0])
     plan = replace(scenario.plan, base=f'{scenario.plan.base}{look}')
-    with tempfile.TemporaryDirectory() as name:
-        written = deployment.write(Path(name), plan, free_address)
-        running = Mesh(written)
-        try:
-            running.start('control')
-            running.submit_text(plan.base)
-            running.start('node')
-            running.start('load')
-            time.sleep(SETTLE_S)
-            yield running
-        finally:
-            running.stop()
+    with deployed(plan) as running:
+        time.sleep(SETTLE_S)
+        yield running
 
 
 def _measure_fault(scenario, case, program, fault: Fault, run_s) -> None:
--- a/test/meshes.py
+++ b/test/meshes.py
@@ -137,6 +137,21 @@
         return None
 
 
+@contextmanager
+def deployed(plan: deployment.Plan) -> Iterator[Mesh]:
+    """Runs all processes of a plan with its base file in force."""
+    with tempfile.TemporaryDirectory() as name:
+        running = Mesh(deployment.write(Path(name), plan, free_address))
+        try:
+            running.start('control')
+            running.submit_text(plan.base)
+            running.start('node')
+            running.start('load')
+            yield running
+        finally:
+            running.stop()
+
+
 @contextmanager
 def mesh(
     zones: int = 3,
@@ -152,13 +167,5 @@
         base=BASE.format(version=1, timeout_ms=2000),
         **further,
     )
-    with tempfile.TemporaryDirectory() as name:
-        running = Mesh(deployment.write(Path(name), plan, free_address))
-        try:
-            running.start('control')
-            running.submit(1)
-            running.start('node')
-            running.start('load')
-            yield running
-        finally:
-            running.stop()
+    with deployed(plan) as running:
+        yield running
