Check the journals of nodes with the one checker of all runs

Cause: tests of distribution compared the journals of nodes on their own, each in its way, beside the checker. Change: checker.check_journals finds steps back and routes without a service; every test with real zones ends with it. read_lines leaves out a last line that a killed process did not finish.

--- a/test/test_checker.py
+++ b/test/test_checker.py
@@ -11,7 +11,7 @@
     with TemporaryDirectory() as folder:
         files = (Path(folder, 'journal'), Path(folder, 'answers'))
         for file, lines in zip(files, (executions, answers), strict=True):
-            file.write_text('\n'.join(map(json.dumps, lines)))
+            _write(file, lines)
         return checker.check_calls(files[:1], files[1:])
 
 
@@ -52,3 +52,25 @@
     """Guards against a node that returns to an older version."""
     seen = [('n1', 1), ('n2', 3), ('n1', 2), ('n2', 2)]
     assert checker.check_versions(seen) == ('n2 went back from version 3 to 2',)
+
+
+def test_journals_of_nodes_are_checked():
+    """Guards against a checker that passes a step back or a dangling route."""
+    lines = [
+        {'version': 2, 'dangling': ['pay']},
+        {'version': 1, 'dangling': []},
+    ]
+    with TemporaryDirectory() as folder:
+        file = Path(folder, 'n1.journal')
+        _write(file, lines)
+        # A killed node may leave a line without its end.
+        with file.open('a', encoding='utf-8') as journal:
+            journal.write('{"version": 0')
+        assert checker.check_journals([file]) == (
+            'n1 went back from version 2 to 1',
+            "n1 had route 'pay' without its service in version 2",
+        )
+
+
+def _write(file, lines):
+    file.write_text(''.join(f'{json.dumps(line)}\n' for line in lines))
--- a/test/test_moved_routes.py
+++ b/test/test_moved_routes.py
@@ -30,13 +30,6 @@
     )
 
 
-def assert_whole(running):
-    """Checks every version that any node had in force."""
-    for host in running.nodes:
-        for line in running.journal(host):
-            assert not line['dangling'], (host, line)
-
-
 def test_service_that_an_overlay_routes_to_is_not_removed():
     """Guards against an accepted version with a route into nothing."""
     with zones(dict.fromkeys(ZONES, NODES_PER_ZONE)) as running:
@@ -55,7 +48,6 @@
         for host in running.nodes:
             routes = running.journal(host)[-1]['routes']
             assert set(routes.values()) == {'orders-2'}, routes
-        assert_whole(running)
 
 
 def test_route_moves_with_its_service_at_every_version():
@@ -79,7 +71,6 @@
         running.set_cut(cut, False)
         running.wait_in_force()
         running.check_never_back()
-        assert_whole(running)
         seen = {
             line['version']
             for host in running.nodes
--- a/test/zones.py
+++ b/test/zones.py
@@ -20,8 +20,10 @@
 from test.bench import fault_proxy
 from test.processes import ROOT, Process, get_json, is_ready, wait_until
 from test.zone_tables import control_table, node_table
+from waxwingsaddle import checker
 from waxwingsaddle.deployment import toml_text
 from waxwingsaddle.distribution_rig import ask, base_file
+from waxwingsaddle.util.jsonlines import read_lines
 from waxwingsaddle.util.ports import free_address
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
@@ -185,9 +187,7 @@
         file = self.folder / f'{host}.journal'
         if not file.exists():
             return []
-        # A killed node may leave a line without its end.
-        whole = file.read_text(encoding='utf-8').rpartition('\n')[0]
-        return [json.loads(line) for line in whole.splitlines()]
+        return list(read_lines(file))
 
     def versions(self, host: str) -> list[int]:
         """Returns the versions a node had in force, restarts included."""
@@ -260,10 +260,8 @@
         ]
 
     def check_never_back(self) -> None:
-        """Checks that no node ever had an older version after a newer one."""
+        """Checks the time lines of the running nodes for a step back."""
         for host in self.nodes:
-            versions = self.versions(host)
-            assert versions == sorted(versions), (host, versions)
             events = self.events(host, 'in-force')
             told = [int(one['version']) for one in events]
             assert told == sorted(set(told)), (host, told)
@@ -277,12 +275,14 @@
 
 @contextmanager
 def zones(sizes: dict[str, int], **settings) -> Iterator[Zones]:
-    """Runs three zones with version 1 in force on all nodes."""
+    """Runs three zones on version 1; checks the journals at the end."""
     with tempfile.TemporaryDirectory() as name:
         running = Zones(Path(name), sizes, **settings)
         with fault_proxy(Path(name), running.link_targets()) as links:
             try:
                 yield running.start(links)
+                found = checker.check_journals(Path(name).glob('*.journal'))
+                assert not found, found
             finally:
                 running.stop()
 
--- a/waxwingsaddle/checker.py
+++ b/waxwingsaddle/checker.py
@@ -1,6 +1,7 @@
-"""Checks the journals of a run against the promises about calls.
+"""Checks the journals of a run against the promises.
 
-Reads what stand-in upstreams executed and what callers were told.
+Reads what stand-in upstreams executed, what callers were told, and what nodes
+had in force.
 """
 
 from collections import Counter, defaultdict
@@ -57,6 +58,30 @@
     return Verdict(len(started), len(told), violations)
 
 
+def check_journals(files: Iterable[Path]) -> tuple[str, ...]:
+    """Checks what nodes had in force, over their restarts.
+
+    Args:
+        files: Journal of each node, named after its host. A line has the
+            `version` and the names of routes without a service (`dangling`).
+
+    Returns:
+        One readable line for each step back and each dangling route.
+    """
+    observed = [
+        (file.stem, line) for file in files for line in read_lines(file)
+    ]
+    return (
+        *check_versions((host, line['version']) for host, line in observed),
+        *(
+            f'{host} had route {route!r} without its service '
+            f'in version {line["version"]}'
+            for host, line in observed
+            for route in line['dangling']
+        ),
+    )
+
+
 def check_versions(
     observed: Iterable[tuple[str, int]],
 ) -> tuple[str, ...]:
--- a/waxwingsaddle/util/jsonlines.py
+++ b/waxwingsaddle/util/jsonlines.py
@@ -27,6 +27,8 @@
 
 
 def read_lines(path: Path) -> Iterator[dict[str, Any]]:
-    """Yields the objects of a file."""
-    for line in path.read_text(encoding='utf-8').splitlines():
-        yield json.loads(line)
+    """Yields the objects of a file; a last line without its end is left out."""
+    with path.open(encoding='utf-8') as lines:
+        for line in lines:
+            if line.endswith('\n'):
+                yield json.loads(line)
