--- a/test/test_checker.py
+++ b/test/test_checker.py
@@ -1,6 +1,7 @@
 """Checker of journals."""
 
 import json
+from contextlib import suppress
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
@@ -72,5 +73,15 @@
         )
 
 
+def test_torn_line_of_an_execution_is_not_passed_over():
+    """Guards against a run whose journal lacks an execution."""
+    with TemporaryDirectory() as folder:
+        file = Path(folder, 'journal')
+        file.write_text('{"event": "start", "call')
+        with suppress(ValueError):
+            checker.check_calls([file], [])
+            raise AssertionError('the torn line was passed over')
+
+
 def _write(file, lines):
     file.write_text(''.join(f'{json.dumps(line)}\n' for line in lines))
--- a/test/zones.py
+++ b/test/zones.py
@@ -23,7 +23,7 @@
 from waxwingsaddle import checker
 from waxwingsaddle.deployment import toml_text
 from waxwingsaddle.distribution_rig import ask, base_file
-from waxwingsaddle.util.jsonlines import read_lines
+from waxwingsaddle.util.jsonlines import read_finished_lines
 from waxwingsaddle.util.ports import free_address
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
@@ -187,7 +187,7 @@
         file = self.folder / f'{host}.journal'
         if not file.exists():
             return []
-        return list(read_lines(file))
+        return list(read_finished_lines(file))
 
     def versions(self, host: str) -> list[int]:
         """Returns the versions a node had in force, restarts included."""
--- a/waxwingsaddle/checker.py
+++ b/waxwingsaddle/checker.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any
 
-from waxwingsaddle.util.jsonlines import read_lines
+from waxwingsaddle.util.jsonlines import read_finished_lines, read_lines
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +69,9 @@
         One readable line for each step back and each dangling route.
     """
     observed = [
-        (file.stem, line) for file in files for line in read_lines(file)
+        (file.stem, line)
+        for file in files
+        for line in read_finished_lines(file)
     ]
     return (
         *check_versions((host, line['version']) for host, line in observed),
--- a/waxwingsaddle/util/jsonlines.py
+++ b/waxwingsaddle/util/jsonlines.py
@@ -27,8 +27,19 @@
 
 
 def read_lines(path: Path) -> Iterator[dict[str, Any]]:
-    """Yields the objects of a file; a last line without its end is left out."""
-    with path.open(encoding='utf-8') as lines:
-        for line in lines:
-            if line.endswith('\n'):
-                yield json.loads(line)
+    """Yields the objects of a file.
+
+    Raises:
+        ValueError: A line is damaged, such as one that was not finished.
+    """
+    for line in path.read_text(encoding='utf-8').splitlines():
+        yield json.loads(line)
+
+
+def read_finished_lines(path: Path) -> Iterator[dict[str, Any]]:
+    """Yields the objects of a file whose writer may have been killed.
+
+    A last line without its end is left out.
+    """
+    finished = path.read_text(encoding='utf-8').rpartition('\n')[0]
+    yield from map(json.loads, finished.splitlines())
