Keep waiting calls off the connections of a dying upstream

Cause: an upstream that is killed closes its connections one after the other. The first one to break off freed a slot, and the next queued call went out on a connection whose end was still under way; the caller was told `unknown` although the call never ran.

Change: after a connection breaks off without an answer, the leg closes its idle connections, and calls that must not run twice wait 20 ms before they open a new one. The module takes its sockets from eventlet itself, so that the leg can be tested in one process.

Ruled out: a slot freed by a regular answer (the failing calls all had the reason upstream-broke-off).

--- a/waxwingsaddle/guarding.py
+++ b/waxwingsaddle/guarding.py
@@ -195,6 +195,7 @@
             admitted.lane,
             job.call.deadline_s,
             job.exchange,
+            job.call.is_idempotent,
         )
         if answer.stream is None:
             outcome = answer.outcome
--- a/waxwingsaddle/http_leg.py
+++ b/waxwingsaddle/http_leg.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
+from eventlet import greenthread
+
 from waxwingsaddle.bodies import Body
 from waxwingsaddle.calls import (
     DEADLINE_HEADER,
@@ -36,6 +38,10 @@
 _LEG_ERRORS = (OSError, MalformedError)
 # A timeout of zero would make the socket non-blocking.
 _LEAST_TIMEOUT_S = 0.001
+# A process that dies closes its connections one after the other, within a few
+# milliseconds on a busy machine. Calls that must not run twice wait so long
+# after the first one broke off, so that none goes out on the next.
+_BREAK_OFF_HOLD_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,14 +89,12 @@
         self._idle: dict[Lane, list[Connection]] = defaultdict(list)
         self._open = 0
         self._is_closed = False
+        self._held_until_s = float('-inf')
 
     def close(self) -> None:
         """Closes the idle connections, and the others after their request."""
         self._is_closed = True
-        for idle in self._idle.values():
-            for connection in idle:
-                self._discard(connection)
-            idle.clear()
+        self._discard_idle()
 
     def send(
         self,
@@ -98,6 +102,7 @@
         lane: Lane,
         deadline_s: float,
         exchange: Exchange,
+        is_idempotent: bool = False,
     ) -> Answer:
         """Runs a request at the upstream; blocks its green thread.
 
@@ -106,11 +111,14 @@
             lane: Which pool of connections to use.
             deadline_s: When the caller gives up, on the clock of the leg.
             exchange: Allows to abort the request.
+            is_idempotent: Whether the request may run more than once.
 
         Returns:
             The answer; "not run" only if no byte was sent, or if the upstream
             says so itself.
         """
+        if not is_idempotent:
+            self._wait_hold()
         left_s = deadline_s - self._clock()
         if left_s <= 0:
             return not_run('deadline')
@@ -127,12 +135,30 @@
             reason = 'deadline'
         except _LEG_ERRORS:
             reason = 'upstream-broke-off'
+            if not exchange.is_aborted:
+                self._note_break_off()
         except BaseException:
             self._discard(connection)
             raise
         self._discard(connection)
         return unknown('cancelled' if exchange.is_aborted else reason)
 
+    def _wait_hold(self) -> None:
+        hold_s = self._held_until_s - self._clock()
+        if hold_s > 0:
+            greenthread.sleep(hold_s)
+
+    def _note_break_off(self) -> None:
+        """Gives up the connections that the upstream is about to close."""
+        self._held_until_s = self._clock() + _BREAK_OFF_HOLD_S
+        self._discard_idle()
+
+    def _discard_idle(self) -> None:
+        for idle in self._idle.values():
+            for connection in idle:
+                self._discard(connection)
+            idle.clear()
+
     def _run(
         self,
         connection: Connection,
--- a/waxwingsaddle/upstream_connection.py
+++ b/waxwingsaddle/upstream_connection.py
@@ -1,6 +1,6 @@
 """One HTTP connection to an upstream."""
 
-import socket
+from eventlet.green import socket
 
 from waxwingsaddle.bodies import Body
 from waxwingsaddle.calls import Request
