--- a/waxwingsaddle/access.py
+++ b/waxwingsaddle/access.py
@@ -6,6 +6,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
+from itertools import chain
 from typing import Annotated
 
 import msgspec
@@ -237,7 +238,8 @@
 ) -> Iterator[str]:
     taken: dict[tuple[str, str], list[Capture]] = defaultdict(list)
     for capture in captures(old, new):
-        if not caller.has_service(capture.before.route.service):
+        services = capture.before.route.services
+        if not all(map(caller.has_service, services)):
             names = (capture.after.name, capture.before.name)
             taken[names].append(capture)
     for (route, other), found in sorted(taken.items()):
@@ -245,22 +247,34 @@
         yield (
             f'route {route!r} (changed on site {site!r}) takes the calls '
             f'{methods} {found[0].after.route.path_prefix} away from route '
-            f'{other!r} of service {found[0].before.route.service!r}, which '
-            f'is outside the scope of token {caller.name!r}'
+            f'{other!r} of service '
+            f'{_listed(found[0].before.route.services)}, which is outside the '
+            f'scope of token {caller.name!r}'
         )
 
 
+def _listed(services: frozenset[str]) -> str:
+    return ', '.join(map(repr, sorted(services)))
+
+
 def _touched_services(old: Tree, new: Tree) -> set[str]:
     services = set(_changed_names(old, new, 'services'))
     for route in _changed_names(old, new, 'routes'):
         services.update(
-            tree['routes'][route]['service']
-            for tree in (old, new)
-            if route in tree.get('routes', {})
+            chain.from_iterable(
+                _services_of(tree['routes'][route])
+                for tree in (old, new)
+                if route in tree.get('routes', {})
+            ),
         )
     return services
 
 
+def _services_of(route: Tree) -> Iterator[str]:
+    yield route['service']
+    yield from (share['service'] for share in route.get('split', ()))
+
+
 def _changed_names(old: Tree, new: Tree, table: str) -> Iterator[str]:
     before, after = old.get(table, {}), new.get(table, {})
     for name in before.keys() | after.keys():
--- a/waxwingsaddle/addresses.py
+++ b/waxwingsaddle/addresses.py
@@ -8,6 +8,10 @@
     str,
     msgspec.Meta(pattern=r'^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$'),
 ]
+OptionalAddress = Annotated[
+    str,
+    msgspec.Meta(pattern=r'^((\d{1,3}\.){3}\d{1,3}:\d{1,5})?$'),
+]
 HostName = Annotated[str, msgspec.Meta(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$')]
 
 
--- a/waxwingsaddle/config.py
+++ b/waxwingsaddle/config.py
@@ -1,21 +1,31 @@
 """Configuration: base file, site overlays, merge, checks and snapshots."""
 
 import tomllib
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
-from itertools import chain, combinations
+from itertools import chain
 from typing import Any
 
 import msgspec
 
-from waxwingsaddle.config_models import ENTRY_MODELS, Name, Route, SiteDocument
+from waxwingsaddle.config_checks import (
+    BASE_NAME,
+    overlay_file,
+    site_problems,
+)
+from waxwingsaddle.config_models import Name, SiteDocument
+from waxwingsaddle.documents import (
+    DOCUMENT_SITE,
+    DocumentError,
+    is_document,
+    parse_document,
+)
 from waxwingsaddle.util.codec import Tree, digest
 from waxwingsaddle.util.lines import one_line
 
 MAX_FILE_BYTES = 1_048_576
 MAX_DEPTH = 8
 MAX_SITES = 64
-BASE_NAME = 'base.toml'
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +51,7 @@
     """The files that operators edit.
 
     Attributes:
-        base: Text of the base file.
+        base: Text of the base file, or a whole document (see `documents`).
         overlays: Text of each overlay by site name.
     """
 
@@ -54,14 +64,18 @@
     """Files that passed every check.
 
     Attributes:
-        version: The version the edit wants.
+        version: The version the edit wants; 0 for the next one.
         digest: Digest of all merged sites, without the version.
         sites: Merged tree by site name.
+        number: The operator's own number, for documents.
+        base_number: Number of the document that this one was made from.
     """
 
     version: int
     digest: str
     sites: Mapping[str, Tree]
+    number: int = 0
+    base_number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +102,8 @@
     Returns:
         The merged sites, or all problems found.
     """
+    if is_document(sources.base):
+        return _check_document(sources.base)
     try:
         base, overlays = _parse_all(sources)
         version = _pop_version(base)
@@ -97,16 +113,34 @@
     problems: list[str] = []
     for site, overlay in sorted(overlays.items()):
         try:
-            sites[site] = merge_site(base, overlay, _overlay_file(site))
+            sites[site] = merge_site(base, overlay, overlay_file(site))
         except _ConfigError as error:
             problems.append(str(error))
             continue
-        problems.extend(_site_problems(site, sites[site]))
+        problems.extend(site_problems(site, sites[site]))
     if problems:
         return Refused(tuple(map(one_line, problems)))
     return CheckedSources(version, digest(sites), sites)
 
 
+def _check_document(text: str) -> CheckedSources | Refused:
+    try:
+        document = parse_document(text)
+    except DocumentError as error:
+        return Refused((one_line(str(error)),))
+    problems = tuple(site_problems(DOCUMENT_SITE, document.tree))
+    if problems:
+        return Refused(tuple(map(one_line, problems)))
+    sites = {DOCUMENT_SITE: document.tree}
+    return CheckedSources(
+        version=0,
+        digest=digest(sites),
+        sites=sites,
+        number=document.number,
+        base_number=document.base_number,
+    )
+
+
 def snapshot(site: str, version: int, tree: Tree) -> SiteSnapshot | Refused:
     """Checks a merged tree again and makes it a snapshot.
 
@@ -118,7 +152,7 @@
     Returns:
         The snapshot, or the problems of the tree.
     """
-    problems = tuple(_site_problems(site, tree))
+    problems = tuple(site_problems(site, tree))
     if problems:
         return Refused(problems)
     document = msgspec.convert(tree, SiteDocument)
@@ -163,10 +197,6 @@
     }
 
 
-def _overlay_file(site: str) -> str:
-    return f'overlays/{site}.toml'
-
-
 def _parse_all(sources: SourceSet) -> tuple[Tree, dict[str, Tree]]:
     if not sources.overlays:
         raise _ConfigError('overlays: no overlay file; each site needs one')
@@ -185,9 +215,9 @@
         msgspec.convert(site, Name)
     except msgspec.ValidationError:
         raise _ConfigError(
-            f'{_overlay_file(site)}: {site!r} is no valid site name',
+            f'{overlay_file(site)}: {site!r} is no valid site name',
         ) from None
-    return _parse(_overlay_file(site), text)
+    return _parse(overlay_file(site), text)
 
 
 def _parse(file: str, text: str) -> Tree:
@@ -226,70 +256,3 @@
             f'got {version!r}',
         )
     return version
-
-
-def _site_problems(site: str, tree: Tree) -> Iterator[str]:
-    place = f'{_overlay_file(site)} over {BASE_NAME}'
-    shape_problems = tuple(_shape_problems(tree))
-    if shape_problems:
-        yield from (f'{place}: {problem}' for problem in shape_problems)
-        return
-    document = msgspec.convert(tree, SiteDocument)
-    yield from (
-        f'{place}: routes.{name}.service: '
-        f'{route.service!r} is no service of this site'
-        for name, route in document.routes.items()
-        if route.service not in document.services
-    )
-    yield from (
-        f'{place}: routes.{first} and routes.{second} '
-        f'both take {document.routes[first].path_prefix!r}'
-        for first, second in combinations(sorted(document.routes), 2)
-        if _overlap(document.routes[first], document.routes[second])
-    )
-
-
-def _shape_problems(tree: Tree) -> Iterator[str]:
-    # Entries are checked one by one because the messages of msgspec do not
-    # name the keys of a dictionary.
-    yield from (
-        f'{key}: no such key; the tables are services and routes'
-        for key in sorted(tree.keys() - ENTRY_MODELS.keys())
-    )
-    for table_name, model in ENTRY_MODELS.items():
-        table = tree.get(table_name, {})
-        if not isinstance(table, dict):
-            yield f'{table_name}: expected a table, got {table!r}'
-            continue
-        for name, entry in table.items():
-            yield from _entry_problems(
-                f'{table_name}.{name}', name, entry, model
-            )
-
-
-def _entry_problems(
-    place: str,
-    name: str,
-    entry: Any,
-    model: type[msgspec.Struct],
-) -> Iterator[str]:
-    try:
-        msgspec.convert(name, Name)
-    except msgspec.ValidationError:
-        yield f'{place}: {name!r} is no valid name'
-    try:
-        msgspec.convert(entry, model)
-    except msgspec.ValidationError as error:
-        problem, _, path = str(error).partition(' - at `$')
-        key = path.strip('.`')
-        found = entry.get(key) if isinstance(entry, dict) else entry
-        shown = '' if found is None else f' (value: {found!r})'
-        yield f'{place}{path.rstrip("`")}: {problem}{shown}'
-
-
-def _overlap(first: Route, second: Route) -> bool:
-    if first.path_prefix.rstrip('/') != second.path_prefix.rstrip('/'):
-        return False
-    if not first.methods or not second.methods:
-        return True
-    return not set(first.methods).isdisjoint(second.methods)
--- /dev/null
+++ b/waxwingsaddle/config_checks.py
@@ -0,0 +1,114 @@
+"""Checks of the merged configuration of a site."""
+
+from collections import defaultdict
+from collections.abc import Iterator
+from itertools import combinations
+from typing import Any
+
+import msgspec
+
+from waxwingsaddle.config_models import (
+    ENTRY_MODELS,
+    LIMITS_TABLE,
+    Limits,
+    Name,
+    Route,
+    SiteDocument,
+)
+from waxwingsaddle.util.codec import Tree
+
+BASE_NAME = 'base.toml'
+
+
+def overlay_file(site: str) -> str:
+    """Returns the name of the overlay of a site."""
+    return f'overlays/{site}.toml'
+
+
+def site_problems(site: str, tree: Tree) -> Iterator[str]:
+    """Yields all problems of the merged tree of a site, one line each."""
+    place = f'{overlay_file(site)} over {BASE_NAME}'
+    shape_problems = tuple(_shape_problems(tree))
+    if shape_problems:
+        yield from (f'{place}: {problem}' for problem in shape_problems)
+        return
+    document = msgspec.convert(tree, SiteDocument)
+    yield from (
+        f'{place}: routes.{name}.service: '
+        f'{service!r} is no service of this site'
+        for name, route in document.routes.items()
+        for service in sorted(route.services - document.services.keys())
+    )
+    yield from (
+        f'{place}: routes.{name}.split: the weights add up to 0'
+        for name, route in document.routes.items()
+        if route.split and not any(share.weight for share in route.split)
+    )
+    yield from _overlaps(place, document)
+
+
+def _overlaps(place: str, document: SiteDocument) -> Iterator[str]:
+    by_place: dict[tuple[str, str], list[str]] = defaultdict(list)
+    for name, route in sorted(document.routes.items()):
+        by_place[route.host, route.path_prefix.rstrip('/')].append(name)
+    yield from (
+        f'{place}: routes.{first} and routes.{second} '
+        f'both take {document.routes[first].path_prefix!r}'
+        for names in by_place.values()
+        for first, second in combinations(names, 2)
+        if _overlap(document.routes[first], document.routes[second])
+    )
+
+
+def _shape_problems(tree: Tree) -> Iterator[str]:
+    # Entries are checked one by one because the messages of msgspec do not
+    # name the keys of a dictionary.
+    yield from (
+        f'{key}: no such key; the tables are services, routes and limits'
+        for key in sorted(tree.keys() - ENTRY_MODELS.keys() - {LIMITS_TABLE})
+    )
+    limits = tree.get(LIMITS_TABLE, {})
+    yield from _model_problems(LIMITS_TABLE, limits, Limits)
+    for table_name, model in ENTRY_MODELS.items():
+        table = tree.get(table_name, {})
+        if not isinstance(table, dict):
+            yield f'{table_name}: expected a table, got {table!r}'
+            continue
+        for name, entry in table.items():
+            yield from _entry_problems(
+                f'{table_name}.{name}', name, entry, model
+            )
+
+
+def _entry_problems(
+    place: str,
+    name: str,
+    entry: Any,
+    model: type[msgspec.Struct],
+) -> Iterator[str]:
+    try:
+        msgspec.convert(name, Name)
+    except msgspec.ValidationError:
+        yield f'{place}: {name!r} is no valid name'
+    yield from _model_problems(place, entry, model)
+
+
+def _model_problems(
+    place: str,
+    entry: Any,
+    model: type[msgspec.Struct],
+) -> Iterator[str]:
+    try:
+        msgspec.convert(entry, model)
+    except msgspec.ValidationError as error:
+        problem, _, path = str(error).partition(' - at `$')
+        key = path.strip('.`')
+        found = entry.get(key) if isinstance(entry, dict) else entry
+        shown = '' if found is None else f' (value: {found!r})'
+        yield f'{place}{path.rstrip("`")}: {problem}{shown}'
+
+
+def _overlap(first: Route, second: Route) -> bool:
+    if not first.methods or not second.methods:
+        return True
+    return not set(first.methods).isdisjoint(second.methods)
--- a/waxwingsaddle/config_models.py
+++ b/waxwingsaddle/config_models.py
@@ -6,15 +6,23 @@
 
 import msgspec
 
+from waxwingsaddle.work import Priority
+
 MAX_TIMEOUT_MS = 3_600_000
 MAX_RETENTION_S = 604_800
+MAX_WEIGHT = 1_000_000
+MAX_BODY_BYTES = 1_073_741_824
+MAX_HEAD_BYTES = 1_048_576
+MAX_CONNECTIONS = 1_000_000
 _NAME_PATTERN = r'^[a-z0-9][a-z0-9._-]{0,62}$'
+_HOST_PATTERN = r'^([a-z0-9]([a-z0-9.-]{0,252}[a-z0-9])?)?$'
 
 Name = Annotated[str, msgspec.Meta(pattern=_NAME_PATTERN)]
 TimeoutMs = Annotated[int, msgspec.Meta(ge=1, le=MAX_TIMEOUT_MS)]
 Percent = Annotated[int, msgspec.Meta(ge=0, le=100)]
 Ratio = Annotated[float, msgspec.Meta(gt=1, le=1000)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=100)]
+RequestHost = Annotated[str, msgspec.Meta(pattern=_HOST_PATTERN)]
 
 
 class Service(
@@ -49,6 +57,9 @@
         eject_ms: First ejection time; it doubles with each further one.
         eject_limit_ms: Longest ejection time.
         max_ejected_percent: Most upstreams ejected at once, in percent.
+        connections: Most open connections to one upstream; 0 leaves it to the
+            settings of the node.
+        health_path: Path of its health endpoint; empty without one.
     """
 
     timeout_ms: TimeoutMs = 2000
@@ -70,6 +81,20 @@
     eject_ms: TimeoutMs = 1000
     eject_limit_ms: TimeoutMs = 30_000
     max_ejected_percent: Percent = 40
+    connections: Annotated[int, msgspec.Meta(ge=0, le=MAX_CONNECTIONS)] = 0
+    health_path: Annotated[str, msgspec.Meta(pattern='^(/|$)')] = ''
+
+
+class Share(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Part of the calls of a route that one service takes.
+
+    Attributes:
+        service: Name of the service.
+        weight: Its part, relative to the other weights of the route.
+    """
+
+    service: Name
+    weight: Annotated[int, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
 
 
 class Route(
@@ -84,9 +109,17 @@
         path_prefix: Prefix of the path, at a segment border.
         methods: HTTP methods; empty for all.
         service: Name of the service.
+        split: Services that share the calls instead, by weight.
+        host: Host that the call names; empty for all.
         idempotent: Whether a call may run more than once.
+        timeout_ms: Deadline that no caller can exceed; 0 for that of the
+            service, which callers may change.
+        objective_ms: Latency within which an answer serves its caller best;
+            0 for none.
+        attempts: Most upstreams that a call is sent to; 0 for the limit of
+            the service.
         work: Expected run time: `short`, `long`, or `learned` from answers.
-        priority: `low` calls are shed first, `high` calls last.
+        priority: `lowest` calls are shed first, `highest` calls last.
     """
 
     path_prefix: Annotated[str, msgspec.Meta(pattern='^/', max_length=1024)]
@@ -95,9 +128,42 @@
         Literal['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'],
         ...,
     ] = ()
+    split: tuple[Share, ...] = ()
+    host: RequestHost = ''
     idempotent: bool = False
+    timeout_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_TIMEOUT_MS)] = 0
+    objective_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_TIMEOUT_MS)] = 0
+    attempts: Annotated[int, msgspec.Meta(ge=0, le=100)] = 0
     work: Literal['short', 'long', 'learned'] = 'learned'
-    priority: Literal['high', 'normal', 'low'] = 'normal'
+    priority: Priority = 'normal'
+
+    @property
+    def services(self) -> frozenset[str]:
+        """Names of the services that its calls may go to."""
+        if not self.split:
+            return frozenset((self.service,))
+        return frozenset(share.service for share in self.split)
+
+
+class Limits(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """Limits of what a caller may send; 0 leaves one to the node's settings.
+
+    Attributes:
+        head_bytes: Largest head of a request.
+        body_bytes: Largest body of a request.
+        head_timeout_ms: Longest time a head may take to arrive.
+        idle_timeout_ms: Longest time a connection stays open without a call.
+    """
+
+    head_bytes: Annotated[int, msgspec.Meta(ge=0, le=MAX_HEAD_BYTES)] = 0
+    body_bytes: Annotated[int, msgspec.Meta(ge=0, le=MAX_BODY_BYTES)] = 0
+    head_timeout_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_TIMEOUT_MS)] = 0
+    idle_timeout_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_TIMEOUT_MS)] = 0
 
 
 class SiteDocument(
@@ -110,9 +176,11 @@
 
     services: dict[Name, Service] = {}
     routes: dict[Name, Route] = {}
+    limits: Limits = Limits()
 
 
 # Model of the entries of each table of a site document.
 ENTRY_MODELS: Mapping[str, type[msgspec.Struct]] = MappingProxyType(
     {'services': Service, 'routes': Route},
 )
+LIMITS_TABLE = 'limits'
--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -55,6 +55,8 @@
         edit_bytes: Largest edit, as the sum of its files.
         submit_deadline_ms: How long an edit is tried before the answer is
             that its result is not known.
+        read_deadline_ms: How long a host tries to prove which version is the
+            newest.
         forward_timeout_ms: How long one try waits for the leader.
         hand_over_ms: How long a stop waits for a new leader.
         ready_majority_age_ms: Age of the last contact with a majority above
@@ -97,6 +99,7 @@
     history_kept: Positive
     edit_bytes: Positive
     submit_deadline_ms: Positive
+    read_deadline_ms: Positive
     forward_timeout_ms: Positive
     hand_over_ms: Positive
     ready_majority_age_ms: Positive
--- a/waxwingsaddle/deciding.py
+++ b/waxwingsaddle/deciding.py
@@ -8,8 +8,10 @@
 from waxwingsaddle.edits import EditState
 from waxwingsaddle.membership import Change, MembershipError
 from waxwingsaddle.outcomes import (
+    Accepted,
     Edit,
     MembersChanged,
+    Newest,
     Outcome,
     Refused,
     Unavailable,
@@ -43,7 +45,7 @@
             return NOT_LEADER
         state = self._driver.state
         verdict = _verdict(state, edit, checked)
-        if isinstance(verdict, Refused):
+        if not isinstance(verdict, Accepted | None):
             # A leader that was replaced unawares may not know the newest
             # version; what it knows as accepted stays true.
             if not self._leads_beyond(monotonic_s(), deadline_s):
@@ -57,6 +59,18 @@
             return NOT_LEADER
         return proposal.wait(deadline_s - monotonic_s()) or IN_DOUBT
 
+    def newest(self, _request: None, budget_s: float) -> Newest | Unavailable:
+        """Proves within some seconds which version is the newest."""
+        asked_s = monotonic_s()
+        deadline_s = asked_s + budget_s
+        is_proven = self._is_settled_by(deadline_s) and self._leads_beyond(
+            asked_s,
+            deadline_s,
+        )
+        if not is_proven:
+            return Unavailable(reason='no contact with a majority')
+        return Newest(version=self._driver.state.version)
+
     def change(
         self,
         change: Change,
@@ -91,7 +105,10 @@
         )
 
     def _is_settled(self) -> bool:
-        return self._driver.is_leader and self._driver.raft.is_settled_leader
+        driver = self._driver
+        is_settled = driver.is_leader and driver.raft.is_settled_leader
+        # What is committed is applied by another green thread a moment later.
+        return is_settled and driver.applied_index >= driver.raft.log.commit
 
     def _led_at(self, asked_s: float) -> bool:
         majority_s = self._driver.raft.majority_s
@@ -103,6 +120,8 @@
     edit: Edit,
     checked: config.CheckedSources,
 ) -> Outcome | None:
+    if checked.number:
+        return state.document_verdict(checked)
     return state.verdict(checked.version, checked.digest, edit.is_restore)
 
 
--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -28,7 +28,9 @@
 from waxwingsaddle.work import Call
 
 # With these reasons, no byte of the attempt reached an upstream.
-_NOT_SENT = frozenset(('unreachable', 'upstream-refused', 'no-upstream'))
+_NOT_SENT = frozenset(
+    ('unreachable', 'upstream-refused', 'no-upstream', 'draining'),
+)
 
 
 class Dispatch:
@@ -138,6 +140,7 @@
             number=task.number,
             was_retried=answer.was_retried,
             retry_after_ms=answer.retry_after_ms,
+            most=task.match.route.attempts,
             has_alternative=policies.choice.choose(call, tried) is not None,
             is_free=answer.reason in _NOT_SENT
             and policies.choice.has_sound(tried),
--- /dev/null
+++ b/waxwingsaddle/edit_history.py
@@ -0,0 +1,78 @@
+"""Accepted versions that are remembered by number, digest and author."""
+
+from collections import deque
+from collections.abc import Iterable
+from itertools import islice
+
+import msgspec
+
+
+class HistoryEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One accepted version, as the history keeps it.
+
+    Attributes:
+        version: The version.
+        digest: Digest of all merged sites.
+        author: Who submitted it first.
+        accepted_ms: When the leader took it, in milliseconds since the epoch.
+        number: The operator's own number; edits of files get the next one.
+    """
+
+    version: int
+    digest: str
+    author: str
+    accepted_ms: int
+    number: int = 0
+
+
+class EditHistory:
+    """The newest accepted versions, oldest first.
+
+    Args:
+        kept: Most versions remembered.
+    """
+
+    def __init__(self, kept: int) -> None:
+        self._entries: deque[HistoryEntry] = deque(maxlen=kept)
+        self._by_number: dict[int, HistoryEntry] = {}
+
+    @property
+    def newest(self) -> HistoryEntry | None:
+        """The newest version; none before any edit."""
+        return self._entries[-1] if self._entries else None
+
+    @property
+    def number(self) -> int:
+        """The operator's number of the newest version; 0 before any edit."""
+        return self._entries[-1].number if self._entries else 0
+
+    def entries(self) -> tuple[HistoryEntry, ...]:
+        """Returns all remembered versions, oldest first."""
+        return tuple(self._entries)
+
+    def add(self, entry: HistoryEntry) -> None:
+        """Adds the next version."""
+        if len(self._entries) == self._entries.maxlen:
+            self._by_number.pop(self._entries[0].number, None)
+        self._entries.append(entry)
+        self._by_number[entry.number] = entry
+
+    def replace(self, entries: Iterable[HistoryEntry]) -> None:
+        """Replaces all remembered versions."""
+        self._entries.clear()
+        self._by_number.clear()
+        for entry in entries:
+            self.add(entry)
+
+    def of_number(self, number: int) -> HistoryEntry | None:
+        """Returns the version with the operator's number."""
+        return self._by_number.get(number)
+
+    def of_version(self, version: int) -> HistoryEntry | None:
+        """Returns a version; none when it is older or not accepted."""
+        if not self._entries:
+            return None
+        offset = version - self._entries[0].version
+        if offset < 0:
+            return None
+        return next(islice(self._entries, offset, None), None)
--- a/waxwingsaddle/edits.py
+++ b/waxwingsaddle/edits.py
@@ -8,11 +8,11 @@
 
 from collections import deque
 from collections.abc import Mapping
-from itertools import islice
 
 import msgspec
 
 from waxwingsaddle.config import CheckedSources, SourceSet
+from waxwingsaddle.edit_history import EditHistory, HistoryEntry
 from waxwingsaddle.outcomes import Accepted, Conflict, Edit, Outcome, Refused
 from waxwingsaddle.util.codec import Tree, compress, decompress, digest, pack
 from waxwingsaddle.versions import EMPTY, EditEntry, StoredVersion, follow, step
@@ -21,15 +21,6 @@
 MAX_ENTRY_BYTES = 268_435_456
 
 
-class HistoryEntry(msgspec.Struct, frozen=True, array_like=True):
-    """One accepted version, as the history keeps it."""
-
-    version: int
-    digest: str
-    author: str
-    accepted_ms: int
-
-
 class _Image(msgspec.Struct, frozen=True, array_like=True):
     """Content of a snapshot."""
 
@@ -55,7 +46,7 @@
     def __init__(self, versions_kept: int, history_kept: int) -> None:
         self._versions: deque[StoredVersion] = deque(maxlen=versions_kept)
         self._entries: deque[EditEntry] = deque(maxlen=versions_kept - 1)
-        self._history: deque[HistoryEntry] = deque(maxlen=history_kept)
+        self._history = EditHistory(history_kept)
         self._versions.append(EMPTY)
 
     @property
@@ -68,6 +59,11 @@
         """Number of the newest accepted version; 0 before any edit."""
         return self.current.version
 
+    @property
+    def number(self) -> int:
+        """The operator's number of the newest version; 0 before any edit."""
+        return self._history.number
+
     @property
     def digest(self) -> str:
         """Digest of all merged sites of the newest version."""
@@ -85,7 +81,7 @@
 
     def history(self) -> tuple[HistoryEntry, ...]:
         """Returns the accepted versions, oldest first."""
-        return tuple(self._history)
+        return self._history.entries()
 
     def at(self, version: int) -> StoredVersion | None:
         """Returns a version as a whole, None when it is no longer kept."""
@@ -121,7 +117,7 @@
             )
         if version == expected:
             return None
-        known = self._known(version)
+        known = self._history.of_version(version)
         if known is None:
             return Refused(
                 problems=(f'version {version} is older than the history',),
@@ -136,6 +132,35 @@
             current_version=self.version,
         )
 
+    def document_verdict(self, checked: CheckedSources) -> Outcome | None:
+        """Returns the outcome that the numbers of a document alone decide.
+
+        Args:
+            checked: The checked document.
+
+        Returns:
+            None when the document was made from the newest version.
+        """
+        number, newest = checked.number, self._history.newest
+        known = self._history.of_number(number)
+        if known is not None and known.digest == checked.digest:
+            return _accepted(known)
+        if newest is not None and checked.base_number != newest.number:
+            return Conflict(
+                version=number,
+                winner_digest=newest.digest,
+                winner_author=newest.author,
+                current_version=newest.number,
+            )
+        if number <= self.number or checked.base_number != self.number:
+            return Refused(
+                problems=(
+                    f'document {number} made from {checked.base_number}: '
+                    f'the newest is {self.number}',
+                ),
+            )
+        return None
+
     def entry(
         self,
         edit: Edit,
@@ -149,7 +174,9 @@
         """Takes an input and returns its outcome."""
         entry = _entries.decode(decompress(command, MAX_ENTRY_BYTES))
         verdict = self.verdict(entry.version, entry.digest, entry.is_restore)
-        return self._accept(entry) if verdict is None else verdict
+        if verdict is None:
+            return self._accept(entry)
+        return self._raced(entry) or verdict
 
     def dump(self) -> bytes:
         """Encodes the state."""
@@ -168,7 +195,7 @@
         """Replaces the state by a dumped one; empty for the first state."""
         self._versions.clear()
         self._entries.clear()
-        self._history.clear()
+        self._history.replace(())
         if not body:
             self._versions.append(EMPTY)
             return
@@ -183,7 +210,23 @@
         )
         for entry in image.entries:
             self._add_version(entry)
-        self._history.extend(image.history)
+        self._history.replace(image.history)
+
+    def _raced(self, entry: EditEntry) -> Conflict | None:
+        """Returns the outcome of a document that lost a race.
+
+        Two documents with the same content and different numbers are two
+        edits; the digest alone would take the loser for a resend.
+        """
+        known = self._history.of_version(entry.version)
+        if known is None or not entry.number or known.number == entry.number:
+            return None
+        return Conflict(
+            version=entry.number,
+            winner_digest=known.digest,
+            winner_author=known.author,
+            current_version=self.number,
+        )
 
     def _accept(self, entry: EditEntry) -> Accepted:
         self._add_version(entry)
@@ -192,8 +235,9 @@
             entry.digest,
             entry.author,
             entry.taken_ms,
+            entry.number or self.number + 1,
         )
-        self._history.append(known)
+        self._history.add(known)
         return _accepted(known)
 
     def _add_version(self, entry: EditEntry) -> None:
@@ -206,14 +250,6 @@
         self._versions.append(reached)
         self._entries.append(entry)
 
-    def _known(self, version: int) -> HistoryEntry | None:
-        if not self._history:
-            return None
-        offset = version - self._history[0].version
-        if offset < 0:
-            return None
-        return next(islice(self._history, offset, None), None)
-
 
 def _encode(struct: msgspec.Struct) -> bytes:
     return compress(pack(struct))
--- a/waxwingsaddle/forwarding.py
+++ b/waxwingsaddle/forwarding.py
@@ -10,7 +10,13 @@
 from waxwingsaddle.deciding import Deciding
 from waxwingsaddle.edits import EditState
 from waxwingsaddle.membership import Change
-from waxwingsaddle.outcomes import Edit, MembersChanged, Outcome, Unavailable
+from waxwingsaddle.outcomes import (
+    Edit,
+    MembersChanged,
+    Newest,
+    Outcome,
+    Unavailable,
+)
 from waxwingsaddle.packed_edits import pack_edit, unpack_edit
 from waxwingsaddle.peers import Peers
 from waxwingsaddle.util.clock import monotonic_s
@@ -23,7 +29,7 @@
 # is taken from operators and is far smaller.
 MAX_EDIT_BYTES = 268_435_456
 
-Answer = Outcome | MembersChanged
+Answer = Outcome | MembersChanged | Newest
 
 
 class ForwardPacked(msgspec.Struct, frozen=True):
@@ -52,6 +58,13 @@
     change: Change
 
 
+class ForwardRead(msgspec.Struct, frozen=True):
+    """Asks the leader which version is the newest."""
+
+    request: str
+    budget_s: float
+
+
 class ForwardReply(msgspec.Struct, frozen=True):
     """Answers a forwarded request."""
 
@@ -83,6 +96,7 @@
         self._waiting: dict[str, Event] = {}
         peers.subscribe(ForwardPacked, self._on_edit)
         peers.subscribe(ForwardChange, self._on_change)
+        peers.subscribe(ForwardRead, self._on_read)
         peers.subscribe(ForwardReply, self._on_reply)
 
     def edit(self, host: str, edit: Edit, budget_s: float) -> Answer:
@@ -106,13 +120,17 @@
             ForwardChange(self._request(), budget_s, change),
         )
 
+    def newest(self, host: str, _request: None, budget_s: float) -> Answer:
+        """Asks the leader which version is the newest."""
+        return self._ask(host, ForwardRead(self._request(), budget_s))
+
     def _request(self) -> str:
         return f'{self._peers.host}-{self._start}-{next(self._numbers)}'
 
     def _ask(
         self,
         host: str,
-        message: ForwardPacked | ForwardChange,
+        message: ForwardPacked | ForwardChange | ForwardRead,
     ) -> Answer | WholeNeeded:
         answered = Event()
         self._waiting[message.request] = answered
@@ -141,6 +159,9 @@
     def _on_change(self, sender: str, message: ForwardChange) -> None:
         self._work(sender, message, self._deciding.change, message.change)
 
+    def _on_read(self, sender: str, message: ForwardRead) -> None:
+        self._work(sender, message, self._deciding.newest, None)
+
     def _work(self, sender: str, message, decide, request) -> None:
         if self._pool.free() > 0:
             self._pool.spawn_n(self._answer, sender, message, decide, request)
--- a/waxwingsaddle/guarding.py
+++ b/waxwingsaddle/guarding.py
@@ -1,14 +1,14 @@
 """Runs calls at the upstreams of this node, under their guards."""
 
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import eventlet
 from eventlet.event import Event
 
 from waxwingsaddle import metrics
-from waxwingsaddle.calls import Answer, BodyStream, Request, not_run
+from waxwingsaddle.calls import Answer, Request, not_run
 from waxwingsaddle.config_models import Service
 from waxwingsaddle.guard import (
     Admitted,
@@ -18,6 +18,7 @@
     Queued,
     Refused,
 )
+from waxwingsaddle.guarded_stream import GuardedStream
 from waxwingsaddle.http_leg import LegPolicy, UpstreamLeg
 from waxwingsaddle.upstream_connection import Exchange
 from waxwingsaddle.upstreams import Announcement, Upstreams
@@ -204,7 +205,7 @@
             self._finish(job, outcome, self._clock() - begun_s)
         else:
             took_s = self._clock() - begun_s
-            answer.stream = _GuardedStream(
+            answer.stream = GuardedStream(
                 answer.stream,
                 self._clock,
                 lambda outcome, reading_s: self._finish(
@@ -231,20 +232,27 @@
 
     def _adopt(self, name: str, announcement: Announcement) -> None:
         guarded = self._guarded.get(name)
-        policy = GuardPolicy.of(self._service(announcement.service))
+        service = self._service(announcement.service)
+        policy = GuardPolicy.of(service)
         if guarded is None or _is_new(guarded.announcement, announcement):
             if guarded is not None:
                 guarded.leg.close()
             guarded = _Guarded(
                 announcement,
                 Guard(announcement.slots, policy, self._clock, random.Random()),
-                UpstreamLeg(announcement.address, self._policy, self._clock),
+                UpstreamLeg(
+                    announcement.address,
+                    self._policy,
+                    self._clock,
+                    name,
+                ),
             )
             self._guarded[name] = guarded
         is_draining = announcement.state == _DRAINING
         if is_draining and guarded.announcement.state != _DRAINING:
             eventlet.spawn_after(self._drain_wait_s, guarded.guard.drain)
         guarded.announcement = announcement
+        guarded.leg.pool.most = service.connections or self._policy.connections
         self._start(guarded.guard.configure(announcement.slots, policy))
 
     def _service(self, name: str) -> Service:
@@ -262,40 +270,5 @@
 def _is_new(before: Announcement, after: Announcement) -> bool:
     # A guard that drains stays so; an upstream that is back gets a new one.
     is_back = before.state == _DRAINING and after.state != _DRAINING
-    return is_back or before.address != after.address
-
-
-class _GuardedStream:
-    """Body of a large answer that holds its slot until it ends."""
-
-    def __init__(
-        self,
-        stream: BodyStream,
-        clock: Callable[[], float],
-        on_end: Callable[[Outcome, float], None],
-    ) -> None:
-        self._stream = stream
-        self._clock = clock
-        self._on_end: Callable[[Outcome, float], None] | None = on_end
-        self._reading_s = 0.0
-        self._outcome = Outcome.CANCELLED
-
-    def __iter__(self) -> Iterator[bytes]:
-        """Yields the pieces; only time spent reading counts as run time."""
-        pieces = iter(self._stream)
-        while True:
-            begun_s = self._clock()
-            piece = next(pieces, b'')
-            self._reading_s += self._clock() - begun_s
-            if not piece:
-                self._outcome = Outcome.RAN
-                return
-            yield piece
-
-    def close(self) -> None:
-        """Ends the stream and returns the slot."""
-        if self._on_end is not None:
-            on_end = self._on_end
-            self._on_end = None
-            self._stream.close()
-            on_end(self._outcome, self._reading_s)
+    is_reborn = before.incarnation != after.incarnation
+    return is_back or is_reborn or before.address != after.address
--- a/waxwingsaddle/http_leg.py
+++ b/waxwingsaddle/http_leg.py
@@ -4,7 +4,6 @@
 side: a general client library costs 0.6 ms of processor time a call.
 """
 
-from collections import defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -12,7 +11,6 @@
 
 from waxwingsaddle.bodies import Body
 from waxwingsaddle.calls import (
-    DEADLINE_HEADER,
     OUTCOME_HEADER,
     Answer,
     BrokenBodyError,
@@ -21,23 +19,25 @@
     passed_on,
     unknown,
 )
+from waxwingsaddle.connection_pool import ConnectionPool, NoConnection
+from waxwingsaddle.header_names import HeaderNames
 from waxwingsaddle.heads import AnswerHead, HeadLimits, MalformedError
 from waxwingsaddle.retry import RETRIED_HEADER
 from waxwingsaddle.upstream_connection import (
-    BODYLESS,
     Connection,
     Exchange,
     body_of,
     read_answer,
 )
+from waxwingsaddle.upstream_requests import request_head, send_request
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
-from waxwingsaddle.web import split_address
 from waxwingsaddle.work import Lane
 
 _LEG_ERRORS = (OSError, MalformedError)
 # A timeout of zero would make the socket non-blocking.
 _LEAST_TIMEOUT_S = 0.001
+_MISDIRECTED_STATUS = 421
 # A process that dies closes its connections one after the other, within a few
 # milliseconds on a busy machine. Calls that must not run twice wait so long
 # after the first one broke off, so that none goes out on the next.
@@ -56,6 +56,7 @@
         chunk_bytes: Largest piece of a streamed answer.
         stall_timeout_s: Longest wait for the next piece.
         head_limits: Largest accepted heads of answers.
+        names: Names of the header fields of upstreams.
     """
 
     connections: int = 130
@@ -65,15 +66,20 @@
     chunk_bytes: int = 65_536
     stall_timeout_s: float = 10
     head_limits: HeadLimits = field(default_factory=HeadLimits)
+    names: HeaderNames = field(default_factory=HeaderNames)
 
 
 class UpstreamLeg:
-    """Connections to one upstream, with separate pools for long work.
+    """Sends requests to one upstream.
 
     Args:
         address: IP number and port of the upstream.
         policy: Tunables.
         clock: Monotonic seconds.
+        name: Name of the upstream.
+
+    Attributes:
+        pool: Connections to the upstream.
     """
 
     def __init__(
@@ -81,20 +87,24 @@
         address: str,
         policy: LegPolicy,
         clock: Callable[[], float],
+        name: str = '',
     ) -> None:
         self.address = address
-        self._target = split_address(address)
+        self.pool = ConnectionPool(
+            address,
+            policy.connections,
+            policy.connect_timeout_s,
+            policy.idle_limit_s,
+            clock,
+        )
+        self._name = name
         self._policy = policy
         self._clock = clock
-        self._idle: dict[Lane, list[Connection]] = defaultdict(list)
-        self._open = 0
-        self._is_closed = False
         self._held_until_s = float('-inf')
 
     def close(self) -> None:
         """Closes the idle connections, and the others after their request."""
-        self._is_closed = True
-        self._discard_idle()
+        self.pool.close()
 
     def send(
         self,
@@ -122,12 +132,12 @@
         left_s = deadline_s - self._clock()
         if left_s <= 0:
             return not_run('deadline')
-        connection = self._connection(lane, left_s)
-        if isinstance(connection, Answer):
-            return connection
+        connection = self.pool.take(lane, left_s)
+        if isinstance(connection, NoConnection):
+            return not_run(connection.reason)
         exchange.connection = connection
         if exchange.is_aborted:
-            self._discard(connection)
+            self.pool.discard(connection)
             return not_run('cancelled')
         try:
             return self._run(connection, request, lane, deadline_s)
@@ -138,9 +148,9 @@
             if not exchange.is_aborted:
                 self._note_break_off()
         except BaseException:
-            self._discard(connection)
+            self.pool.discard(connection)
             raise
-        self._discard(connection)
+        self.pool.discard(connection)
         return unknown('cancelled' if exchange.is_aborted else reason)
 
     def _wait_hold(self) -> None:
@@ -151,13 +161,7 @@
     def _note_break_off(self) -> None:
         """Gives up the connections that the upstream is about to close."""
         self._held_until_s = self._clock() + _BREAK_OFF_HOLD_S
-        self._discard_idle()
-
-    def _discard_idle(self) -> None:
-        for idle in self._idle.values():
-            for connection in idle:
-                self._discard(connection)
-            idle.clear()
+        self.pool.discard_idle()
 
     def _run(
         self,
@@ -168,17 +172,24 @@
     ) -> Answer:
         left_s = max(_LEAST_TIMEOUT_S, deadline_s - self._clock())
         connection.sock.settimeout(left_s)
-        self._write(connection, request, left_s)
-        head = read_answer(connection, self._policy.head_limits)
+        names = self._policy.names
+        left_ms = max(1, int(left_s * MS_PER_S))
+        head = request_head(request, names, self._name, left_ms)
+        sending = send_request(connection, head, request.body)
+        head = read_answer(connection, request, self._policy.head_limits, names)
         body = body_of(connection, request, head)
         inline = body.read(self._policy.inline_bytes)
+        if sending is not None and not sending.dead:
+            # The rest of the request body would be read as another request.
+            sending.kill()
+            connection.is_sound = False
         if body.is_whole:
-            self._release(connection, head, lane)
-            answer = _answer(head, inline)
+            self.pool.release(connection, head, lane)
+            answer = _answer(head, inline, names)
             if request.method == 'HEAD':
                 answer.length = head.framing.length
             return answer
-        answer = _answer(head, b'')
+        answer = _answer(head, b'', names)
         answer.length = head.framing.length
         answer.stream = _BodyPieces(
             inline,
@@ -189,51 +200,6 @@
         )
         return answer
 
-    def _write(
-        self,
-        connection: Connection,
-        request: Request,
-        left_s: float,
-    ) -> None:
-        lines = [
-            f'{name}: {text}\r\n'
-            for name, text in request.headers
-            if name != DEADLINE_HEADER
-        ]
-        body = request.body
-        has_body = body or request.method in {'POST', 'PUT', 'PATCH'}
-        length = f'Content-Length: {len(body)}\r\n' if has_body else ''
-        head = ''.join(
-            (
-                f'{request.method} {request.target} HTTP/1.1\r\n',
-                *lines,
-                f'{DEADLINE_HEADER}: {max(1, int(left_s * MS_PER_S))}\r\n',
-                length,
-                '\r\n',
-            ),
-        ).encode('latin-1')
-        connection.sock.sendall(head + body if body else head)
-
-    def _connection(self, lane: Lane, left_s: float) -> Connection | Answer:
-        idle = self._idle[lane]
-        oldest_s = self._clock() - self._policy.idle_limit_s
-        while idle:
-            connection = idle.pop()
-            if connection.idle_since_s > oldest_s and connection.is_idle():
-                return connection
-            self._discard(connection)
-        if self._open >= self._policy.connections:
-            return not_run('connections')
-        self._open += 1
-        try:
-            return Connection(
-                self._target,
-                min(left_s, self._policy.connect_timeout_s),
-            )
-        except OSError:
-            self._open -= 1
-            return not_run('upstream-refused')
-
     def _end_stream(
         self,
         connection: Connection,
@@ -242,30 +208,9 @@
         is_whole: bool,
     ) -> None:
         if is_whole:
-            self._release(connection, head, lane)
-        else:
-            self._discard(connection)
-
-    def _release(
-        self,
-        connection: Connection,
-        head: AnswerHead,
-        lane: Lane,
-    ) -> None:
-        framing = head.framing
-        is_delimited = framing.is_chunked or framing.length is not None
-        is_bodyless = head.status in BODYLESS
-        if self._is_closed or not framing.is_kept:
-            self._discard(connection)
-        elif is_delimited or is_bodyless:
-            connection.idle_since_s = self._clock()
-            self._idle[lane].append(connection)
+            self.pool.release(connection, head, lane)
         else:
-            self._discard(connection)
-
-    def _discard(self, connection: Connection) -> None:
-        self._open -= 1
-        connection.close()
+            self.pool.discard(connection)
 
 
 class _BodyPieces:
@@ -304,10 +249,14 @@
             self._on_end(self._body.is_whole)
 
 
-def _answer(head: AnswerHead, body: bytes) -> Answer:
+def _answer(head: AnswerHead, body: bytes, names: HeaderNames) -> Answer:
     # An upstream that sheds a call says that it did not run it.
     if head.fields.get(OUTCOME_HEADER.lower()) == Outcome.NOT_RUN.value:
         return not_run('upstream-shed')
+    if names.not_run and names.not_run_key in head.fields:
+        return not_run('upstream-shed')
+    if names.expected_upstream and head.status == _MISDIRECTED_STATUS:
+        return not_run('other-upstream')
     return Answer(
         Outcome.RAN,
         head.status,
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -1,44 +1,54 @@
 """Program wiring of a node."""
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+import random
+from collections.abc import Callable
 from functools import partial
 
 from waxwingsaddle import entry_bound, keepers, metrics
 from waxwingsaddle.dispatch import Dispatch
 from waxwingsaddle.entry import CallLimits, Entry
 from waxwingsaddle.events import Timeline
-from waxwingsaddle.graceful import GracefulServer
 from waxwingsaddle.guarding import Guarding
+from waxwingsaddle.header_names import HeaderNames
 from waxwingsaddle.hop import Hop
 from waxwingsaddle.http_leg import LegPolicy
+from waxwingsaddle.ingress import Ingress
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.keyed import KeyedCalls, report_done
-from waxwingsaddle.lean_http import limited
 from waxwingsaddle.link import LinkPolicy
+from waxwingsaddle.node_servers import ingress_server, own_pages
 from waxwingsaddle.node_settings import NodeSettings
 from waxwingsaddle.presence import Presence
 from waxwingsaddle.remote import RemoteCalls, RemotePolicy
 from waxwingsaddle.routing import Routing
 from waxwingsaddle.serving import Serving
-from waxwingsaddle.shutdown import Shutdown
-from waxwingsaddle.upstreams import PATH, Upstreams
+from waxwingsaddle.shutdown import CallerServer, Shutdown
+from waxwingsaddle.upstreams import Upstreams
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
-from waxwingsaddle.web import (
-    Environ,
-    Probes,
-    StartResponse,
-)
 
 Subscribe = Callable[[Kernel, NodeSettings], object]
+AddServices = Callable[[Kernel], None]
+_OWN_NAMES = HeaderNames()
 
 
-def build(settings: NodeSettings, subscribe: Subscribe) -> Kernel:
+def _add_none(_kernel: Kernel) -> None:
+    """Provides no further services."""
+
+
+def build(
+    settings: NodeSettings,
+    subscribe: Subscribe,
+    names: HeaderNames = _OWN_NAMES,
+    add_services: AddServices = _add_none,
+) -> Kernel:
     """Makes the services of a node.
 
     Args:
         settings: Settings of the node.
         subscribe: Provides the services `configuration` and `directory`.
+        names: Names of the header fields of callers and upstreams.
+        add_services: Provides further services, which work until the calls
+            of the node are finished.
 
     Returns:
         The kernel, not started.
@@ -54,18 +64,20 @@
         Upstreams(kernel, settings.upstream_ttl_ms, monotonic_s),
     )
     subscribe(kernel, settings)
-    guarding = _provide_guarding(kernel, settings)
+    guarding = _provide_guarding(kernel, settings, names)
     dispatch = _provide_dispatch(kernel, settings, guarding)
     presence = Presence(settings.caller_check_ms)
     kernel.provide('presence', presence)
+    routing = Routing(kernel.find('configuration'))
+    bound = entry_bound.EntryBound(
+        settings.entry_calls,
+        settings.entry_body_bytes,
+    )
     entry = Entry(
-        Routing(kernel.find('configuration')),
+        routing,
         KeyedCalls(dispatch, kernel.find('keepers')),
         presence,
-        entry_bound.EntryBound(
-            settings.entry_calls,
-            settings.entry_body_bytes,
-        ),
+        bound,
         CallLimits(
             settings.request_body_limit_bytes,
             settings.idempotency_key_characters,
@@ -73,25 +85,28 @@
         ),
         monotonic_s,
     )
-    _provide_server(kernel, settings, entry)
+    probed = own_pages(kernel, settings, entry, lambda: is_ready(kernel))
+    add_services(kernel)
+    servers: list[CallerServer] = [probed]
+    if settings.ingress_address:
+        ingress = Ingress(
+            routing,
+            dispatch,
+            bound,
+            names,
+            settings.service,
+            monotonic_s,
+            random.Random(),
+        )
+        servers.append(ingress_server(settings, ingress))
+    _provide_shutdown(kernel, settings, tuple(servers))
     return kernel
 
 
-@dataclass(frozen=True, slots=True)
-class _Paths:
-    """Serves announcements on their path, and calls on all others."""
-
-    upstreams: Upstreams
-    entry: Entry
-
-    def __call__(
-        self,
-        environ: Environ,
-        start_response: StartResponse,
-    ) -> Iterable[bytes]:
-        if environ['PATH_INFO'].startswith(PATH):
-            return self.upstreams.serve(environ, start_response)
-        return self.entry(environ, start_response)
+def is_ready(kernel: Kernel) -> bool:
+    """Says whether a node can serve callers."""
+    is_draining = kernel.find('shutdown').is_draining
+    return kernel.find('configuration').current is not None and not is_draining
 
 
 def _provide_keepers(kernel: Kernel, settings: NodeSettings) -> keepers.Keepers:
@@ -105,7 +120,11 @@
     return kept
 
 
-def _provide_guarding(kernel: Kernel, settings: NodeSettings) -> Guarding:
+def _provide_guarding(
+    kernel: Kernel,
+    settings: NodeSettings,
+    names: HeaderNames,
+) -> Guarding:
     guarding = Guarding(
         kernel.find('upstreams'),
         kernel.find('configuration'),
@@ -117,10 +136,11 @@
             chunk_bytes=settings.chunk_bytes,
             stall_timeout_s=settings.stall_timeout_ms / MS_PER_S,
             head_limits=settings.head_limits,
+            names=names,
         ),
         partial(report_done, _provide_keepers(kernel, settings)),
         settings.call_ids_kept_s,
-        settings.drain_wait_ms / MS_PER_S,
+        settings.upstream_drain_ms / MS_PER_S,
         monotonic_s,
     )
     kernel.subscribe('upstreams-changed', guarding.refresh)
@@ -164,26 +184,15 @@
     return dispatch
 
 
-def _provide_server(
+def _provide_shutdown(
     kernel: Kernel,
     settings: NodeSettings,
-    entry: Entry,
+    servers: tuple[CallerServer, ...],
 ) -> None:
-    configuration = kernel.find('configuration')
-    upstreams = kernel.find('upstreams')
-    probed = Probes(
-        _Paths(upstreams, entry),
-        lambda: configuration.current is not None and not shutdown.is_draining,
-        lambda: {'problem': configuration.problem},
-        timeline=kernel.find('events'),
-    )
+    # The last service, so that it stops first.
     shutdown = Shutdown(
-        upstreams,
-        GracefulServer(
-            settings.http_address,
-            probed,
-            limited(settings.head_limits),
-        ),
+        kernel.find('upstreams'),
+        servers,
         kernel.find('serving'),
         kernel.find('guarding'),
         kernel.find('keepers'),
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -4,7 +4,12 @@
 
 import msgspec
 
-from waxwingsaddle.addresses import Address, HostName, NodeControl
+from waxwingsaddle.addresses import (
+    Address,
+    HostName,
+    NodeControl,
+    OptionalAddress,
+)
 from waxwingsaddle.heads import HeadLimits
 from waxwingsaddle.subscription_settings import SubscriptionSettings
 
@@ -44,6 +49,9 @@
         availability_zone: Its availability zone.
         site: Site whose configuration it carries.
         http_address: Where it takes calls and upstream announcements.
+        ingress_address: Where it takes calls that name their host and are
+            answered with plain HTTP statuses; empty for none.
+        service: Service of this host, told to upstreams as the caller.
         call_address: Where it takes messages from other nodes.
         controls: Control hosts it may connect to.
         neighbours: Call addresses of nodes asked for the configuration when
@@ -80,6 +88,12 @@
         answer_grace_ms: Wait beyond the deadline for the guard to say whether
             the call ran.
         caller_check_ms: Interval at which callers that went away are noticed.
+        upstream_drain_ms: How long a guard takes calls for an upstream that
+            said that it leaves, until other nodes have heard of it.
+        head_timeout_ms: Longest time the head of a call may take to arrive,
+            where the configuration sets none.
+        idle_timeout_ms: Longest time a connection of a caller stays open
+            without a call, where the configuration sets none.
         drain_wait_ms: Time in which other nodes learn that this one stops.
         stop_limit_ms: Longest time for calls in flight at a stop; those that
             last longer are cut off and logged.
@@ -103,6 +117,8 @@
     site: str
     http_address: Address
     call_address: Address
+    ingress_address: OptionalAddress = ''
+    service: str = ''
     controls: tuple[NodeControl, ...]
     neighbours: tuple[Address, ...] = ()
     key_file: str = ''
@@ -128,6 +144,9 @@
     answer_grace_ms: Positive
     caller_check_ms: Positive
     call_ids_kept_s: Positive
+    upstream_drain_ms: Positive
+    head_timeout_ms: Positive
+    idle_timeout_ms: Positive
     drain_wait_ms: Positive
     stop_limit_ms: Positive
     hop_heartbeat_ms: Positive
--- a/waxwingsaddle/outcomes.py
+++ b/waxwingsaddle/outcomes.py
@@ -94,4 +94,14 @@
     members: Members
 
 
+class Newest(msgspec.Struct, frozen=True, kw_only=True, tag='newest'):
+    """The newest accepted version, as a majority proved it.
+
+    Attributes:
+        version: The version; 0 before any edit.
+    """
+
+    version: int
+
+
 Outcome = Accepted | Conflict | Refused | Unavailable
--- a/waxwingsaddle/program.py
+++ b/waxwingsaddle/program.py
@@ -16,6 +16,8 @@
 
 EXIT_SETTINGS = 2
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+# The wake-up descriptor carries the number of the signal.
+RELOAD_BYTE = bytes((signal.SIGHUP,))
 
 
 class ProgramSettings(Protocol):
@@ -51,7 +53,28 @@
     parser = argparse.ArgumentParser(prog=f'waxwing-{table}')
     parser.add_argument('--settings', type=Path, required=True)
     path = parser.parse_args(arguments).settings
-    loaded = settings.load(path, table, model)
+    return serve(table, settings.load(path, table, model), build)
+
+
+def serve(
+    table: str,
+    loaded: _Model | settings.SettingsError,
+    build: Callable[[_Model], Kernel | settings.SettingsError],
+    reload: Callable[[Kernel], None] | None = None,
+) -> int:
+    """Runs a program with its settings until SIGTERM or SIGINT.
+
+    Args:
+        table: Name of the program and of its settings table.
+        loaded: Its settings, or what is wrong with them.
+        build: Makes the kernel with all services, or says which setting
+            can't be used.
+        reload: Called with the kernel at each SIGHUP, which is otherwise
+            passed over.
+
+    Returns:
+        The exit status, as that of `run`.
+    """
     if isinstance(loaded, settings.SettingsError):
         return _unusable(table, loaded)
     logs.configure(
@@ -67,10 +90,13 @@
     try:
         kernel.start()
     except ListenError as error:
-        print(f'waxwing-{table}: {path}: {error}', file=sys.stderr)
+        print(f'waxwing-{table}: {error}', file=sys.stderr)
         return EXIT_SETTINGS
     logs.logger().info('started')
-    stop_requests.recv(1)
+    while stop_requests.recv(1) == RELOAD_BYTE:
+        logs.logger().info('reloading')
+        if reload is not None:
+            reload(kernel)
     logs.logger().info('stopping')
     kernel.stop()
     logs.logger().info('stopped')
@@ -90,7 +116,7 @@
     """
     readable, writable = socket.socketpair()
     writable.setblocking(False)
-    for number in STOP_SIGNALS:
+    for number in (*STOP_SIGNALS, signal.SIGHUP):
         signal.signal(number, _ignore)
     signal.set_wakeup_fd(writable.fileno(), warn_on_full_buffer=False)
     _kept_open.append(writable)
--- a/waxwingsaddle/replication.py
+++ b/waxwingsaddle/replication.py
@@ -17,6 +17,7 @@
 from waxwingsaddle.membership import Change
 from waxwingsaddle.outcomes import (
     Edit,
+    Newest,
     Outcome,
     Refused,
     Unavailable,
@@ -28,6 +29,7 @@
 from waxwingsaddle.raft_messages import MESSAGE_TYPES, Members, Message
 from waxwingsaddle.storage import Storage
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
+from waxwingsaddle.versions import StoredVersion
 
 # Age given before the first contact with a majority: a day.
 NO_CONTACT_MS = 86_400_000
@@ -173,6 +175,7 @@
             edit,
             self._deciding.edit,
             self._forwarding.edit,
+            _deadline(self._settings.submit_deadline_ms),
         )
 
     def change_members(self, change: Change) -> Answer:
@@ -186,8 +189,31 @@
             change,
             self._deciding.change,
             self._forwarding.change,
+            _deadline(self._settings.submit_deadline_ms),
         )
 
+    def newest(self) -> StoredVersion | Unavailable:
+        """Returns the newest accepted version, proved by a majority.
+
+        Returns:
+            `Unavailable` when this host cannot tell within the deadline.
+        """
+        deadline_s = _deadline(self._settings.read_deadline_ms)
+        proved = self._through_leader(
+            None,
+            self._deciding.newest,
+            self._forwarding.newest,
+            deadline_s,
+        )
+        if not isinstance(proved, Newest):
+            return proved
+        if wait_until(
+            lambda: self.state.version >= proved.version,
+            deadline_s - monotonic_s(),
+        ):
+            return self.state.current
+        return Unavailable(reason=f'version {proved.version} is not here yet')
+
     def members(self) -> Members:
         """Returns the newest members in the log of this host."""
         return self._driver.raft.members
@@ -238,8 +264,8 @@
         request,
         decide: Callable[..., Answer],
         forward: Callable[..., Answer],
+        deadline_s: float,
     ) -> Answer:
-        deadline_s = _deadline(self._settings.submit_deadline_ms)
         answer: Answer = Unavailable(reason='no leader is known')
         while monotonic_s() < deadline_s:
             left_s = deadline_s - monotonic_s()
--- /dev/null
+++ b/waxwingsaddle/reply_writer.py
@@ -0,0 +1,96 @@
+"""Writes answers to a connection of a caller."""
+
+from dataclasses import dataclass
+from http.client import responses
+from typing import Any
+
+from waxwingsaddle.calls import Answer, HeaderPairs
+from waxwingsaddle.heads import RequestHead
+
+_BODYLESS = frozenset((204, 304))
+_STATUS_LINES = {code: f'{code} {text}' for code, text in responses.items()}
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """An answer with the status and the fields that its caller gets.
+
+    Attributes:
+        answer: Gives the body.
+        status: HTTP status.
+        headers: Fields, without those that frame the body.
+        is_last: Whether the connection closes afterwards.
+    """
+
+    answer: Answer
+    status: int
+    headers: HeaderPairs
+    is_last: bool
+
+
+def write_reply(sock: Any, head: RequestHead | None, reply: Reply) -> bool:
+    """Writes one answer.
+
+    Args:
+        sock: The connection.
+        head: Head of the request; absent when it could not be read.
+        reply: The answer.
+
+    Returns:
+        Whether the connection can take another answer.
+
+    Raises:
+        OSError: The caller broke the connection off.
+        BrokenBodyError: The answer broke off; what was written is not whole.
+    """
+    answer = reply.answer
+    is_old = head is not None and head.is_old
+    is_bodyless = _is_bodyless(head, reply.status)
+    length = answer.length
+    if answer.stream is None and length is None:
+        length = len(answer.body)
+    is_chunked = length is None and not is_old and not is_bodyless
+    is_to_end = length is None and is_old and not is_bodyless
+    raw = _head(reply, length, is_chunked, reply.is_last or is_to_end)
+    if is_bodyless or answer.stream is None:
+        sock.sendall(raw if is_bodyless else raw + answer.body)
+        return not reply.is_last
+    sock.sendall(raw)
+    sent_bytes = _write_stream(sock, answer, is_chunked)
+    is_whole = length is None or sent_bytes == length
+    return is_whole and not reply.is_last and not is_to_end
+
+
+def _is_bodyless(head: RequestHead | None, status: int) -> bool:
+    is_head_asked = head is not None and head.method == 'HEAD'
+    return is_head_asked or status in _BODYLESS
+
+
+def _head(
+    reply: Reply,
+    length: int | None,
+    is_chunked: bool,
+    is_last: bool,
+) -> bytes:
+    lines = [
+        f'HTTP/1.1 {_STATUS_LINES.get(reply.status) or reply.status}\r\n',
+        *(f'{name}: {text}\r\n' for name, text in reply.headers),
+    ]
+    if is_chunked:
+        lines.append('Transfer-Encoding: chunked\r\n')
+    elif length is not None and reply.status not in _BODYLESS:
+        lines.append(f'Content-Length: {length}\r\n')
+    if is_last:
+        lines.append('Connection: close\r\n')
+    return ''.join((*lines, '\r\n')).encode('latin-1')
+
+
+def _write_stream(sock: Any, answer: Answer, is_chunked: bool) -> int:
+    sent_bytes = 0
+    for piece in filter(None, answer.stream):
+        sent_bytes += len(piece)
+        framed = b'%x\r\n%b\r\n' % (len(piece), piece)
+        sock.sendall(framed if is_chunked else piece)
+    if is_chunked:
+        sock.sendall(b'0\r\n\r\n')
+    return sent_bytes
--- a/waxwingsaddle/retry.py
+++ b/waxwingsaddle/retry.py
@@ -17,7 +17,7 @@
 _FREE_FACTOR = 2
 # Tokens that low-priority retries must leave for others, as a share.
 _LEFT_FOR_OTHERS: Final = MappingProxyType(
-    {'high': 0.0, 'normal': 0.25, 'low': 0.5},
+    {'highest': 0.0, 'high': 0.0, 'normal': 0.25, 'low': 0.5, 'lowest': 0.5},
 )
 
 
@@ -82,6 +82,8 @@
             answer bore `Waxwing-Retried`.
         retry_after_ms: Hint of the refusal.
         has_alternative: Whether another upstream can be tried.
+        most: Most upstreams the call may be sent to; 0 for the limit of the
+            service.
         is_free: Whether nothing reached the upstream and another one has not
             failed lately. Such a retry costs no token: it adds no work, and
             after one failure of each upstream none is left.
@@ -93,6 +95,7 @@
     was_retried: bool = False
     retry_after_ms: int = 0
     has_alternative: bool = True
+    most: int = 0
     is_free: bool = False
 
 
@@ -126,7 +129,7 @@
         """Decides whether to try again now, and spends a token if so."""
         call = attempt.call
         factor = _FREE_FACTOR if attempt.is_free else 1
-        most = self._max_attempts * factor
+        most = (attempt.most or self._max_attempts) * factor
         if attempt.was_retried or attempt.number >= most:
             return False
         if not _is_repeatable(attempt) or not attempt.has_alternative:
--- a/waxwingsaddle/route_capture.py
+++ b/waxwingsaddle/route_capture.py
@@ -55,5 +55,5 @@
         before, after = (table.match(method, prefix) for table in tables)
         if before is None or after is None:
             continue
-        if before.route.service != after.route.service:
+        if before.route.services != after.route.services:
             yield Capture(method, before, after)
--- a/waxwingsaddle/routing.py
+++ b/waxwingsaddle/routing.py
@@ -1,10 +1,11 @@
 """Longest-prefix route match on a configuration snapshot."""
 
-from collections import defaultdict
 from dataclasses import dataclass
 
+import msgspec
+
 from waxwingsaddle.config import SiteSnapshot
-from waxwingsaddle.config_models import Route, Service
+from waxwingsaddle.config_models import Route, Service, SiteDocument
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,23 +16,27 @@
         name: Name of the route.
         route: The route.
         service: Its service.
+        shares: Weight and match of each service of a split route.
     """
 
     name: str
     route: Route
     service: Service
+    shares: tuple[tuple[int, 'Match'], ...] = ()
 
 
 _Methods = dict[str, Match]
 # Key of routes that take every method.
 _ANY = ''
+_Prefixes = dict[str, _Methods]
 
 
 class RouteTable:
     """Routes of one snapshot, compiled for look-up.
 
     A prefix matches at segment borders only: `/plans` takes `/plans` and
-    `/plans/7`, not `/planschedule`.
+    `/plans/7`, not `/planschedule`. Routes that name the host of a call go
+    before those that take any host.
 
     Args:
         snapshot: The configuration.
@@ -39,32 +44,63 @@
 
     def __init__(self, snapshot: SiteSnapshot) -> None:
         self.version = snapshot.version
+        self.limits = snapshot.document.limits
+        self.split_matches: list[Match] = []
         document = snapshot.document
-        self._by_prefix: dict[str, _Methods] = defaultdict(dict)
+        self._by_host: dict[str, _Prefixes] = {}
         for name, route in document.routes.items():
-            match = Match(name, route, document.services[route.service])
-            methods = self._by_prefix[route.path_prefix.rstrip('/')]
+            prefixes = self._by_host.setdefault(route.host, {})
+            methods = prefixes.setdefault(route.path_prefix.rstrip('/'), {})
+            match = _match(name, route, document)
+            if match.shares:
+                self.split_matches.append(match)
             for method in route.methods or (_ANY,):
                 methods[method] = match
-        self._by_prefix = dict(self._by_prefix)
 
-    def match(self, method: str, path: str) -> Match | None:
+    def match(self, method: str, path: str, host: str = '') -> Match | None:
         """Returns the route with the longest matching prefix.
 
         Args:
             method: HTTP method.
             path: Decoded path without the query.
+            host: Host that the call names, without a port.
         """
-        prefix = path.rstrip('/')
-        while True:
-            methods = self._by_prefix.get(prefix)
-            if methods is not None:
-                found = methods.get(method) or methods.get(_ANY)
-                if found is not None:
-                    return found
-            if not prefix:
-                return None
-            prefix = prefix[: prefix.rfind('/')] if '/' in prefix else ''
+        for prefixes in self._tables(host):
+            found = _longest(prefixes, method, path.rstrip('/'))
+            if found is not None:
+                return found
+        return None
+
+    def _tables(self, host: str) -> tuple[_Prefixes, ...]:
+        found = (self._by_host.get(name) for name in dict.fromkeys((host, '')))
+        return tuple(prefixes for prefixes in found if prefixes)
+
+
+def _match(name: str, route: Route, document: SiteDocument) -> Match:
+    shares = tuple(
+        (
+            share.weight,
+            Match(
+                name,
+                msgspec.structs.replace(route, service=share.service),
+                document.services[share.service],
+            ),
+        )
+        for share in route.split
+    )
+    return Match(name, route, document.services[route.service], shares)
+
+
+def _longest(prefixes: _Prefixes, method: str, prefix: str) -> Match | None:
+    while True:
+        methods = prefixes.get(prefix)
+        if methods is not None:
+            found = methods.get(method) or methods.get(_ANY)
+            if found is not None:
+                return found
+        if not prefix:
+            return None
+        prefix = prefix[: prefix.rfind('/')] if '/' in prefix else ''
 
 
 class Routing:
--- a/waxwingsaddle/shutdown.py
+++ b/waxwingsaddle/shutdown.py
@@ -1,11 +1,11 @@
 """Graceful stop of a node: announce, wait, finish the calls, exit."""
 
 import time
+from typing import Protocol
 
 import eventlet
 
 from waxwingsaddle import logs
-from waxwingsaddle.graceful import GracefulServer
 from waxwingsaddle.guarding import Guarding
 from waxwingsaddle.keepers import Keepers
 from waxwingsaddle.serving import Serving
@@ -17,6 +17,19 @@
 _HAND_OVER_S = 1
 
 
+class CallerServer(Protocol):
+    """Server of callers that can stop without losing a call."""
+
+    def start(self) -> None:
+        """Listens and serves."""
+
+    def drain(self) -> None:
+        """Tells each caller to close its connection."""
+
+    def finish(self, limit_s: float) -> int:
+        """Waits for the calls in flight and returns how many were cut."""
+
+
 class Shutdown:
     """Stops the data path of a node without cutting a call off.
 
@@ -24,7 +37,7 @@
 
     Args:
         upstreams: Announces the upstreams of this node as draining.
-        server: Serves callers.
+        servers: Serve callers.
         serving: Serves other nodes.
         guarding: Runs calls at the upstreams.
         keepers: Keeps claims of idempotency keys.
@@ -35,7 +48,7 @@
     def __init__(
         self,
         upstreams: Upstreams,
-        server: GracefulServer,
+        servers: tuple[CallerServer, ...],
         serving: Serving,
         guarding: Guarding,
         keepers: Keepers,
@@ -43,7 +56,7 @@
         stop_limit_ms: int,
     ) -> None:
         self._upstreams = upstreams
-        self._server = server
+        self._servers = servers
         self._serving = serving
         self._guarding = guarding
         self._keepers = keepers
@@ -53,16 +66,18 @@
 
     def start(self) -> None:
         """Serves callers."""
-        self._server.start()
+        for server in self._servers:
+            server.start()
 
     def stop(self) -> None:
         """Drains, finishes the calls in flight and says what was cut."""
         self.is_draining = True
-        self._server.drain()
+        for server in self._servers:
+            server.drain()
         self._upstreams.drain()
         eventlet.sleep(self._drain_wait_s)
         end_s = time.monotonic() + self._stop_limit_s
-        cut_callers = self._server.finish(self._stop_limit_s)
+        cut_callers = self._finish_servers(end_s)
         while time.monotonic() < end_s and self._is_busy():
             eventlet.sleep(_POLL_S)
         lost_claims = self._keepers.hand_over(_HAND_OVER_S)
@@ -77,5 +92,12 @@
                 at_upstreams=self._guarding.pending,
             )
 
+    def _finish_servers(self, end_s: float) -> int:
+        finishing = [
+            eventlet.spawn(server.finish, max(0, end_s - time.monotonic()))
+            for server in self._servers
+        ]
+        return sum(thread.wait() for thread in finishing)
+
     def _is_busy(self) -> bool:
         return bool(self._serving.pending or self._guarding.pending)
--- a/waxwingsaddle/site_encodings.py
+++ b/waxwingsaddle/site_encodings.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from itertools import chain
 
 import msgspec
 
@@ -81,7 +82,9 @@
         self.stamp = stamp
         document = msgspec.convert(tree, SiteDocument)
         self.services = frozenset(
-            route.service for route in document.routes.values()
+            chain.from_iterable(
+                route.services for route in document.routes.values()
+            ),
         )
         self._whole = None
         self._deltas.clear()
--- a/waxwingsaddle/upstream_connection.py
+++ b/waxwingsaddle/upstream_connection.py
@@ -4,6 +4,7 @@
 
 from waxwingsaddle.bodies import Body
 from waxwingsaddle.calls import Request
+from waxwingsaddle.header_names import HeaderNames
 from waxwingsaddle.heads import (
     AnswerHead,
     HeadLimits,
@@ -11,9 +12,14 @@
     parse_answer,
     read_head,
 )
+from waxwingsaddle.socket_reader import SocketReader
 
+# Second answers to earlier requests that are passed over on one connection.
+_MOST_STRAYS = 4
+_STRAY_BYTES = 1_048_576
 BODYLESS = frozenset((204, 304))
 _LEAST_FINAL_STATUS = 200
+_LEAST_REDIRECT_STATUS = 300
 
 
 class Connection:
@@ -22,11 +28,15 @@
     def __init__(self, target: tuple[str, int], timeout_s: float) -> None:
         self.sock = socket.create_connection(target, timeout_s)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.reader = self.sock.makefile('rb')
+        self.reader = SocketReader(self.sock)
         self.idle_since_s = 0.0
+        self.idle_limit_s = float('inf')
+        self.is_sound = True
 
     def is_idle(self) -> bool:
         """Says whether it is open with nothing to read."""
+        if self.reader.has_buffered:
+            return False
         try:
             self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
@@ -59,13 +69,38 @@
                 return
 
 
-def read_answer(connection: Connection, limits: HeadLimits) -> AnswerHead:
-    """Returns the head of the final answer.
+def read_answer(
+    connection: Connection,
+    request: Request,
+    limits: HeadLimits,
+    names: HeaderNames,
+) -> AnswerHead:
+    """Returns the head of the final answer to a request.
+
+    An upstream may send a second answer to an earlier request late, when the
+    next answer is due. Identifiers tell; the connection is not used again.
 
     Raises:
-        MalformedError: It is malformed or too large, or the connection ended.
+        MalformedError: It is malformed or too large, belongs to no request of
+            this connection, or the connection ended.
         OSError: The connection broke off.
     """
+    request_id = _request_id(request, names)
+    for _ in range(_MOST_STRAYS):
+        head = _next_final(connection, limits)
+        answered_id = head.fields.get(names.request_id_key, request_id)
+        if answered_id == request_id:
+            _check_signature(head, names)
+            return head
+        connection.is_sound = False
+        body = body_of(connection, request, head)
+        body.read(_STRAY_BYTES)
+        if not body.is_whole:
+            raise MalformedError('a long answer to another request')
+    raise MalformedError('too many answers to other requests')
+
+
+def _next_final(connection: Connection, limits: HeadLimits) -> AnswerHead:
     while True:
         raw = read_head(connection.reader, limits)
         if not raw:
@@ -75,6 +110,23 @@
             return head
 
 
+def _request_id(request: Request, names: HeaderNames) -> str:
+    if not names.request_id:
+        return ''
+    key = names.request_id_key
+    return next(
+        (text for name, text in request.headers if name.lower() == key),
+        '',
+    )
+
+
+def _check_signature(head: AnswerHead, names: HeaderNames) -> None:
+    is_success = head.status < _LEAST_REDIRECT_STATUS
+    is_signed = not names.signature or names.signature_key in head.fields
+    if is_success and not is_signed:
+        raise MalformedError('a success without signature')
+
+
 def body_of(connection: Connection, request: Request, head: AnswerHead) -> Body:
     """Returns the body that follows the head of an answer."""
     is_bodyless = request.method == 'HEAD' or head.status in BODYLESS
--- a/waxwingsaddle/upstreams.py
+++ b/waxwingsaddle/upstreams.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from waxwingsaddle.addresses import Address
+from waxwingsaddle.announcement_order import AnnouncementOrder
 from waxwingsaddle.config_models import Name
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
@@ -17,6 +18,8 @@
 _SWEEP_S = 0.5
 _BODY_LIMIT_BYTES = 4096
 _MOST_SLOTS = 10_000
+# Age of an upstream that says it has warmed up: longer than any slow start.
+_WARM_AGE_S = 3600
 
 
 class AnnouncementBody(
@@ -32,12 +35,20 @@
         address: Where it takes HTTP calls.
         slots: Calls it runs at once.
         state: `draining` when it is leaving.
+        started_at_ms: When it started, in milliseconds since the epoch of its
+            own clock; only compared with other announcements. 0 if not told.
+        sequence: Rises with each announcement since that start.
+        cold_ms: How much longer it is slow after its start; absent if not
+            told.
     """
 
     service: Name
     address: Address
     slots: Annotated[int, msgspec.Meta(ge=1, le=_MOST_SLOTS)]
     state: Literal['ready', 'draining'] = 'ready'
+    started_at_ms: Annotated[int, msgspec.Meta(ge=0)] = 0
+    sequence: Annotated[int, msgspec.Meta(ge=0)] = 0
+    cold_ms: Annotated[int, msgspec.Meta(ge=0)] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +62,7 @@
         slots: Calls it runs at once.
         state: `ready` or `draining`.
         started_s: When it was announced first, on the local clock.
+        incarnation: When it started, on its own clock; 0 if not told.
     """
 
     name: str
@@ -59,6 +71,7 @@
     slots: int
     state: str
     started_s: float
+    incarnation: int = 0
 
     @property
     def started_ms_ago(self) -> int:
@@ -89,6 +102,7 @@
         self._clock = clock
         self._known: dict[str, Announcement] = {}
         self._heard_s: dict[str, float] = {}
+        self._order = AnnouncementOrder()
         self._is_draining = False
         self._announced: tuple[Announcement, ...] = ()
 
@@ -105,10 +119,19 @@
         self._is_draining = True
         self._changed()
 
-    def put(self, name: str, body: AnnouncementBody) -> None:
-        """Takes in an announcement or a heartbeat."""
+    def put(self, name: str, body: AnnouncementBody) -> bool:
+        """Takes in an announcement or a heartbeat.
+
+        Returns:
+            False for a late one, which changes nothing.
+        """
+        if not self._order.is_newer(name, body.started_at_ms, body.sequence):
+            return False
+        if not self._take_address(name, body):
+            return False
         now_s = self._clock()
         before = self._known.get(name)
+        is_same = before and before.incarnation == body.started_at_ms
         self._heard_s[name] = now_s
         announcement = Announcement(
             name=name,
@@ -116,20 +139,50 @@
             address=body.address,
             slots=body.slots,
             state=body.state,
-            started_s=now_s if before is None else before.started_s,
+            started_s=before.started_s if is_same else _started_s(body, now_s),
+            incarnation=body.started_at_ms,
         )
         if announcement != before:
             self._known[name] = announcement
             self._changed()
+        return True
+
+    def remove(self, name: str, started_at_ms: int = 0) -> bool:
+        """Forgets an upstream, and says whether it was known.
+
+        Args:
+            name: Name of the upstream.
+            started_at_ms: When the incarnation that leaves started; a later
+                one stays. 0 for any.
+        """
+        known = self._known.get(name)
+        if known and started_at_ms and started_at_ms < known.incarnation:
+            return False
+        self._order.end(name, started_at_ms)
+        return self._forget(name)
 
-    def remove(self, name: str) -> bool:
-        """Forgets an upstream, and says whether it was known."""
+    def _forget(self, name: str) -> bool:
         self._heard_s.pop(name, None)
         if self._known.pop(name, None) is None:
             return False
         self._changed()
         return True
 
+    def _take_address(self, name: str, body: AnnouncementBody) -> bool:
+        """Ends older upstreams at an address; False if a newer one has it."""
+        others = [
+            one
+            for one in self._known.values()
+            if one.address == body.address and one.name != name
+        ]
+        if not body.started_at_ms:
+            return True
+        if any(one.incarnation > body.started_at_ms for one in others):
+            return False
+        for other in others:
+            self.remove(other.name)
+        return True
+
     def expire(self) -> None:
         """Forgets upstreams whose last heartbeat is too old."""
         limit_s = self._clock() - self._ttl_s
@@ -137,7 +190,8 @@
             name for name, at_s in self._heard_s.items() if at_s < limit_s
         ]
         for name in silent:
-            self.remove(name)
+            # It may only be cut off; its next announcement is taken.
+            self._forget(name)
 
     def serve(
         self,
@@ -170,3 +224,7 @@
         while True:
             eventlet.sleep(_SWEEP_S)
             self.expire()
+
+
+def _started_s(body: AnnouncementBody, now_s: float) -> float:
+    return now_s - _WARM_AGE_S if body.cold_ms == 0 else now_s
--- a/waxwingsaddle/versions.py
+++ b/waxwingsaddle/versions.py
@@ -41,6 +41,7 @@
         operations: Difference of the merged sites to the version before.
         files: Differences of the source files to the version before.
         is_restore: Whether an empty log takes it under any version.
+        number: The operator's own number; 0 for an edit of files.
     """
 
     version: int
@@ -50,6 +51,7 @@
     operations: tuple[patch.Operation, ...]
     files: tuple[FileChange, ...]
     is_restore: bool = False
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,7 +104,7 @@
     """
     new_texts = {BASE_KEY: edit.sources.base, **edit.sources.overlays}
     entry = EditEntry(
-        version=checked.version,
+        version=checked.version or current.version + 1,
         digest=checked.digest,
         author=edit.author,
         taken_ms=taken_ms,
@@ -112,11 +114,12 @@
         ),
         files=file_changes(current.texts, new_texts),
         is_restore=edit.is_restore,
+        number=checked.number,
     )
     # An entry that does not apply would stop every control host.
     reached = follow(current, entry)
     if digest(reached.sites) != checked.digest or reached.texts != new_texts:
-        raise BadStepError(f'version {checked.version}: differences do not fit')
+        raise BadStepError(f'version {entry.version}: differences do not fit')
     return entry
 
 
--- a/waxwingsaddle/work.py
+++ b/waxwingsaddle/work.py
@@ -5,8 +5,11 @@
 from types import MappingProxyType
 from typing import Final, Literal
 
-_PRIORITY_RANKS: Final = MappingProxyType({'low': 0, 'normal': 2, 'high': 4})
-MAX_RANK: Final = 5
+Priority = Literal['highest', 'high', 'normal', 'low', 'lowest']
+_PRIORITY_RANKS: Final = MappingProxyType(
+    {'lowest': 0, 'low': 2, 'normal': 4, 'high': 6, 'highest': 8},
+)
+MAX_RANK: Final = 9
 
 
 class Lane(Enum):
@@ -34,7 +37,7 @@
     call_id: str
     route: str
     work: Literal['short', 'long', 'learned']
-    priority: Literal['high', 'normal', 'low']
+    priority: Priority
     is_idempotent: bool
     deadline_s: float
     may_spill: bool = False
