Close the sockets of a test where they are read

Cause: test_http_leg closed sockets while other green threads read them; a reused descriptor then had two readers and later tests of the process failed. Change: the reading thread closes its socket.

--- a/test/test_http_leg.py
+++ b/test/test_http_leg.py
@@ -1,5 +1,6 @@
 """HTTP leg to an upstream: connections that break off."""
 
+import socket
 import time
 from contextlib import contextmanager
 
@@ -37,7 +38,7 @@
         """Closes the connections, the oldest first, and the listener last."""
         self.thread.kill()
         for sock in self.sockets:
-            sock.close()
+            sock.shutdown(socket.SHUT_RDWR)
             eventlet.sleep(CLOSING_S)
         self.listener.close()
 
@@ -56,9 +57,11 @@
                 self.requests.append(request)
                 if b'/ready' in request:
                     sock.sendall(ANSWER)
-        except (OSError, EOFError):
-            # The connection was closed on purpose.
+        except OSError:
+            # The connection was broken off on purpose.
             return
+        finally:
+            sock.close()
 
 
 @contextmanager
