Learn the origin of calls that need not wait

Cause: a guard noted where calls come from only when they had to wait, so that it knew the calls of upstreams late; late calls were marked after the next call had been chosen. Change: both come first.

--- a/waxwingsaddle/guard.py
+++ b/waxwingsaddle/guard.py
@@ -95,6 +95,7 @@
         """Decides on a call that just arrived."""
         if self._knows(call.call_id):
             return Duplicate(call)
+        is_inner = self._origins.observe(call.route, call.origin)
         if self._is_draining:
             return Refused(call, 'draining', 0)
         lane = self._times.lane_of(call)
@@ -105,7 +106,6 @@
             return self._admit(call, lane)
         if call.may_spill:
             return Refused(call, BUSY, 0)
-        is_inner = self._origins.observe(call.route, call.origin)
         queue = self._queues[lane]
         wait_s = self._wait_s(lane, queue.ahead_of(call, is_inner))
         is_late = not is_inner and self._is_late(call, wait_s)
@@ -238,7 +238,6 @@
         goes to a timely one.
         """
         queue = self._queues[lane]
-        queue.demote(self._is_late)
         if not queue.has_timely:
             return ()
         late = queue.take_late()
@@ -282,6 +281,8 @@
 
     def _next(self) -> Admitted | None:
         now_s = self._clock()
+        for waiting in self._queues.values():
+            waiting.demote(self._is_late)
         heads = {
             lane: call
             for lane, queue in self._queues.items()
