Import neither asyncio nor OpenSSL in a node

Cause: the parser of zmq's monitor messages imports asyncio, which imports OpenSSL; eventlet and structlog import asyncio for functions that are not called here.

--- a/waxwingsaddle/green.py
+++ b/waxwingsaddle/green.py
@@ -9,6 +9,8 @@
 # Modules that libraries import only if they exist. Without them a node takes
 # 6 MB less: OpenSSL 5 MB, the others 0.7 MB. Links are encrypted by zmq.
 OPTIONAL = ('ssl', '_hashlib', 'bz2', 'lzma', 'typing_extensions')
+# eventlet imports it for a hub that is not used here; 4 MB.
+UNUSED = ('asyncio',)
 GREEN_TLS = 'eventlet.green.ssl'
 
 
@@ -23,7 +25,11 @@
     # eventlet imports its TLS module late, whenever it patches a module.
     sys.modules[GREEN_TLS] = None
     # eventlet prints a notice at its import, whatever the filters say.
-    with warnings.catch_warnings(record=True), imports.hidden(*OPTIONAL):
+    with (
+        warnings.catch_warnings(record=True),
+        imports.hidden(*OPTIONAL),
+        imports.emptied(*UNUSED),
+    ):
         import hashlib  # noqa: F401
 
         import msgspec  # noqa: F401
--- a/waxwingsaddle/lanes.py
+++ b/waxwingsaddle/lanes.py
@@ -2,10 +2,9 @@
 
 from bisect import insort
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from math import inf
-from statistics import median
 
 from waxwingsaddle.work import Call, Lane
 
@@ -192,7 +191,14 @@
         return took_s / max(times.baseline_s, _LEAST_TIME_S)
 
     def _classify(self, times: _RouteTimes) -> None:
-        threshold_s = self.long_ratio * median(self._recent_s)
+        threshold_s = self.long_ratio * _median(self._recent_s)
         if times.is_long:
             threshold_s *= _HYSTERESIS
         times.is_long = times.mean_s >= threshold_s
+
+
+def _median(times_s: Iterable[float]) -> float:
+    # The module `statistics` would take 1 MB of a node.
+    ordered = sorted(times_s)
+    middle = len(ordered) // 2
+    return (ordered[middle] + ordered[~middle]) / 2
--- a/waxwingsaddle/link.py
+++ b/waxwingsaddle/link.py
@@ -1,5 +1,6 @@
 """One connection from this node to another node."""
 
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
@@ -7,7 +8,6 @@
 import eventlet
 from eventlet.event import Event
 from eventlet.green import zmq
-from zmq.utils.monitor import parse_monitor_message
 
 from waxwingsaddle.curve import protect_client
 from waxwingsaddle.message_socket import Frames, MessageSocket
@@ -19,6 +19,9 @@
     | zmq.Event.HANDSHAKE_FAILED_NO_DETAIL
     | zmq.Event.HANDSHAKE_FAILED_PROTOCOL
 )
+# First frame of a monitor message: the event and its value. The parser of
+# `zmq.utils` would import asyncio and OpenSSL, 9 MB.
+_MONITOR_EVENT = struct.Struct('=hi')
 # Messages handled before other green threads get a turn.
 _BATCH = 64
 
@@ -128,10 +131,10 @@
 
     def _watch(self) -> None:
         while not self.is_lost:
-            event = parse_monitor_message(self._monitor.recv_multipart())
-            if event['event'] & _UP:
+            event, _ = _MONITOR_EVENT.unpack(self._monitor.recv_multipart()[0])
+            if event & _UP:
                 self._connected.send(None)
-            elif event['event'] & _DOWN:
+            elif event & _DOWN:
                 self._lose()
 
     def _receive(self) -> None:
--- a/waxwingsaddle/logs.py
+++ b/waxwingsaddle/logs.py
@@ -3,7 +3,11 @@
 import logging
 import sys
 
-import structlog
+from waxwingsaddle.util import imports
+
+# structlog imports asyncio for methods that are not called here; 4 MB.
+with imports.emptied('asyncio'):
+    import structlog
 
 LEVELS = ('debug', 'info', 'warning', 'error')
 
--- a/waxwingsaddle/util/imports.py
+++ b/waxwingsaddle/util/imports.py
@@ -27,6 +27,25 @@
             sys.modules.pop(name)
 
 
+@contextmanager
+def emptied(*names: str) -> Iterator[None]:
+    """Makes imports of modules give empty ones that are not kept.
+
+    For modules that others import at their top and use in functions that the
+    program does not call.
+
+    Args:
+        names: Full names of the modules.
+    """
+    absent = [name for name in names if name not in sys.modules]
+    sys.modules.update({name: ModuleType(name) for name in absent})
+    try:
+        yield
+    finally:
+        for name in absent:
+            sys.modules.pop(name)
+
+
 def submodule(package: str, name: str) -> ModuleType:
     """Imports a submodule without running the code of its package.
 
