Give the vote of a lost control host to its successor; learn control hosts

Cause: a machine of the core can be replaced for good by an empty one at another address. The successor stayed a learner, so that the loss of a second host ended the majority; nodes knew the three seeds only.

Change: with a wanted number of voters in the settings, the leader promotes a caught-up learner of another host while a voter is silent, and then demotes the silent one, which may return as a learner. Control hosts tell nodes the members of the log and their zones. Sizes of answers have a module of their own. Adapter tests feed the bytes of the pages and malformed variants.

--- a/test/distribution_fakes.py
+++ b/test/distribution_fakes.py
@@ -13,6 +13,7 @@
 from waxwingsaddle.fleet_events import FleetTimeline
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.node_settings import NodeSettings
+from waxwingsaddle.raft_messages import Members
 from waxwingsaddle.util.ports import free_address
 
 
@@ -26,6 +27,9 @@
     def majority_age_ms(self):
         return self.age_ms
 
+    def members(self):
+        return Members()
+
 
 class FakePeers:
     """Delivers messages between the control hosts of a test at once."""
--- a/test/test_distribution_starts.py
+++ b/test/test_distribution_starts.py
@@ -3,6 +3,7 @@
 from test.distribution_fakes import Control, FakeHop, Node, control_hosts
 from test.distribution_fleet import ZONES, fleet, until
 from waxwingsaddle.control_link import ask_versions
+from waxwingsaddle.known_controls import ControlList
 from waxwingsaddle.node_messages import (
     FloorQuery,
     FloorReply,
@@ -78,7 +79,8 @@
     with fleet() as (_controls, nodes):
         control = nodes[0].service.session.control
         for _ in range(20):
-            answers = ask_versions((control,) * 10, 'north', 2000)
+            known = ControlList((control,))
+            answers = ask_versions((control,) * 10, known, 'north', 2000)
             assert len(answers) == 10
 
 
--- a/test/test_joining.py
+++ b/test/test_joining.py
@@ -7,7 +7,7 @@
 
 from test.test_raft_driver import _alone, _until
 from waxwingsaddle.addresses import ControlHost
-from waxwingsaddle.joining import Join, Joining, JoinReply
+from waxwingsaddle.joining import Join, Joining, JoinReply, SuccessionPolicy
 from waxwingsaddle.membership import AddLearner, Remove, Replace, changed
 from waxwingsaddle.raft_messages import Members, Replica
 
@@ -47,7 +47,14 @@
             node_address=address,
             http_address=address,
         )
-        self._joining = Joining(driver, self.peers, host, ('c0',), False)
+        self._joining = Joining(
+            driver,
+            self.peers,
+            host,
+            ('c0',),
+            False,
+            SuccessionPolicy(0, 1),
+        )
 
     def ask(self, replica, challenge=''):
         """Takes a request and returns the challenge of the answer."""
--- /dev/null
+++ b/test/test_known_controls.py
@@ -0,0 +1,44 @@
+"""Control hosts that a node learns while it runs."""
+
+from waxwingsaddle.addresses import NodeControl
+from waxwingsaddle.known_controls import UNKNOWN_ZONE, ControlList
+from waxwingsaddle.node_messages import KnownControl
+
+
+def _seed(number):
+    return NodeControl(
+        host=f'c{number}',
+        availability_zone=UNKNOWN_ZONE,
+        node_address=f'10.{number}.0.9:7621',
+    )
+
+
+def test_hosts_beyond_the_seeds_are_learned():
+    """Guards against nodes that know only hosts that are gone."""
+    controls = ControlList([_seed(1)])
+    controls.learn(
+        (
+            KnownControl('c1', 'zone-1', '10.1.0.9:7621'),
+            KnownControl('c4', UNKNOWN_ZONE, '10.4.0.9:7621'),
+        ),
+    )
+    known = {one.host: one for one in controls.all()}
+    assert known['c1'].availability_zone == 'zone-1'
+    assert known['c4'].node_address == '10.4.0.9:7621'
+
+
+def test_unknown_zone_does_not_replace_a_known_one():
+    """Guards against nodes that take their own zone for another one."""
+    controls = ControlList([_seed(1)])
+    controls.learn((KnownControl('c1', 'zone-1', '10.1.0.9:7621'),))
+    controls.learn((KnownControl('c1', UNKNOWN_ZONE, '10.1.0.9:7621'),))
+    assert controls.current(_seed(1)).availability_zone == 'zone-1'
+
+
+def test_changed_settings_add_hosts():
+    """Guards against a node that forgets what it learned at a reload."""
+    controls = ControlList([_seed(1)])
+    controls.learn((KnownControl('c1', 'zone-1', '10.1.0.9:7621'),))
+    controls.replace_configured([_seed(1), _seed(2)])
+    assert len(controls) == 2
+    assert controls.current(_seed(1)).availability_zone == 'zone-1'
--- /dev/null
+++ b/test/test_meshport.py
@@ -0,0 +1,293 @@
+"""Names, formats and calls of the users' platform."""
+
+import io
+import platform
+import sys
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from test.meshports import CONFIGURATION, FOLDER, HEARTBEAT, SETTINGS
+
+from meshport.control_pages import ConfigurationPages  # isort:skip
+from meshport.documents import (  # isort:skip
+    decode_document,
+    encode_document,
+    parse_version,
+    version_text,
+)
+from meshport.durations import duration_ms  # isort:skip
+from meshport.instances import decode_heartbeat, decode_leaving  # isort:skip
+from meshport.machine import Machine, parse_machine  # isort:skip
+from meshport.node_pages import InstancePages, ReadyPage  # isort:skip
+from meshport.node_program import node_settings  # isort:skip
+from meshport.control_program import control_settings  # isort:skip
+
+from waxwingsaddle.config import CheckedSources, SourceSet, check_sources
+from waxwingsaddle.control_settings import ControlSettings
+from waxwingsaddle.documents import (
+    DocumentError,
+    parse_document,
+    render_document,
+)
+from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.node_settings import NodeSettings
+from waxwingsaddle.outcomes import Accepted, Conflict, Refused, Unavailable
+from waxwingsaddle.settings import SettingsError
+from waxwingsaddle.upstreams import Upstreams
+from waxwingsaddle.versions import StoredVersion
+
+
+def _changed(raw, old, new):
+    assert old in raw, old
+    return raw.replace(old, new, 1)
+
+
+def test_folder_does_not_hide_the_standard_library():
+    """Guards against a folder that takes the place of `platform`."""
+    assert not (FOLDER / '__init__.py').exists()
+    assert platform.python_version()
+    assert 'meshport' in sys.modules
+
+
+def test_machine_gives_the_settings_of_both_programs():
+    """Guards against a template whose names the programs do not know."""
+    machine = parse_machine('boot.toml', SETTINGS)
+    assert isinstance(machine, Machine), machine
+    node = node_settings(machine)
+    assert isinstance(node, NodeSettings), node
+    assert node.ingress_address == '10.1.0.8:8304'
+    assert [one.node_address for one in node.controls] == [
+        '10.1.0.13:7621',
+        '10.2.0.11:7621',
+        '10.3.0.11:7621',
+    ]
+    core = SETTINGS.replace('ip = "10.1.0.8"', 'ip = "10.1.0.13"')
+    core = core.replace('appAddr =', 'dataDir = "/data/control"\nappAddr =')
+    control = control_settings(parse_machine('boot.toml', core))
+    assert isinstance(control, ControlSettings), control
+    assert len(control.first_voters) == 3
+    empty = core.replace('bootstrap = true', 'bootstrap = false')
+    again = control_settings(parse_machine('boot.toml', empty))
+    assert again.first_voters == ()
+
+
+def test_bad_settings_are_one_readable_line():
+    """Guards against a process that ends with a traceback."""
+    for old, new in (
+        ('ip = "10.1.0.8"', 'ip = 7'),
+        ('contact = "3000ms"', 'contact = "soon"'),
+        ('[timing.bounds]', '[timing.other]'),
+        ('[self]', '[self'),
+    ):
+        problem = parse_machine('boot.toml', SETTINGS.replace(old, new, 1))
+        assert isinstance(problem, SettingsError), new
+        assert '\n' not in str(problem)
+
+
+def test_durations_have_a_unit():
+    """Guards against a time that is read in another unit."""
+    assert duration_ms('1500ms') == 1500
+    assert duration_ms('2.5s') == 2500
+    for text in ('1500', '2 s', '-1s', 's', '1m', ''):
+        try:
+            duration_ms(text)
+        except ValueError:
+            continue
+        raise AssertionError(text)
+
+
+def test_heartbeat_is_an_announcement():
+    """Guards against fields of heartbeats that are read as others."""
+    body = decode_heartbeat(HEARTBEAT)
+    assert (body.service, body.address) == ('huvo11a', '10.1.0.8:8301')
+    assert (body.slots, body.state, body.sequence) == (6, 'ready', 4)
+    assert (body.started_at_ms, body.cold_ms) == (17, 1500)
+    assert decode_leaving(b'') == 0
+    assert decode_leaving(b'{"born":17}') == 17
+
+
+def test_malformed_heartbeats_name_no_upstream():
+    """Guards against an upstream that another writer made up."""
+    variants = (
+        (b'"slots":6', b'"slots":"6"'),
+        (b'"slots":6', b'"slots":0'),
+        (b'"ready"', b'"asleep"'),
+        (b'"service":"huvo11a"', b'"service":7'),
+        (b'"service":"huvo11a"', b'"service":"NOT a name"'),
+        (b'"address":"10.1.0.8:8301",', b''),
+        (b'"sequence":4', b'"sequence":-1'),
+        (b'"born":17', b'"born":"17"'),
+        (b'"1.5s"', b'"1.5"'),
+        (b'{"address"', b'\xff{"address"'),
+    )
+    upstreams = Upstreams(Kernel(), 10_000, lambda: 1.0)
+    pages = InstancePages(upstreams)
+    assert _post(pages, 'i-1/heartbeat', HEARTBEAT) == '200 OK'
+    for old, new in variants:
+        raw = _changed(HEARTBEAT, old, new)
+        assert _post(pages, 'i-2/heartbeat', raw).startswith('400'), new
+        assert _post(pages, 'i-1/heartbeat', raw).startswith('400'), new
+    assert [one.name for one in upstreams.announced()] == ['i-1']
+    assert _post(pages, 'i-1/deregister', b'{"born":17}') == '200 OK'
+    assert not upstreams.announced()
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_are_refused_or_read(raw):
+    """Guards against bytes that crash the process that reads them."""
+    for decode in (decode_heartbeat, decode_leaving):
+        try:
+            decode(raw)
+        except ValueError as error:
+            assert str(error)
+    try:
+        decode_document(raw, '00000000')
+    except DocumentError as error:
+        assert str(error)
+
+
+def _post(pages, place, body):
+    told = []
+    pages(
+        {
+            'PATH_INFO': f'/v1/instances/{place}',
+            'wsgi.input': io.BytesIO(body),
+        },
+        lambda status, headers: told.append(status),
+    )
+    return told[0]
+
+
+def test_configuration_is_read_back_as_it_was_put():
+    """Guards against a read that differs from what was accepted."""
+    document = decode_document(CONFIGURATION, '00000005')
+    assert (document.number, document.base_number) == (7, 5)
+    text = render_document(document)
+    checked = check_sources(SourceSet(base=text, overlays={}))
+    assert isinstance(checked, CheckedSources), checked
+    given_back = encode_document(parse_document(text))
+    assert msgspec.json.decode(given_back) == msgspec.json.decode(
+        CONFIGURATION,
+    )
+
+
+def test_versions_are_eight_hexadecimal_digits():
+    """Guards against a version that is read as a decimal number."""
+    assert parse_version('0000000c') == 12
+    assert version_text(12) == '0000000c'
+    for text in ('c', '12', '0x00000c', '', '0000000g'):
+        try:
+            parse_version(text)
+        except DocumentError:
+            continue
+        raise AssertionError(text)
+
+
+def test_invalid_configurations_are_refused():
+    """Guards against an invalid configuration that is acknowledged."""
+    variants = (
+        (b'"service":"kafi81c","attempts"', b'"service":"gone","attempts"'),
+        (b'"timeout":"800ms"', b'"timeout":"0ms"'),
+        (b'"/lepu270/"', b'"lepu270/"'),
+        (b'"safe"', b'"sometimes"'),
+        (b'"weight":90},', b'"weight":0},'),
+        (b'"hulo84.example"', b'"jepu9.example"'),
+        (b'}]}', b''),
+    )
+    for old, new in variants:
+        raw = _changed(CONFIGURATION, old, new)
+        if old == b'"hulo84.example"':
+            raw = raw.replace(b'/xapu221/ny95/', b'/lepu270/')
+        if old == b'"weight":90},':
+            raw = raw.replace(b'"weight":10}', b'"weight":0}')
+        assert _is_refused(raw), (old, new)
+
+
+def _is_refused(raw):
+    try:
+        document = decode_document(raw, '00000000')
+    except DocumentError:
+        return True
+    text = render_document(document)
+    checked = check_sources(SourceSet(base=text, overlays={}))
+    return not isinstance(checked, CheckedSources)
+
+
+class _Log:
+    """Replicated log that gives one outcome."""
+
+    def __init__(self, outcome):
+        self.outcome = outcome
+        self.edits = []
+
+    def submit(self, edit):
+        """Notes the edit."""
+        self.edits.append(edit)
+        return self.outcome
+
+    def newest(self):
+        """Gives what was set."""
+        return self.outcome
+
+
+def _call(log, path, body=b'', base='00000005'):
+    told = []
+    pages = ConfigurationPages(log)
+    answer = pages(
+        {
+            'PATH_INFO': path,
+            'wsgi.input': io.BytesIO(body),
+            'HTTP_X_WAXWINGSADDLE_BASE_VERSION': base,
+        },
+        lambda status, headers: told.append(status),
+    )
+    return told[0][:3], b''.join(answer)
+
+
+def test_outcomes_of_edits_have_their_statuses():
+    """Guards against a lost race that the operator takes for an error."""
+    accepted = Accepted(version=2, digest='d', author='a', accepted_ms=1)
+    conflict = Conflict(
+        version=7,
+        winner_digest='d',
+        winner_author='a',
+        current_version=6,
+    )
+    for outcome, status in (
+        (accepted, '200'),
+        (conflict, '412'),
+        (Refused(problems=('no',)), '400'),
+        (Unavailable(reason='no majority'), '503'),
+    ):
+        log = _Log(outcome)
+        assert _call(log, '/v1/config/put', CONFIGURATION)[0] == status
+        assert len(log.edits) == 1
+    log = _Log(accepted)
+    assert _call(log, '/v1/config/put', CONFIGURATION[:-9])[0] == '400'
+    assert _call(log, '/v1/config/put', CONFIGURATION, '5')[0] == '400'
+    assert not log.edits
+
+
+def test_read_is_the_newest_or_refused():
+    """Guards against an old configuration that passes for the newest."""
+    text = render_document(decode_document(CONFIGURATION, '00000005'))
+    stored = StoredVersion(2, 'd', {}, {'': text})
+    status, body = _call(_Log(stored), '/v1/config/get')
+    assert status == '200'
+    assert msgspec.json.decode(body)['version'] == '00000007'
+    status, _ = _call(_Log(Unavailable(reason='cut off')), '/v1/config/get')
+    assert status == '503'
+
+
+def test_ready_page_says_whether_the_node_serves():
+    """Guards against callers sent to a node that cannot serve."""
+    for is_ready, expected in ((True, '200 OK'), (False, '503 Service')):
+        told = []
+        page = ReadyPage(lambda ready=is_ready: ready)
+        page(
+            {'PATH_INFO': '/v1/ready'},
+            lambda status, headers, into=told: into.append(status),
+        )
+        assert told[0].startswith(expected)
--- a/waxwingsaddle/bounds.py
+++ b/waxwingsaddle/bounds.py
@@ -64,6 +64,9 @@
 _ELECTION_SHARE = 0.25
 _HEARTBEATS_AN_ELECTION = 5
 _FORWARD_SHARE = 0.25
+# Longer than an election, so that a change of the leader replaces nobody, and
+# short enough to end before the loss of the next host.
+_LOST_SHARE = 0.8
 _HOME_CHECK_FACTOR = 3
 
 
@@ -98,6 +101,7 @@
         'lease_ttl_ms': propagation_ms * _LEASE_FACTOR,
         'majority_age_limit_ms': round(propagation_ms * _ISOLATION_SHARE),
         'directory_batch_ms': round(propagation_ms * _BATCH_SHARE),
+        'voter_lost_ms': round(bounds.contact_ms * _LOST_SHARE),
         'submit_deadline_ms': bounds.acknowledge_ms,
         'forward_timeout_ms': round(bounds.acknowledge_ms * _FORWARD_SHARE),
         'hand_over_ms': round(bounds.stop_ms * _HAND_OVER_SHARE),
--- a/waxwingsaddle/choice.py
+++ b/waxwingsaddle/choice.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from waxwingsaddle import config_models
+from waxwingsaddle.crossing import CrossingCost
 from waxwingsaddle.ejection import Evidence, Standing
 from waxwingsaddle.estimate import Ended, Estimate, Running
 from waxwingsaddle.util.clock import MS_PER_S
@@ -19,10 +20,6 @@
 # A cancelled attempt would have taken longer than it had until then.
 _CANCELLED_FACTOR = 0.5
 _NONE_TRIED: AbstractSet[tuple[str, str]] = frozenset()
-# Links between zones are costly: 50 KB on the dearer deployment and 250 KB on
-# the other cost as much as a call within its objective of 0.3 s earns.
-_CROSSING_S_PER_BYTE = 0.000003
-_SIZE_SMOOTHING = 0.1
 # Keeps ratios finite on a loopback.
 _LEAST_TRIP_S = 0.0001
 
@@ -83,7 +80,6 @@
         rng: random.Random,
     ) -> None:
         self._zone = availability_zone
-        self._crossing_s = crossing_ms / MS_PER_S
         self._service = service
         self._clock = clock
         self._rng = rng
@@ -91,7 +87,7 @@
         self._entries: Sequence[Upstream] = ()
         self._estimates: dict[Key, Estimate] = {}
         self._typical: dict[str, Quantile] = {}
-        self._answer_bytes: dict[str, float] = {}
+        self._crossing = CrossingCost(crossing_ms / MS_PER_S)
 
     def configure(self, service: config_models.Service) -> None:
         """Adopts new tunables and keeps what was learned."""
@@ -178,7 +174,7 @@
         estimate.running.pop(ticket.number, None)
         now_s = self._clock()
         if ended.answer_bytes is not None:
-            self._observe_size(ticket.route, ended.answer_bytes)
+            self._crossing.observe(ticket.route, ended.answer_bytes)
         if ended.load:
             estimate.carry(ended.load, now_s)
         if ended.evidence is Evidence.REFUSED:
@@ -260,16 +256,7 @@
         )
         if entry.availability_zone == self._zone:
             return cost_s
-        return cost_s + self._crossing_cost_s(route)
-
-    def _crossing_cost_s(self, route: str) -> float:
-        size_bytes = self._answer_bytes.get(route, 0)
-        return self._crossing_s + size_bytes * _CROSSING_S_PER_BYTE
-
-    def _observe_size(self, route: str, size_bytes: int) -> None:
-        known = self._answer_bytes.get(route, size_bytes)
-        gap = size_bytes - known
-        self._answer_bytes[route] = known + _SIZE_SMOOTHING * gap
+        return cost_s + self._crossing.cost_s(route)
 
     def _typical_s(self, route: str) -> float:
         typical = self._typical.get(route)
@@ -283,7 +270,7 @@
         ended: Ended,
         now_s: float,
     ) -> None:
-        crossing_s = 0 if ticket.is_local else self._crossing_s
+        crossing_s = 0 if ticket.is_local else self._crossing.trip_s
         took_s = max(_LEAST_TRIP_S, ended.took_s - crossing_s)
         ratio = took_s / self._typical_s(ticket.route)
         is_cancelled = ended.evidence is Evidence.CANCELLED
--- a/waxwingsaddle/control_link.py
+++ b/waxwingsaddle/control_link.py
@@ -12,6 +12,7 @@
 from waxwingsaddle.addresses import NodeControl
 from waxwingsaddle.control_choice import Answer
 from waxwingsaddle.curve import protect_client
+from waxwingsaddle.known_controls import ControlList
 from waxwingsaddle.node_messages import (
     MAX_WHOLE_BYTES,
     FloorQuery,
@@ -146,6 +147,7 @@
 
 def ask_version(
     control: NodeControl,
+    controls: ControlList,
     site: str,
     wait_ms: int,
 ) -> Answer | None:
@@ -153,6 +155,7 @@
 
     Args:
         control: The control host.
+        controls: Learns the control hosts that this one knows.
         site: Site of the node.
         wait_ms: Longest wait.
 
@@ -166,20 +169,27 @@
         with Timeout(wait_ms / MS_PER_S, exception=False):
             link.send_connected(FloorQuery(site), wait_ms)
             reply = question.replied.wait()
-            return Answer(control, reply.version, reply.majority_age_ms)
+            controls.learn(reply.controls)
+            return Answer(
+                controls.current(control),
+                reply.version,
+                reply.majority_age_ms,
+            )
     finally:
         link.close()
     return None
 
 
 def ask_versions(
-    controls: tuple[NodeControl, ...],
+    asked_controls: tuple[NodeControl, ...],
+    controls: ControlList,
     site: str,
     wait_ms: int,
 ) -> tuple[Answer, ...]:
     """Asks several control hosts at once."""
     pool = GreenPool()
     asked = [
-        pool.spawn(ask_version, control, site, wait_ms) for control in controls
+        pool.spawn(ask_version, control, controls, site, wait_ms)
+        for control in asked_controls
     ]
     return tuple(filter(None, (thread.wait() for thread in asked)))
--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -7,6 +7,7 @@
 from waxwingsaddle.access import AccessToken, check_names
 from waxwingsaddle.addresses import ControlHost, HostName
 from waxwingsaddle.distribution_settings import DistributionSettings
+from waxwingsaddle.joining import SuccessionPolicy
 from waxwingsaddle.peers import PeerLimits
 from waxwingsaddle.raft_driver import DriverLimits
 from waxwingsaddle.raft_state import Timing
@@ -53,6 +54,9 @@
         versions_kept: Versions that can be had as a whole.
         history_kept: Versions whose digest and author are remembered.
         edit_bytes: Largest edit, as the sum of its files.
+        voters_wanted: How many hosts are to vote: a caught-up learner gets the
+            vote of a voter that is silent; 0 leaves it to operators.
+        voter_lost_ms: Silence after which a voter loses its vote so.
         submit_deadline_ms: How long an edit is tried before the answer is
             that its result is not known.
         read_deadline_ms: How long a host tries to prove which version is the
@@ -98,6 +102,8 @@
     versions_kept: Positive
     history_kept: Positive
     edit_bytes: Positive
+    voters_wanted: Annotated[int, msgspec.Meta(ge=0, le=7)]
+    voter_lost_ms: Positive
     submit_deadline_ms: Positive
     read_deadline_ms: Positive
     forward_timeout_ms: Positive
@@ -150,6 +156,14 @@
             disk_retry_ms=self.disk_retry_ms,
         )
 
+    @property
+    def succession(self) -> SuccessionPolicy:
+        """When a silent voter loses its vote."""
+        return SuccessionPolicy(
+            self.voters_wanted,
+            self.voter_lost_ms / MS_PER_S,
+        )
+
     @property
     def first_voters(self) -> tuple[str, ...]:
         """Hosts that vote when the first control hosts start, sorted."""
--- /dev/null
+++ b/waxwingsaddle/crossing.py
@@ -0,0 +1,33 @@
+"""What it costs to send a call to another availability zone."""
+
+from dataclasses import dataclass, field
+
+# Links between zones are costly: 50 KB on the dearer deployment and 250 KB on
+# the other cost as much as a call within its objective of 0.3 s earns.
+_S_PER_BYTE = 0.000003
+_SMOOTHING = 0.1
+
+
+@dataclass(slots=True)
+class CrossingCost:
+    """Expected cost of a crossing, by route.
+
+    A large answer crosses only when the home zone would make its call wait
+    for longer than the transfer is worth.
+
+    Attributes:
+        trip_s: Round trip to another zone, in seconds.
+    """
+
+    trip_s: float
+    _answer_bytes: dict[str, float] = field(default_factory=dict)
+
+    def observe(self, route: str, size_bytes: int) -> None:
+        """Takes in the size of an answer."""
+        known = self._answer_bytes.get(route, size_bytes)
+        gap = size_bytes - known
+        self._answer_bytes[route] = known + _SMOOTHING * gap
+
+    def cost_s(self, route: str) -> float:
+        """Returns the cost of a crossing as a time."""
+        return self.trip_s + self._answer_bytes.get(route, 0) * _S_PER_BYTE
--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -17,11 +17,13 @@
 from waxwingsaddle.service_policies import PolicyTable, ServicePolicies
 from waxwingsaddle.tasks import (
     Task,
+    call_of,
     close_rest,
     count_attempt,
     end_attempt,
     ended,
     hedged_attempts,
+    is_moved,
 )
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.verdicts import BUSY
@@ -33,13 +35,6 @@
 )
 
 
-# Reasons of a guard that has more calls than its upstream can serve.
-_GUARD_FULL = frozenset(('overload', 'displaced'))
-# A second guard may have room where the first had none; a third one is rarely
-# worth the messages.
-_MOST_MOVES = 1
-
-
 class Dispatch:
     """Runs calls at the upstreams of their services.
 
@@ -149,7 +144,7 @@
             retry_after_ms=answer.retry_after_ms,
             most=task.match.route.attempts,
             has_alternative=policies.choice.choose(call, tried) is not None,
-            is_free=_is_moved(task, answer)
+            is_free=is_moved(task, answer)
             or (
                 answer.reason in _NOT_SENT and policies.choice.has_sound(tried)
             ),
@@ -290,29 +285,10 @@
             self._remote.cancel(call_id)
 
     def _call(self, task: Task, may_spill: bool) -> Call:
-        route = task.match.route
-        return Call(
-            call_id=self._next_id(),
-            route=task.match.name,
-            work=route.work,
-            priority=route.priority,
-            is_idempotent=route.idempotent,
-            deadline_s=task.deadline_s,
-            may_spill=may_spill,
-            origin=task.origin,
-            due_s=task.due_s,
-        )
+        return call_of(task, self._next_id(), may_spill)
 
     def _next_id(self) -> str:
         return f'{self._id_prefix}{next(self._ids)}'
 
     def _is_failed(self, answer: Answer) -> bool:
         return answer.outcome is not Outcome.RAN
-
-
-def _is_moved(task: Task, answer: Answer) -> bool:
-    """Says whether a call may go to another guard, and counts it."""
-    if answer.reason not in _GUARD_FULL or task.moved >= _MOST_MOVES:
-        return False
-    task.moved += 1
-    return True
--- a/waxwingsaddle/distribution.py
+++ b/waxwingsaddle/distribution.py
@@ -1,6 +1,7 @@
 """Control side of distribution: services `distribution` and `directory`."""
 
 from collections.abc import Callable
+from functools import partial
 from itertools import chain
 from typing import Any
 
@@ -13,6 +14,7 @@
 from waxwingsaddle.directory_feed import DirectoryFeed
 from waxwingsaddle.fleet_status import FleetStatus, NodeStatus, StatusExchange
 from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.known_controls import known_controls
 from waxwingsaddle.leases import LeaseTable
 from waxwingsaddle.node_protocol import NodeProtocol
 from waxwingsaddle.node_push import NodePush
@@ -142,6 +144,7 @@
             self._push,
             self._majority_age_ms,
             self._events,
+            partial(known_controls, settings, self._replication.members),
         )
 
     def _receive(self, identity: bytes, message: Any, size_bytes: int) -> None:
--- a/waxwingsaddle/inquiry.py
+++ b/waxwingsaddle/inquiry.py
@@ -9,6 +9,7 @@
 from waxwingsaddle.addresses import NodeControl
 from waxwingsaddle.control_choice import Answer, in_order
 from waxwingsaddle.control_link import ask_versions
+from waxwingsaddle.known_controls import ControlList
 from waxwingsaddle.neighbours import Neighbours
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.wake import Wake
@@ -22,18 +23,20 @@
         settings: Settings of the node.
         neighbours: Neighbours of the node.
         rng: Source of random numbers.
+        controls: Control hosts that the node knows.
     """
 
     settings: Any
     neighbours: Neighbours
     rng: random.Random
+    controls: ControlList
 
     def home(self) -> tuple[Answer, ...]:
         """Asks the control hosts of the own availability zone."""
         zone = self.settings.availability_zone
         controls = [
             control
-            for control in self.settings.controls
+            for control in self.controls.all()
             if control.availability_zone == zone
         ]
         return self._ask(controls, self.settings.answer_wait_ms)
@@ -50,11 +53,12 @@
             limit: Most control hosts asked.
         """
         controls = in_order(
-            self.settings.controls,
+            self.controls.all(),
             self.settings.availability_zone,
             self.rng,
         )
-        others = [control for control in controls if control != passed_over]
+        passed_host = passed_over.host if passed_over else ''
+        others = [one for one in controls if one.host != passed_host]
         return self._ask(others[:limit], self.settings.answer_wait_ms)
 
     def everyone(self) -> tuple[Answer, ...]:
@@ -70,7 +74,7 @@
         answers: list[Answer] = []
         threads = [
             greenthread.spawn(self._take_answer, control, answers, settled)
-            for control in self.settings.controls
+            for control in self.controls.all()
         ]
         settled.wait(wait_ms / MS_PER_S)
         if settled.is_set():
@@ -113,7 +117,12 @@
             settled.set()
 
     def _ask(self, controls: Any, wait_ms: int) -> tuple[Answer, ...]:
-        return ask_versions(tuple(controls), self.settings.site, wait_ms)
+        return ask_versions(
+            tuple(controls),
+            self.controls,
+            self.settings.site,
+            wait_ms,
+        )
 
 
 def _join(threads: list[greenthread.GreenThread]) -> None:
--- a/waxwingsaddle/joining.py
+++ b/waxwingsaddle/joining.py
@@ -12,6 +12,7 @@
 """
 
 import secrets
+from dataclasses import dataclass
 
 import msgspec
 
@@ -26,6 +27,7 @@
 from waxwingsaddle.peers import Peers
 from waxwingsaddle.raft_driver import RaftDriver
 from waxwingsaddle.raft_messages import Members, Replica
+from waxwingsaddle.succession import next_succession
 
 
 class Join(msgspec.Struct, frozen=True):
@@ -77,6 +79,19 @@
 CHALLENGE_BYTES = 6
 
 
+@dataclass(frozen=True, slots=True)
+class SuccessionPolicy:
+    """When a silent voter loses its vote to a caught-up learner.
+
+    Attributes:
+        voters_wanted: How many hosts are to vote; 0 for operators to decide.
+        lost_after_s: Silence after which a voter counts as lost.
+    """
+
+    voters_wanted: int
+    lost_after_s: float
+
+
 class Joining:
     """Joins this host to the others, and others to the log.
 
@@ -87,6 +102,7 @@
         first_voters: Hosts that vote when the first control hosts start.
         lost_state: Whether this host has set state aside; it then takes no
             part in the beginning of a new log.
+        succession: When a silent voter loses its vote.
     """
 
     def __init__(
@@ -96,8 +112,10 @@
         this_host: ControlHost,
         first_voters: tuple[str, ...],
         lost_state: bool,
+        succession: SuccessionPolicy,
     ) -> None:
         self._driver = driver
+        self._succession = succession
         self._peers = peers
         self._replica = Replica(
             driver.raft.identity,
@@ -150,7 +168,12 @@
             self._driver.wake()
 
     def _admit(self) -> None:
-        for change in (*self._repairs(), *self._admissions()):
+        changes = (
+            *self._repairs(),
+            *self._admissions(),
+            *self._successions(),
+        )
+        for change in changes:
             try:
                 proposal = self._driver.change_members(change)
             except MembershipError:
@@ -169,6 +192,16 @@
             and raft.is_caught_up(learner.identity)
         ]
 
+    def _successions(self) -> list[Change]:
+        raft = self._driver.raft
+        change = next_succession(
+            raft.members,
+            self._succession.voters_wanted,
+            lambda one: raft.silence_s(one) > self._succession.lost_after_s,
+            raft.is_caught_up,
+        )
+        return [] if change is None else [change]
+
     def _admissions(self) -> list[Change]:
         members = self._driver.raft.members
         asking = [
--- a/waxwingsaddle/leading.py
+++ b/waxwingsaddle/leading.py
@@ -167,6 +167,13 @@
         silence_s = state.now_s - progress.contact_s
         return silence_s <= state.timing.election_min_s
 
+    def silence_s(self, identity: str) -> float:
+        """Returns the time since a replica answered; 0 for this one."""
+        progress = self._progress.get(identity)
+        if progress is None:
+            return 0
+        return self._state.now_s - progress.contact_s
+
     def _heard(self, reply: AppendReply | SnapshotReply) -> Progress | None:
         progress = self._progress.get(reply.source)
         if progress is not None:
--- a/waxwingsaddle/membership.py
+++ b/waxwingsaddle/membership.py
@@ -38,6 +38,12 @@
     identity: str
 
 
+class Demote(msgspec.Struct, frozen=True, tag=True):
+    """Takes the vote of a silent voter, which goes on as a learner."""
+
+    identity: str
+
+
 class Replace(msgspec.Struct, frozen=True, tag=True):
     """Gives the vote of an ended identity to a caught-up learner of its host.
 
@@ -50,7 +56,7 @@
     learner: str
 
 
-Change = AddLearner | Promote | Remove | Replace
+Change = AddLearner | Promote | Demote | Remove | Replace
 
 
 @singledispatch
@@ -74,6 +80,8 @@
 
 def loses_vote(change: Change) -> str | None:
     """Returns the identity that the change takes as ended."""
+    if isinstance(change, Demote):
+        return change.identity
     return change.ended if isinstance(change, Replace) else None
 
 
@@ -109,6 +117,17 @@
     )
 
 
+@changed.register
+def _demote(change: Demote, members: Members) -> Members:
+    voter = members.find(change.identity)
+    if not members.is_voter(change.identity):
+        raise MembershipError(f'{change.identity} is no voter')
+    voters = _without(members.voters, change.identity)
+    if not voters:
+        raise MembershipError('the last voter can not be demoted')
+    return Members(voters, (*members.learners, voter), members.removed)
+
+
 @changed.register
 def _remove(change: Remove, members: Members) -> Members:
     if members.find(change.identity) is None:
--- a/waxwingsaddle/node_messages.py
+++ b/waxwingsaddle/node_messages.py
@@ -96,6 +96,20 @@
     site: str
 
 
+class KnownControl(msgspec.Struct, frozen=True, array_like=True):
+    """A control host, as another one knows it.
+
+    Attributes:
+        host: Unique name of the host.
+        availability_zone: Its availability zone; empty when not known.
+        node_address: Where it serves nodes.
+    """
+
+    host: str
+    availability_zone: str
+    node_address: str
+
+
 class Welcome(msgspec.Struct, frozen=True, array_like=True, tag='welcome'):
     """A control host grants a new lease.
 
@@ -223,10 +237,12 @@
         version: Accepted version, or the one in force on a neighbour.
         majority_age_ms: Time since the last proof of contact with a majority;
             -1 from a neighbour.
+        controls: Control hosts that it knows, itself first.
     """
 
     version: int
     majority_age_ms: int = -1
+    controls: tuple[KnownControl, ...] = ()
 
 
 class WholeQuery(
--- a/waxwingsaddle/node_protocol.py
+++ b/waxwingsaddle/node_protocol.py
@@ -23,6 +23,7 @@
     FromNode,
     Hello,
     InForce,
+    KnownControl,
     LeaseGranted,
     Leave,
     Renew,
@@ -50,6 +51,7 @@
         push: Sends configuration and directory.
         majority_age_ms: Time since the last contact with a majority.
         events: Takes up the events of the nodes.
+        controls: Returns the control hosts that are members, this one first.
     """
 
     host: str
@@ -60,6 +62,7 @@
     push: NodePush
     majority_age_ms: Callable[[], int]
     events: FleetTimeline
+    controls: Callable[[], tuple[KnownControl, ...]] = tuple
 
     def receive(
         self,
@@ -195,7 +198,7 @@
         lease: Lease | None,
     ) -> None:
         version = self.push.sites.version
-        reply = FloorReply(version, self.majority_age_ms())
+        reply = FloorReply(version, self.majority_age_ms(), self.controls())
         self._reply(identity, reply, lease)
 
     def _announce(
--- a/waxwingsaddle/node_session.py
+++ b/waxwingsaddle/node_session.py
@@ -92,7 +92,7 @@
         return self.link.control if self.link else None
 
     def _new_link(self, control: NodeControl) -> ControlLink:
-        if self.link is not None and self.link.control == control:
+        if self.link is not None and self.link.control.host == control.host:
             return self.link
         link = ControlLink(
             control,
--- a/waxwingsaddle/raft.py
+++ b/waxwingsaddle/raft.py
@@ -217,10 +217,9 @@
         """Says whether a replica lacks few enough entries for a vote."""
         return self.is_leader and self._leading.is_caught_up(identity)
 
-    def match_index(self, identity: str) -> int | None:
-        """Returns the last entry a replica is known to hold."""
-        progress = self._leading.progress_of(identity)
-        return progress.match_index if self.is_leader and progress else None
+    def silence_s(self, identity: str) -> float:
+        """Returns the time since a replica answered this leader."""
+        return self._leading.silence_s(identity) if self.is_leader else 0
 
     def hand_over(self, identity: str | None = None) -> bool:
         """Starts to hand leadership to a voter; the best one by default."""
--- a/waxwingsaddle/replication.py
+++ b/waxwingsaddle/replication.py
@@ -116,6 +116,7 @@
             settings.this_host,
             settings.first_voters,
             self._storage.has_lost_state,
+            settings.succession,
         )
         self._threads: list[greenthread.GreenThread] = []
 
--- a/waxwingsaddle/seeds.py
+++ b/waxwingsaddle/seeds.py
@@ -9,9 +9,7 @@
 from dataclasses import dataclass
 
 from waxwingsaddle.addresses import ControlHost, NodeControl
-
-# Zone of a control host until it has told its own.
-UNKNOWN_ZONE = 'unknown'
+from waxwingsaddle.known_controls import UNKNOWN_ZONE
 
 
 @dataclass(frozen=True, slots=True)
--- a/waxwingsaddle/standin_control.py
+++ b/waxwingsaddle/standin_control.py
@@ -12,6 +12,7 @@
 from waxwingsaddle.fleet_events import FleetTimeline
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.peers import Peers
+from waxwingsaddle.raft_messages import Members
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
 from waxwingsaddle.util.usage import spent
 from waxwingsaddle.web import (
@@ -30,6 +31,10 @@
         self.state: Any = SimpleNamespace(version=0, sites={})
         self.isolated_at_s: float | None = None
 
+    def members(self) -> Members:
+        """Returns no members; nodes know the control hosts of settings."""
+        return Members()
+
     def majority_age_ms(self) -> float:
         """Returns the time since the isolation, or 0."""
         if self.isolated_at_s is None:
--- a/waxwingsaddle/subscription.py
+++ b/waxwingsaddle/subscription.py
@@ -18,6 +18,7 @@
 from waxwingsaddle.in_force import HeldConfiguration
 from waxwingsaddle.inquiry import Inquiry
 from waxwingsaddle.kernel import Kernel, UnknownServiceError
+from waxwingsaddle.known_controls import ControlList
 from waxwingsaddle.neighbours import Neighbours
 from waxwingsaddle.node_directory import NodeDirectory
 from waxwingsaddle.node_events import NodeEvents
@@ -88,6 +89,7 @@
             self._rng,
         )
         self._home_due_s = monotonic_s() + self._home_interval_s()
+        self.controls = ControlList(settings.controls)
         self._inquiry: Inquiry | None = None
         self._thread: greenthread.GreenThread | None = None
 
@@ -115,7 +117,12 @@
             self._settings.neighbours,
             lambda: self.current,
         )
-        self._inquiry = Inquiry(self._settings, neighbours, self._rng)
+        self._inquiry = Inquiry(
+            self._settings,
+            neighbours,
+            self._rng,
+            self.controls,
+        )
         self._thread = greenthread.spawn(self._run)
 
     def stop(self) -> None:
@@ -162,7 +169,7 @@
         elif not answers:
             answers = self._inquiry.others(
                 None,
-                len(self._settings.controls),
+                len(self.controls),
             )
         best = best_control(answers, self._zone, self._limit_ms, self._rng)
         if best is None or not self._join(best, 'start'):
--- a/waxwingsaddle/tasks.py
+++ b/waxwingsaddle/tasks.py
@@ -12,6 +12,7 @@
 from waxwingsaddle.estimate import Ended
 from waxwingsaddle.routing import Match
 from waxwingsaddle.util.outcome import Outcome
+from waxwingsaddle.work import Call
 
 _attempts = metrics.counter(
     'waxwing_attempts',
@@ -26,6 +27,13 @@
 _EXACT_OUTCOMES = frozenset((Outcome.RAN, Outcome.NOT_RUN))
 
 
+# Reasons of a guard that has more calls than its upstream can serve.
+_GUARD_FULL = frozenset(('overload', 'displaced'))
+# A second guard may have room where the first had none; a third one is rarely
+# worth the messages.
+_MOST_MOVES = 1
+
+
 @dataclass(slots=True)
 class Task:
     """One call of a caller.
@@ -121,3 +129,27 @@
     task.running.pop(call_id, None)
     if answer is None or answer.outcome not in _EXACT_OUTCOMES:
         task.may_have_run = True
+
+
+def call_of(task: Task, call_id: str, may_spill: bool) -> Call:
+    """Returns the call of an attempt, as guards see it."""
+    route = task.match.route
+    return Call(
+        call_id=call_id,
+        route=task.match.name,
+        work=route.work,
+        priority=route.priority,
+        is_idempotent=route.idempotent,
+        deadline_s=task.deadline_s,
+        may_spill=may_spill,
+        origin=task.origin,
+        due_s=task.due_s,
+    )
+
+
+def is_moved(task: Task, answer: Answer) -> bool:
+    """Says whether a call may go to another guard, and counts it."""
+    if answer.reason not in _GUARD_FULL or task.moved >= _MOST_MOVES:
+        return False
+    task.moved += 1
+    return True
