--- a/test/test_docs.py
+++ b/test/test_docs.py
@@ -20,7 +20,7 @@
 
 def test_operations_page_names_existing_commands():
     """Guards against a page that sends operators to a missing command."""
-    text = (DOCS / 'operations.md').read_text()
+    text = (DOCS / 'OPERATIONS.md').read_text()
     known = {command.name for command in ctl.application().all().values()}
     for line in re.findall('`waxwingctl ([^`]+)`', text):
         words = line.split()
@@ -30,7 +30,7 @@
 
 def test_operations_page_lists_exit_codes():
     """Guards against an exit code without an explanation."""
-    text = (DOCS / 'operations.md').read_text()
+    text = (DOCS / 'OPERATIONS.md').read_text()
     listed = {int(code) for code in re.findall(r'^\| (\d+) \|', text, re.M)}
     assert listed == {int(code) for code in ExitCode}
 
--- a/waxwingsaddle/graceful.py
+++ b/waxwingsaddle/graceful.py
@@ -5,18 +5,13 @@
 and tells each caller to close them.
 """
 
-import errno
 import socket
-import time
 from typing import Any
 
-from eventlet import greenio, greenthread, wsgi
+from eventlet import greenthread, wsgi
 
-from waxwingsaddle.web import Application, listen
-
-_POLL_S = 0.02
-_ACCEPT_RETRY_S = 0.05
-_QUIET_S = 0.1
+from waxwingsaddle.accepting import Acceptor
+from waxwingsaddle.web import Application
 
 
 class _State(wsgi.Server):
@@ -48,13 +43,11 @@
         application: Application,
         protocol: type[wsgi.HttpProtocol],
     ) -> None:
-        self._address = address
+        self._acceptor = Acceptor(address, self._serve)
         self._application = application
         self._protocol = protocol
         self._connections: dict[int, list[Any]] = {}
-        self._listener: Any = None
         self._state: _State | None = None
-        self._thread: greenthread.GreenThread | None = None
 
     @property
     def pending(self) -> int:
@@ -68,9 +61,8 @@
 
     def start(self) -> None:
         """Listens and serves in green threads."""
-        self._listener = listen(self._address)
-        self._state = _State(self._listener, self._application)
-        self._thread = greenthread.spawn(self._accept_all)
+        self._acceptor.start()
+        self._state = _State(self._acceptor.listener, self._application)
 
     def drain(self) -> None:
         """Tells each caller, with its next answer, to close its connection."""
@@ -85,43 +77,7 @@
         Returns:
             The number of requests that were cut off.
         """
-        self._close_listener()
-        end_s = time.monotonic() + limit_s
-        quiet_since_s = time.monotonic()
-        while time.monotonic() < end_s:
-            if self.pending:
-                quiet_since_s = time.monotonic()
-            elif time.monotonic() - quiet_since_s > _QUIET_S:
-                break
-            greenthread.sleep(_POLL_S)
-        return self.pending
-
-    def _close_listener(self) -> None:
-        """Takes the connections that wait in the queue, then closes it."""
-        if self._thread is not None:
-            self._thread.kill()
-            self._thread = None
-        raw = self._listener.fd
-        raw.setblocking(False)
-        while True:
-            try:
-                accepted, address = raw.accept()
-            except OSError:
-                break
-            accepted.setblocking(False)
-            self._serve(greenio.GreenSocket(accepted), address)
-        self._listener.close()
-
-    def _accept_all(self) -> None:
-        while True:
-            try:
-                accepted, address = self._listener.accept()
-            except OSError as error:
-                # Out of descriptors: callers wait in the queue.
-                is_full = error.errno in {errno.EMFILE, errno.ENFILE}
-                greenthread.sleep(_ACCEPT_RETRY_S if is_full else 0)
-                continue
-            self._serve(accepted, address)
+        return self._acceptor.finish(lambda: self.pending, limit_s)
 
     def _serve(self, accepted: Any, address: Any) -> None:
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
