--- a/waxwingsaddle/tasks.py
+++ b/waxwingsaddle/tasks.py
@@ -1,5 +1,6 @@
 """Calls of callers while they run, and what is learned from attempts."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import inf
 
@@ -11,7 +12,9 @@
 from waxwingsaddle.ejection import Evidence
 from waxwingsaddle.estimate import Ended
 from waxwingsaddle.routing import Match
+from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
+from waxwingsaddle.work import Call
 
 _attempts = metrics.counter(
     'waxwing_attempts',
@@ -22,10 +25,19 @@
 _retries = _attempts.labels('retry')
 hedged_attempts = _attempts.labels('hedge')
 _spills = _attempts.labels('spill')
+# A call is sent to a few upstreams at most; moves between guards come on top.
+_TRAIL_LENGTH = 8
 # After these, the caller knows whether the attempt ran.
 _EXACT_OUTCOMES = frozenset((Outcome.RAN, Outcome.NOT_RUN))
 
 
+# Reasons of a guard that has more calls than its upstream can serve.
+_GUARD_FULL = frozenset(('overload', 'displaced'))
+# A second guard may have room where the first had none; a third one is rarely
+# worth the messages.
+_MOST_MOVES = 1
+
+
 @dataclass(slots=True)
 class Task:
     """One call of a caller.
@@ -44,6 +56,8 @@
         due_s: Until when an answer serves the caller best.
         origin: Service of the host at which the call began; empty when it is
             not known.
+        version: Version of the configuration that gave the route.
+        trail: How its attempts ended, the first ones only.
         moved: Attempts that a guard refused and another one was asked for.
     """
 
@@ -59,6 +73,8 @@
     may_have_run: bool = False
     due_s: float = inf
     origin: str = ''
+    version: int = 0
+    trail: list[str] = field(default_factory=list)
     moved: int = 0
 
 
@@ -110,14 +126,75 @@
             answer.stream.close()
 
 
-def end_attempt(task: Task, call_id: str, answer: Answer | None) -> None:
+def end_attempt(
+    task: Task,
+    call_id: str,
+    answer: Answer | None,
+    begun_s: float,
+    clock: Callable[[], float],
+) -> float:
     """Takes an attempt off a task, and notes whether it may have run.
 
     Args:
         task: The call.
         call_id: The attempt.
         answer: Its answer; absent when it was cut off.
+        begun_s: When it was begun.
+        clock: Monotonic seconds.
+
+    Returns:
+        How long it took, in seconds.
     """
-    task.running.pop(call_id, None)
+    took_s = clock() - begun_s
+    upstream = task.running.pop(call_id, None)
+    if upstream is not None and len(task.trail) < _TRAIL_LENGTH:
+        task.trail.append(_step(call_id, upstream, answer, took_s))
     if answer is None or answer.outcome not in _EXACT_OUTCOMES:
         task.may_have_run = True
+    return took_s
+
+
+def _step(
+    call_id: str,
+    upstream: Upstream,
+    answer: Answer | None,
+    took_s: float,
+) -> str:
+    """Describes an attempt, with the load that its guard told."""
+    place = f'{call_id} {upstream.host}/{upstream.name}'
+    if answer is None:
+        return f'{place} cut off'
+    load = answer.load
+    told = (
+        f' in_flight={load.in_flight}/{load.limit} queued={load.queued}'
+        f' wait_ms={load.wait_ms}'
+        if load
+        else ''
+    )
+    ending = answer.reason or answer.status
+    took_ms = round(took_s * MS_PER_S)
+    return f'{place} {answer.outcome.value} {ending} {took_ms}ms{told}'
+
+
+def call_of(task: Task, call_id: str, may_spill: bool) -> Call:
+    """Returns the call of an attempt, as guards see it."""
+    route = task.match.route
+    return Call(
+        call_id=call_id,
+        route=task.match.name,
+        work=route.work,
+        priority=route.priority,
+        is_idempotent=route.idempotent,
+        deadline_s=task.deadline_s,
+        may_spill=may_spill,
+        origin=task.origin,
+        due_s=task.due_s,
+    )
+
+
+def is_moved(task: Task, answer: Answer) -> bool:
+    """Says whether a call may go to another guard, and counts it."""
+    if answer.reason not in _GUARD_FULL or task.moved >= _MOST_MOVES:
+        return False
+    task.moved += 1
+    return True
