Pass no call on after the last moment of a stop

Cause: a node that stops waits until no call is left and then ends its services one by one.

Change: once the wait is over, connections close and what crosses the close is not passed on. After: a test of the pipeline fails without the change.

--- a/test/test_pipeline.py
+++ b/test/test_pipeline.py
@@ -140,6 +140,23 @@
         assert b'Connection: close' in received
 
 
+def test_call_after_the_last_moment_is_not_passed_on():
+    """Guards against a call that runs while its node ends without it.
+
+    A node that stopped went on reading calls from open connections until its
+    process ended, and cut them off.
+    """
+    with serving() as (server, connect, dispatch):
+        idle = connect()
+        idle.sendall(request('/designs/1'))
+        read_until(idle, b'/designs/1')
+        server.drain()
+        assert server.finish(1) == 0
+        idle.sendall(request('/designs/2'))
+        assert read_until(idle, b'never') == b''
+        assert dispatch.begun == ['/designs/1']
+
+
 class _Broken:
     """Body of an answer that breaks off."""
 
--- a/waxwingsaddle/pipeline.py
+++ b/waxwingsaddle/pipeline.py
@@ -94,6 +94,11 @@
         """The number of calls that are not answered yet."""
         return len(self._calls)
 
+    def stop_reading(self) -> None:
+        """Closes the connection once all calls that were read are answered."""
+        self._is_closing = True
+        self._changed.set()
+
     def serve(self) -> None:
         """Serves the connection to its end; blocks its green thread."""
         self._serving = greenthread.getcurrent()
@@ -144,7 +149,9 @@
         except UnreadableError as error:
             self._add_refused(None, not_run(error.reason), is_last=True)
             return False
-        if head is None:
+        # A call that crosses the close is not passed on; its caller sends it
+        # again.
+        if head is None or self._is_closing:
             return False
         decided = self._ingress.admit(head)
         is_last = not head.framing.is_kept
@@ -235,6 +242,8 @@
         """Writes the answers; says whether to close politely at the end."""
         while True:
             while not self._calls:
+                if self._is_closing:
+                    return True
                 if self._is_all_read:
                     return self._requests.is_idle_out
                 self._wait_change()
--- a/waxwingsaddle/pipeline_server.py
+++ b/waxwingsaddle/pipeline_server.py
@@ -65,7 +65,10 @@
         Returns:
             The number of calls that were cut off.
         """
-        return self._acceptor.finish(lambda: self.pending, limit_s)
+        left = self._acceptor.finish(lambda: self.pending, limit_s)
+        for connection in tuple(self._connections):
+            connection.stop_reading()
+        return left
 
     def _serve(self, accepted: Any, _address: Any) -> None:
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
