--- a/test/zoned_nodes.py
+++ b/test/zoned_nodes.py
@@ -98,7 +98,11 @@
             listed = [self._listed(one, host) for one in self.nodes]
             node.begin(others[host], listed)
         for host, node in self.nodes.items():
-            wait_until(partial(is_ready, node.http_address), host)
+            try:
+                wait_until(partial(is_ready, node.http_address), host)
+            except AssertionError as error:
+                log = node.process.log_text()
+                raise AssertionError(f'{error}; its log: {log}') from error
         if is_upstream_proxied:
             guarded.announce(up, address=address['upstream'])
         else:
