Wait, in a stop, for callers that have just connected

Cause: a stop ended 0.1 s after the last answer. A caller that had connected before, and sent its first call later than that, got a closed connection. It is the supposed cause of the known red test of a stop under load; the new test provokes it with a call 0.5 s after the connection.

Change: a stop also waits until the newest open connection is a second old, within its limit.

Before: the new test fails (RemoteDisconnected). After: it passes.

--- a/test/test_node_failures.py
+++ b/test/test_node_failures.py
@@ -1,5 +1,6 @@
 """Nodes and upstreams that die, drain or stop while calls run."""
 
+import signal
 import threading
 import time
 from contextlib import suppress
@@ -248,6 +249,23 @@
             assert worker.calls > 10, worker.calls
 
 
+def test_stop_serves_a_caller_that_has_just_connected():
+    """Guards against a first call on a connection that a stop loses.
+
+    A stop ended 0.1 s after the last answer; a caller that had connected
+    before and sent its call later than that got a closed connection.
+    """
+    with setting() as started:
+        entry, _, _ = started.pair(drain_wait_ms=200)
+        entry.process.signal(signal.SIGTERM)
+        time.sleep(0.1)
+        late = HTTPConnection(entry.http_address, timeout=20)
+        late.connect()
+        time.sleep(0.5)
+        late.request('POST', '/orders?id=late')
+        assert late.getresponse().status == 200
+
+
 def test_stop_of_guarding_node_finishes_calls_in_flight():
     """Guards against calls of other nodes that a stop cuts off."""
     with setting() as started:
--- a/waxwingsaddle/accepting.py
+++ b/waxwingsaddle/accepting.py
@@ -13,6 +13,9 @@
 _ACCEPT_RETRY_S = 0.05
 # Without a request for so long, no caller is likely to have one under way.
 _QUIET_S = 0.1
+# A caller that has just connected sends its request within this time. Clients
+# take a second to give a new connection up, and busy ones send late.
+_FIRST_REQUEST_S = 1.0
 
 
 class Acceptor:
@@ -38,11 +41,17 @@
         self.listener = listen(self._address)
         self._thread = greenthread.spawn(self._accept_all)
 
-    def finish(self, pending: Callable[[], int], limit_s: float) -> int:
+    def finish(
+        self,
+        pending: Callable[[], int],
+        newest_s: Callable[[], float],
+        limit_s: float,
+    ) -> int:
         """Stops to listen and waits until no request is left.
 
         Args:
             pending: Returns the number of requests that are not answered.
+            newest_s: Returns when the newest open connection was accepted.
             limit_s: Longest wait, in seconds.
 
         Returns:
@@ -52,9 +61,11 @@
         end_s = time.monotonic() + limit_s
         quiet_since_s = time.monotonic()
         while time.monotonic() < end_s:
+            now_s = time.monotonic()
             if pending():
-                quiet_since_s = time.monotonic()
-            elif time.monotonic() - quiet_since_s > _QUIET_S:
+                quiet_since_s = now_s
+            is_quiet = now_s - quiet_since_s > _QUIET_S
+            if is_quiet and now_s - newest_s() > _FIRST_REQUEST_S:
                 break
             greenthread.sleep(_POLL_S)
         return pending()
--- a/waxwingsaddle/graceful.py
+++ b/waxwingsaddle/graceful.py
@@ -6,6 +6,8 @@
 """
 
 import socket
+import time
+from math import inf
 from typing import Any
 
 from eventlet import greenthread, wsgi
@@ -47,6 +49,8 @@
         self._application = application
         self._protocol = protocol
         self._connections: dict[int, list[Any]] = {}
+        # When each was accepted, in monotonic seconds.
+        self._accepted_s: dict[int, float] = {}
         self._state: _State | None = None
 
     @property
@@ -77,12 +81,20 @@
         Returns:
             The number of requests that were cut off.
         """
-        return self._acceptor.finish(lambda: self.pending, limit_s)
+        return self._acceptor.finish(
+            lambda: self.pending,
+            self._newest_s,
+            limit_s,
+        )
+
+    def _newest_s(self) -> float:
+        return max(self._accepted_s.values(), default=-inf)
 
     def _serve(self, accepted: Any, address: Any) -> None:
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = [address, accepted, wsgi.STATE_IDLE]
         self._connections[id(connection)] = connection
+        self._accepted_s[id(connection)] = time.monotonic()
         greenthread.spawn_n(self._serve_connection, connection)
 
     def _serve_connection(self, connection: list[Any]) -> None:
@@ -93,3 +105,4 @@
             connection[1].close()
         finally:
             self._connections.pop(id(connection), None)
+            self._accepted_s.pop(id(connection), None)
--- a/waxwingsaddle/pipeline_server.py
+++ b/waxwingsaddle/pipeline_server.py
@@ -1,7 +1,9 @@
 """Server for callers that stops without losing a call."""
 
 import socket
+import time
 from collections.abc import Callable
+from math import inf
 from typing import Any
 
 from eventlet import greenthread
@@ -30,7 +32,8 @@
         self._acceptor = Acceptor(address, self._serve)
         self._ingress = ingress
         self._limits = limits
-        self._connections: set[CallerConnection] = set()
+        # When each was accepted, in monotonic seconds.
+        self._connections: dict[CallerConnection, float] = {}
         self._is_draining = False
 
     @property
@@ -65,11 +68,18 @@
         Returns:
             The number of calls that were cut off.
         """
-        left = self._acceptor.finish(lambda: self.pending, limit_s)
+        left = self._acceptor.finish(
+            lambda: self.pending,
+            self._newest_s,
+            limit_s,
+        )
         for connection in tuple(self._connections):
             connection.stop_reading()
         return left
 
+    def _newest_s(self) -> float:
+        return max(self._connections.values(), default=-inf)
+
     def _serve(self, accepted: Any, _address: Any) -> None:
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = CallerConnection(
@@ -78,11 +88,11 @@
             self._limits,
             lambda: self._is_draining,
         )
-        self._connections.add(connection)
+        self._connections[connection] = time.monotonic()
         greenthread.spawn(self._run, connection)
 
     def _run(self, connection: CallerConnection) -> None:
         try:
             connection.serve()
         finally:
-            self._connections.discard(connection)
+            self._connections.pop(connection, None)
