Take settings that change without a signal

Change: a program looks at its settings file once a second and takes a change as it takes one at SIGHUP. A file that is absent for a moment is no change.

Tests: test_watched_file, new with the module; test_program and test_meshport pass.

--- a/waxwingsaddle/program.py
+++ b/waxwingsaddle/program.py
@@ -5,6 +5,7 @@
 import socket
 import sys
 from collections.abc import Callable, Sequence
+from functools import partial
 from pathlib import Path
 from typing import Protocol, TypeVar
 
@@ -13,6 +14,7 @@
 from waxwingsaddle import logs, settings
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.listening import ListenError
+from waxwingsaddle.watched_file import WatchedFile
 
 EXIT_SETTINGS = 2
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -61,6 +63,7 @@
     loaded: _Model | settings.SettingsError,
     build: Callable[[_Model], Kernel | settings.SettingsError],
     reload: Callable[[Kernel], None] | None = None,
+    settings_file: str = '',
 ) -> int:
     """Runs a program with its settings until SIGTERM or SIGINT.
 
@@ -70,7 +73,9 @@
         build: Makes the kernel with all services, or says which setting
             can't be used.
         reload: Called with the kernel at each SIGHUP, which is otherwise
-            passed over.
+            passed over, and when the settings file changes.
+        settings_file: File whose changes are taken without a signal; none
+            when empty.
 
     Returns:
         The exit status, as that of `run`.
@@ -86,7 +91,10 @@
     kernel = build(loaded)
     if isinstance(kernel, settings.SettingsError):
         return _unusable(table, kernel)
-    stop_requests = _stop_requests()
+    stop_requests, wake_up = _stop_requests()
+    if settings_file:
+        watched = WatchedFile(settings_file, partial(wake_up.send, RELOAD_BYTE))
+        kernel.provide('settings-file', watched)
     try:
         kernel.start()
     except ListenError as error:
@@ -108,8 +116,8 @@
     return EXIT_SETTINGS
 
 
-def _stop_requests() -> socket.socket:
-    """Returns a socket that becomes readable at a stop signal.
+def _stop_requests() -> tuple[socket.socket, socket.socket]:
+    """Returns a socket that becomes readable at a stop signal, and its peer.
 
     A wake-up descriptor also ends the wait of the event loop, which a Python
     signal handler alone does not.
@@ -119,11 +127,7 @@
     for number in (*STOP_SIGNALS, signal.SIGHUP):
         signal.signal(number, _ignore)
     signal.set_wakeup_fd(writable.fileno(), warn_on_full_buffer=False)
-    _kept_open.append(writable)
-    return readable
-
-
-_kept_open: list[socket.socket] = []
+    return readable, writable
 
 
 def _ignore(_number: int, _frame: object) -> None:
