Write answers in the green thread of their call

Cause: processor time is what nodes lack at high load. A connection had a green thread that only wrote, with two waits and two timers a call; data classes that are frozen set each field through object.__setattr__, 5% of a node's samples.

Change: the green thread of a call writes the answers that are due, in order. The data classes made for every call are no longer frozen; members of Lane hash by identity. A fault while an answer is written ends its connection and is logged; before, it ended the thread that wrote.

Tests: a fault in an answer, a caller that leaves amid an answer; the first one fails without the logged end.

--- a/test/test_pipeline.py
+++ b/test/test_pipeline.py
@@ -140,6 +140,25 @@
         assert b'Connection: close' in received
 
 
+def test_caller_that_has_just_connected_is_served_by_a_stop():
+    """Guards against a first call that a stop loses.
+
+    A stop ended 0.1 s after the last answer, and closed the connections of
+    callers that had connected before it and sent their call later than that.
+    """
+    with serving() as (server, connect, _):
+        late = connect()
+        eventlet.sleep(0.01)
+        server.drain()
+        finishing = eventlet.spawn(server.finish, 3)
+        eventlet.sleep(0.4)
+        late.sendall(request('/designs/1'))
+        received = read_until(late, b'never')
+        assert b'/designs/1' in received
+        assert b'Connection: close' in received
+        assert finishing.wait() == 0
+
+
 def test_call_after_the_last_moment_is_not_passed_on():
     """Guards against a call that runs while its node ends without it.
 
@@ -151,7 +170,7 @@
         idle.sendall(request('/designs/1'))
         read_until(idle, b'/designs/1')
         server.drain()
-        assert server.finish(1) == 0
+        assert server.finish(2) == 0
         idle.sendall(request('/designs/2'))
         assert read_until(idle, b'never') == b''
         assert dispatch.begun == ['/designs/1']
@@ -189,6 +208,50 @@
         return answer
 
 
+class _FaultyBody(_Broken):
+    """Body of an answer whose reading fails in an unexpected way."""
+
+    def __iter__(self):
+        yield b'half'
+        raise ValueError('a fault')
+
+
+def test_fault_in_an_answer_ends_its_connection():
+    """Guards against callers that wait for the rest of an answer for ever."""
+    dispatch = _BreakingDispatch(100)
+    dispatch.stream = _FaultyBody()
+    with serving(dispatch) as (server, connect, _):
+        sock = connect()
+        sock.sendall(request('/designs/1'))
+        assert b'half' in read_until(sock, b'never')
+        eventlet.sleep(0.05)
+        assert not server.open_connections
+
+
+class _EndlessBody(_Broken):
+    """Body that its caller does not read."""
+
+    def __iter__(self):
+        while True:
+            yield bytes(100_000)
+
+
+def test_caller_that_leaves_amid_an_answer_ends_it():
+    """Guards against green threads that write for callers who are gone."""
+    dispatch = _BreakingDispatch(None)
+    dispatch.stream = _EndlessBody()
+    with serving(dispatch) as (server, connect, _):
+        sock = connect()
+        sock.sendall(request('/designs/1'))
+        assert sock.recv(100)
+        eventlet.sleep(0.05)
+        sock.close()
+        eventlet.sleep(0.1)
+        assert dispatch.stream.closed == 1
+        assert not server.pending
+        assert not server.open_connections
+
+
 def test_broken_answer_never_looks_complete():
     """Guards against half a body that a caller takes for the whole."""
     for length in (None, 100):
--- a/waxwingsaddle/envelope.py
+++ b/waxwingsaddle/envelope.py
@@ -42,7 +42,7 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Received:
     """A message as it arrived.
 
--- a/waxwingsaddle/heads.py
+++ b/waxwingsaddle/heads.py
@@ -57,7 +57,7 @@
             raise HeadTooLargeError('the head is too large')
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Framing:
     """How the body of a message is delimited.
 
@@ -72,7 +72,7 @@
     is_kept: bool
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class RequestHead:
     """Head of a request.
 
@@ -93,7 +93,7 @@
     is_old: bool
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class AnswerHead:
     """Head of an answer.
 
--- a/waxwingsaddle/pipeline.py
+++ b/waxwingsaddle/pipeline.py
@@ -1,25 +1,25 @@
 """Connections of callers that send further calls before the first answer.
 
-One green thread reads ahead, each call runs in its own, and one writes the
-answers in the order of the calls. Reading ahead also shows at once when the
-caller leaves.
+One green thread reads ahead, and each call runs in its own, which also writes
+the answers that are due, in the order of the calls. Reading ahead shows at once
+when the caller leaves.
 """
 
 import socket
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from contextlib import suppress
 from typing import Any
 
 from eventlet import greenthread
-from eventlet.event import Event
-from greenlet import GreenletExit
+from greenlet import GreenletExit, getcurrent
 
 from waxwingsaddle import logs
 from waxwingsaddle.calls import Answer, BrokenBodyError, not_run, unknown
 from waxwingsaddle.heads import RequestHead
-from waxwingsaddle.ingress import Admitted, Ingress
+from waxwingsaddle.ingress import Ingress
+from waxwingsaddle.pipelined_call import PipelinedCall
 from waxwingsaddle.reply_writer import Reply, write_reply
 from waxwingsaddle.request_reader import (
     ConnectionLimits,
@@ -38,28 +38,6 @@
 _LINGER_S = 1.0
 
 
-@dataclass(slots=True, eq=False)
-class _Call:
-    """One request of a connection.
-
-    Attributes:
-        head: Its head; absent when it could not be read.
-        admitted: What the ingress made of it; absent for a refused one.
-        is_last: Whether the connection closes after its answer.
-        answered: Gets the answer.
-    """
-
-    head: RequestHead | None
-    admitted: Admitted | None = None
-    is_last: bool = False
-    answered: Event = field(default_factory=Event)
-
-    @property
-    def is_idempotent(self) -> bool:
-        """Whether it may run beside calls that came before it."""
-        return self.admitted.task.match.route.idempotent
-
-
 class CallerConnection:
     """Serves one connection.
 
@@ -82,12 +60,14 @@
         self._limits = limits
         self._is_draining = is_draining
         self._requests = RequestReader(sock)
-        self._calls: deque[_Call] = deque()
+        self._calls: deque[PipelinedCall] = deque()
         self._changed = Wake()
         self._is_all_read = False
         self._is_closing = False
-        self._is_gone = False
-        self._serving: Any = None
+        self._is_over = False
+        self._is_polite = False
+        self._reader: Any = None
+        self._writer: Any = None
 
     @property
     def pending(self) -> int:
@@ -97,49 +77,47 @@
     def stop_reading(self) -> None:
         """Closes the connection once all calls that were read are answered."""
         self._is_closing = True
-        self._changed.set()
+        if not self._calls:
+            self._stop(is_polite=True)
 
     def serve(self) -> None:
         """Serves the connection to its end; blocks its green thread."""
-        self._serving = greenthread.getcurrent()
-        reading = greenthread.spawn(self._read_all)
-        is_polite = False
+        self._reader = getcurrent()
         try:
-            is_polite = self._write_all()
-        except (OSError, BrokenBodyError, GreenletExit):
-            # The caller left, or an answer broke off in the middle.
-            is_polite = False
+            # The caller left, or the last answer is written.
+            with suppress(OSError, GreenletExit):
+                self._read_all()
         finally:
-            self._end(reading, is_polite)
+            self._end()
 
-    def _end(
-        self,
-        reading: greenthread.GreenThread,
-        is_polite: bool,
-    ) -> None:
-        self._is_closing = True
+    def _end(self) -> None:
+        self._is_over = True
+        if self._writer is not None:
+            greenthread.kill(self._writer)
         self._withdraw_all()
-        if not self._is_gone:
-            reading.kill()
-        if is_polite:
+        if self._is_polite:
             self._linger()
         self._sock.close()
 
+    def _stop(self, *, is_polite: bool) -> None:
+        """Ends the reading green thread, and with it the connection."""
+        if self._is_over:
+            return
+        self._is_polite = is_polite
+        if self._reader is getcurrent():
+            raise GreenletExit
+        if self._reader is not None:
+            greenthread.kill(self._reader)
+
     def _read_all(self) -> None:
-        try:
-            while self._read_one():
-                self._wait_room()
-            self._is_all_read = True
-            self._changed.set()
-            self._requests.wait_end()
-        except OSError:
-            # The caller broke the connection off.
-            self._is_all_read = True
+        while self._read_one():
+            self._wait_room()
+        self._is_all_read = True
         if self._calls:
-            self._is_gone = True
-            self._withdraw_all()
-            greenthread.kill(self._serving)
-        self._changed.set()
+            # Shows when the caller leaves; the last answer ends it.
+            self._requests.wait_end()
+        else:
+            self._is_polite = self._requests.is_idle_out or self._is_closing
 
     def _read_one(self) -> bool:
         """Reads one call and starts it; False when there is no other one."""
@@ -159,9 +137,9 @@
             is_read = self._requests.skip_body(head, limits)
             self._add_refused(head, decided, is_last or not is_read)
             return is_read and not is_last
-        return self._take(_Call(head, decided, is_last), limits)
+        return self._take(PipelinedCall(head, decided, is_last), limits)
 
-    def _take(self, call: _Call, limits: ConnectionLimits) -> bool:
+    def _take(self, call: PipelinedCall, limits: ConnectionLimits) -> bool:
         try:
             body = self._requests.body(
                 call.head,
@@ -173,12 +151,11 @@
             call.admitted.held.release()
             self._add_refused(call.head, not_run(error.reason), is_last=True)
             return False
-        except OSError:
+        except BaseException:
             call.admitted.held.release()
             raise
         call.admitted.set_body(body)
         self._calls.append(call)
-        self._changed.set()
         greenthread.spawn_n(self._run, call)
         return not call.is_last
 
@@ -188,10 +165,8 @@
         answer: Answer,
         is_last: bool,
     ) -> None:
-        call = _Call(head, is_last=is_last)
-        call.answered.send(answer)
-        self._calls.append(call)
-        self._changed.set()
+        self._calls.append(PipelinedCall(head, is_last=is_last, answer=answer))
+        self._write_due()
 
     def _is_idle(self) -> bool:
         return not self._calls
@@ -209,7 +184,7 @@
         self._changed.clear()
         self._changed.wait(_WRITE_TIMEOUT_S)
 
-    def _run(self, call: _Call) -> None:
+    def _run(self, call: PipelinedCall) -> None:
         answer = not_run('cancelled')
         try:
             if call.is_idempotent or self._wait_alone(call):
@@ -222,13 +197,15 @@
         finally:
             self._finish(call, answer)
 
-    def _finish(self, call: _Call, answer: Answer) -> None:
+    def _finish(self, call: PipelinedCall, answer: Answer) -> None:
         call.admitted.held.release()
-        if call not in self._calls and answer.stream is not None:
+        call.answer = answer
+        if call in self._calls:
+            self._write_due()
+        elif answer.stream is not None:
             answer.stream.close()
-        call.answered.send(answer)
 
-    def _wait_alone(self, call: _Call) -> bool:
+    def _wait_alone(self, call: PipelinedCall) -> bool:
         """Waits until the calls before one that must not run twice are over.
 
         When an answer before it closes the connection, its caller counts it
@@ -238,26 +215,40 @@
             self._wait_change()
         return not self._is_closing and call in self._calls
 
-    def _write_all(self) -> bool:
-        """Writes the answers; says whether to close politely at the end."""
-        while True:
-            while not self._calls:
-                if self._is_closing:
-                    return True
-                if self._is_all_read:
-                    return self._requests.is_idle_out
-                self._wait_change()
+    def _write_due(self) -> None:
+        """Writes the answers that are due, unless another thread does."""
+        if self._writer is not None:
+            return
+        self._writer = getcurrent()
+        try:
+            is_done = self._write_ready()
+        except (OSError, BrokenBodyError):
+            # The caller left, or an answer broke off in the middle.
+            is_done = None
+        except Exception:
+            # Without the end of the connection its caller would wait for ever.
+            logs.logger().exception('writing an answer failed')
+            is_done = None
+        finally:
+            self._writer = None
+        if is_done is not False:
+            self._stop(is_polite=is_done is not None)
+
+    def _write_ready(self) -> bool:
+        """Writes answers in order; says whether the connection is done."""
+        while self._calls and self._calls[0].answer is not None:
             call = self._calls[0]
-            is_kept = self._write(call, call.answered.wait())
-            if not is_kept:
-                self._is_closing = True
+            is_kept = self._write(call, call.answer)
             if self._calls:
                 self._calls.popleft()
-            self._changed.set()
             if not is_kept:
+                self._is_closing = True
                 return True
+            self._changed.set()
+        is_last = self._is_closing or self._is_all_read
+        return is_last and not self._calls
 
-    def _write(self, call: _Call, answer: Answer) -> bool:
+    def _write(self, call: PipelinedCall, answer: Answer) -> bool:
         status, headers = self._ingress.reply(answer, call.head)
         is_last = call.is_last or self._is_draining()
         self._sock.settimeout(_WRITE_TIMEOUT_S)
@@ -277,12 +268,10 @@
         calls = tuple(self._calls)
         self._calls.clear()
         for call in calls:
-            if not call.answered.ready():
+            if call.answer is None:
                 self._ingress.cancel(call.admitted)
-                continue
-            stream = call.answered.wait().stream
-            if stream is not None:
-                stream.close()
+            elif call.answer.stream is not None:
+                call.answer.stream.close()
         self._changed.set()
 
     def _linger(self) -> None:
--- a/waxwingsaddle/reply_writer.py
+++ b/waxwingsaddle/reply_writer.py
@@ -11,7 +11,7 @@
 _STATUS_LINES = {code: f'{code} {text}' for code, text in responses.items()}
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Reply:
     """An answer with the status and the fields that its caller gets.
 
--- a/waxwingsaddle/retry.py
+++ b/waxwingsaddle/retry.py
@@ -70,7 +70,7 @@
         return True
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Attempt:
     """An attempt that ended without a usable answer.
 
--- a/waxwingsaddle/work.py
+++ b/waxwingsaddle/work.py
@@ -20,8 +20,11 @@
     SHORT = 'short'
     LONG = 'long'
 
+    # Members are keys of each guard; that of `Enum` hashes their names.
+    __hash__ = object.__hash__
 
-@dataclass(frozen=True, slots=True)
+
+@dataclass(slots=True)
 class Call:
     """A call offered to the guard of an upstream.
 
