Hold calls off that every guard would refuse; search queues by place

Load pattern: demand above capacity for seconds. Every refused call went to two guards, and at each answer the guard read its whole queue several times.

Change: - A node that was refused by every upstream of a service refuses such calls itself until half of the shortest queue can have moved. Guards refuse late calls first, so that late and timely ones are told apart. - The queue of a guard finds calls by place and by identifier, and is read as a whole only when the time of a call has come. - Routes without answers are expected to run a quarter of their objective: with 20 ms assumed, queues of a start under load held calls for seconds. - A full guard sends no call with a large answer on to another zone.

--- a/test/test_guard.py
+++ b/test/test_guard.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 
 from waxwingsaddle.guard import Guard
-from waxwingsaddle.lanes import RunTimes
 from waxwingsaddle.limit import ConcurrencyLimit, LimitPolicy
+from waxwingsaddle.run_times import RunTimes
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.verdicts import (
     Admitted,
--- a/waxwingsaddle/choice.py
+++ b/waxwingsaddle/choice.py
@@ -3,14 +3,20 @@
 import random
 from collections.abc import Callable, Iterable, Sequence
 from collections.abc import Set as AbstractSet
-from dataclasses import dataclass
-from itertools import count
-from typing import Protocol
+from itertools import count, filterfalse
 
 from waxwingsaddle import config_models
 from waxwingsaddle.crossing import CrossingCost
 from waxwingsaddle.ejection import Evidence, Standing
-from waxwingsaddle.estimate import Ended, Estimate, Running
+from waxwingsaddle.entry_keys import Key, Upstream, key_of
+from waxwingsaddle.estimate import (
+    CallKind,
+    Ended,
+    Estimate,
+    Running,
+    Ticket,
+    first_room_s,
+)
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.quantile import Quantile
 from waxwingsaddle.work import Call
@@ -23,42 +29,6 @@
 # Keeps ratios finite on a loopback.
 _LEAST_TRIP_S = 0.0001
 
-Key = tuple[str, str]
-
-
-class Upstream(Protocol):
-    """The fields of a directory entry that matter here."""
-
-    name: str
-    service: str
-    host: str
-    availability_zone: str
-    slots: int
-    state: str
-    started_ms_ago: int
-
-
-@dataclass(frozen=True, slots=True)
-class Ticket:
-    """An attempt that was started.
-
-    Attributes:
-        number: Unique number at this node.
-        key: Key of the upstream.
-        route: Name of the route.
-        is_local: Whether the upstream is in the zone of this node.
-    """
-
-    number: int
-    key: Key
-    route: str
-    is_local: bool
-
-
-def key_of(entry: Upstream) -> Key:
-    """Returns what identifies an upstream across directory updates."""
-    return entry.host, entry.name
-
 
 class Choice:
     """Chooses among the upstreams of one service.
@@ -88,6 +58,8 @@
         self._estimates: dict[Key, Estimate] = {}
         self._typical: dict[str, Quantile] = {}
         self._crossing = CrossingCost(crossing_ms / MS_PER_S)
+        # No upstream is held off beyond this.
+        self._held_until_s = float('-inf')
 
     def configure(self, service: config_models.Service) -> None:
         """Adopts new tunables and keeps what was learned."""
@@ -141,7 +113,38 @@
         is_open = [
             entry for entry in ready if standings[key_of(entry)] is Standing.IN
         ]
-        return self._best(call.route, is_open or ready, now_s)
+        return self._best(self._kind_of(call, now_s), is_open or ready, now_s)
+
+    def refused_for_s(
+        self,
+        call: Call,
+        tried: AbstractSet[Key] = _NONE_TRIED,
+    ) -> float:
+        """Returns for how long every upstream left refuses such a call.
+
+        While demand is above capacity, a call that is sent before the queues
+        can have moved costs two hosts processor time and is refused as well.
+
+        Returns:
+            Seconds until the first one may take it; 0 when one may take it
+            now, or when none is left.
+        """
+        now_s = self._clock()
+        if now_s >= self._held_until_s:
+            return 0
+        kind = self._kind_of(call, now_s)
+        left = [
+            self._estimates[key_of(entry)]
+            for entry in self._entries
+            if entry.state == 'ready' and key_of(entry) not in tried
+        ]
+        return first_room_s(left, kind, now_s)
+
+    def spill_targets(self, route: str) -> Sequence[Upstream]:
+        """Returns the upstreams that a full guard may send a call on to."""
+        if self._crossing.is_cheap(route):
+            return self._entries
+        return tuple(filter(self._is_own, self._entries))
 
     def has_sound(self, tried: AbstractSet[Key]) -> bool:
         """Says whether an upstream without a recent failure is left to try."""
@@ -157,8 +160,8 @@
         ticket = Ticket(
             number=next(self._tickets),
             key=key_of(entry),
-            route=call.route,
-            is_local=entry.availability_zone == self._zone,
+            kind=self._kind_of(call, self._clock()),
+            is_local=self._is_own(entry),
         )
         estimate = self._estimates.get(ticket.key)
         if estimate is not None:
@@ -174,11 +177,12 @@
         estimate.running.pop(ticket.number, None)
         now_s = self._clock()
         if ended.answer_bytes is not None:
-            self._crossing.observe(ticket.route, ended.answer_bytes)
+            self._crossing.observe(ticket.kind.route, ended.answer_bytes)
         if ended.load:
             estimate.carry(ended.load, now_s)
         if ended.evidence is Evidence.REFUSED:
-            estimate.refuse(ticket.route, ended.retry_after_ms, now_s)
+            held_s = estimate.refuse(ticket.kind, ended.retry_after_ms, now_s)
+            self._held_until_s = max(self._held_until_s, held_s)
         elif ended.evidence is Evidence.FAILED:
             self._fail(estimate, now_s)
         else:
@@ -198,6 +202,13 @@
             if estimate.ejection.until_s
         )
 
+    def _is_own(self, entry: Upstream) -> bool:
+        return entry.availability_zone == self._zone
+
+    def _kind_of(self, call: Call, now_s: float) -> CallKind:
+        is_late = now_s + self._typical_s(call.route) > call.due_s
+        return CallKind(call.route, is_late)
+
     def _standing(self, entry: Upstream, now_s: float) -> Standing:
         estimate = self._estimates[key_of(entry)]
         standing = estimate.ejection.standing(now_s)
@@ -207,20 +218,16 @@
 
     def _best(
         self,
-        route: str,
+        kind: CallKind,
         entries: Sequence[Upstream],
         now_s: float,
     ) -> Upstream | None:
-        own = [
-            entry for entry in entries if entry.availability_zone == self._zone
-        ]
-        others = [
-            entry for entry in entries if entry.availability_zone != self._zone
-        ]
+        own = tuple(filter(self._is_own, entries))
+        others = tuple(filterfalse(self._is_own, entries))
         candidates = [*self._draw(own, now_s), *self._draw(others, now_s)]
         return min(
             candidates,
-            key=lambda entry: self._cost_s(entry, route, now_s),
+            key=lambda entry: self._cost_s(entry, kind, now_s),
             default=None,
         )
 
@@ -245,18 +252,18 @@
     def _cost_s(
         self,
         entry: Upstream,
-        route: str,
+        kind: CallKind,
         now_s: float,
     ) -> float:
         cost_s = self._estimates[key_of(entry)].cost_s(
-            route,
-            self._typical_s(route),
+            kind,
+            self._typical_s(kind.route),
             self._ramp(entry, now_s),
             now_s,
         )
-        if entry.availability_zone == self._zone:
+        if self._is_own(entry):
             return cost_s
-        return cost_s + self._crossing.cost_s(route)
+        return cost_s + self._crossing.cost_s(kind.route)
 
     def _typical_s(self, route: str) -> float:
         typical = self._typical.get(route)
@@ -272,13 +279,13 @@
     ) -> None:
         crossing_s = 0 if ticket.is_local else self._crossing.trip_s
         took_s = max(_LEAST_TRIP_S, ended.took_s - crossing_s)
-        ratio = took_s / self._typical_s(ticket.route)
+        ratio = took_s / self._typical_s(ticket.kind.route)
         is_cancelled = ended.evidence is Evidence.CANCELLED
         if is_cancelled and ratio < 1:
             return
         estimate.observe(ratio, now_s)
         if not is_cancelled:
-            typical = self._typical.setdefault(ticket.route, Quantile(0.5))
+            typical = self._typical.setdefault(ticket.kind.route, Quantile(0.5))
             typical.observe(took_s)
         slow_ratio = self._service.eject_slow_ratio
         if is_cancelled:
--- a/waxwingsaddle/crossing.py
+++ b/waxwingsaddle/crossing.py
@@ -5,6 +5,9 @@
 # Links between zones are costly: 50 KB on the dearer deployment and 250 KB on
 # the other cost as much as a call within its objective of 0.3 s earns.
 _S_PER_BYTE = 0.000003
+# A full guard may send a call on to another zone when its answer costs less
+# than this: the usual wait for a slot of a full upstream.
+_CHEAP_S = 0.03
 _SMOOTHING = 0.1
 
 
@@ -30,4 +33,11 @@
 
     def cost_s(self, route: str) -> float:
         """Returns the cost of a crossing as a time."""
-        return self.trip_s + self._answer_bytes.get(route, 0) * _S_PER_BYTE
+        return self.trip_s + self._transfer_s(route)
+
+    def is_cheap(self, route: str) -> bool:
+        """Says whether a crossing costs less than a short wait at home."""
+        return self._transfer_s(route) <= _CHEAP_S
+
+    def _transfer_s(self, route: str) -> float:
+        return self._answer_bytes.get(route, 0) * _S_PER_BYTE
--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -10,13 +10,14 @@
 from eventlet.queue import Empty, LightQueue
 
 from waxwingsaddle.calls import Answer, not_run, unknown
-from waxwingsaddle.choice import Key, Upstream, key_of
+from waxwingsaddle.entry_keys import Key, Upstream, key_of
 from waxwingsaddle.guarding import Guarding
 from waxwingsaddle.remote import RemoteCalls
 from waxwingsaddle.retry import Attempt
 from waxwingsaddle.service_policies import PolicyTable, ServicePolicies
 from waxwingsaddle.tasks import (
     Task,
+    all_full,
     call_of,
     close_rest,
     count_attempt,
@@ -24,16 +25,12 @@
     ended,
     hedged_attempts,
     is_moved,
+    is_unsent,
 )
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.verdicts import BUSY
 from waxwingsaddle.work import Call
 
-# With these reasons, no byte of the attempt reached an upstream.
-_NOT_SENT = frozenset(
-    ('unreachable', 'upstream-refused', 'no-upstream', 'draining'),
-)
-
 
 class Dispatch:
     """Runs calls at the upstreams of their services.
@@ -94,7 +91,11 @@
         policies.spills.call_started()
         tried: set[Key] = set()
         while True:
-            call, upstream = self._choose(policies, task, tried)
+            call = self._call(policies, task, tried)
+            full_s = policies.choice.refused_for_s(call, tried)
+            if full_s:
+                return all_full(task, full_s)
+            upstream = self._choose(policies, task, call, tried)
             if upstream is None:
                 return not_run('no-upstream')
             task.number += 1
@@ -110,23 +111,32 @@
                 answer.was_retried = answer.was_retried or task.number > 1
                 return answer
 
-    def _choose(
+    def _call(
         self,
         policies: ServicePolicies,
         task: Task,
         tried: set[Key],
-    ) -> tuple[Call, Upstream | None]:
+    ) -> Call:
         entries = self._directory.upstreams_of(task.match.route.service)
         policies.choice.update(entries)
+        targets = policies.choice.spill_targets(task.match.name)
         excluded = tried.union(policies.choice.ejected())
-        may_spill = policies.spills.may_spill(task.spilled, entries, excluded)
-        call = self._call(task, may_spill)
+        may_spill = policies.spills.may_spill(task.spilled, targets, excluded)
+        return call_of(task, self._next_id(), may_spill)
+
+    def _choose(
+        self,
+        policies: ServicePolicies,
+        task: Task,
+        call: Call,
+        tried: set[Key],
+    ) -> Upstream | None:
         upstream = policies.choice.choose(call, tried)
         if upstream is None and task.spilled:
             # What was left is gone: wait in the queue of a busy one.
             tried.clear()
             upstream = policies.choice.choose(call)
-        return call, upstream
+        return upstream
 
     def _may_retry(
         self,
@@ -145,9 +155,7 @@
             most=task.match.route.attempts,
             has_alternative=policies.choice.choose(call, tried) is not None,
             is_free=is_moved(task, answer)
-            or (
-                answer.reason in _NOT_SENT and policies.choice.has_sound(tried)
-            ),
+            or (is_unsent(answer) and policies.choice.has_sound(tried)),
         )
         return policies.retries.may_retry(attempt)
 
@@ -283,9 +291,6 @@
         else:
             self._remote.cancel(call_id)
 
-    def _call(self, task: Task, may_spill: bool) -> Call:
-        return call_of(task, self._next_id(), may_spill)
-
     def _next_id(self) -> str:
         return f'{self._id_prefix}{next(self._ids)}'
 
--- a/waxwingsaddle/estimate.py
+++ b/waxwingsaddle/estimate.py
@@ -1,9 +1,12 @@
 """What one node knows about one upstream, and its expected cost."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from math import exp
+from typing import NamedTuple
 
-from waxwingsaddle.ejection import Ejection, Evidence
+from waxwingsaddle.ejection import Ejection, Evidence, Standing
+from waxwingsaddle.entry_keys import Key
 from waxwingsaddle.guard import Load
 from waxwingsaddle.util.clock import MS_PER_S
 
@@ -16,9 +19,27 @@
 _IDLE_WEIGHT = 0.1
 _LEAST_RAMP = 0.1
 _UNHEALTHY_FACTOR = 1.5
+# A guard that refused is asked again after this share of the wait that it
+# told. Half of its queue is left then, so that the upstream does not run dry
+# while calls are held off.
+_HOLD_SHARE = 0.5
 
 
-@dataclass(frozen=True, slots=True)
+class CallKind(NamedTuple):
+    """What guards tell apart when they refuse for lack of room.
+
+    Attributes:
+        route: Name of the route: upstreams that refuse long work have slots
+            for short work.
+        is_late: Whether the call misses its objective: guards refuse those
+            first.
+    """
+
+    route: str
+    is_late: bool
+
+
+@dataclass(slots=True)
 class Ended:
     """How an attempt ended.
 
@@ -37,6 +58,23 @@
     answer_bytes: int | None = None
 
 
+@dataclass(slots=True)
+class Ticket:
+    """An attempt that was started.
+
+    Attributes:
+        number: Unique number at this node.
+        key: Key of the upstream.
+        kind: What guards tell apart when they refuse.
+        is_local: Whether the upstream is in the zone of this node.
+    """
+
+    number: int
+    key: Key
+    kind: CallKind
+    is_local: bool
+
+
 @dataclass(slots=True)
 class Running:
     """An attempt in flight.
@@ -72,7 +110,8 @@
     _local_then: int = 0
     _ratio: float = 1
     _ratio_s: float = 0
-    _full_until_s: dict[str, float] = field(default_factory=dict)
+    _full_until_s: dict[CallKind, float] = field(default_factory=dict)
+    _held_until_s: dict[CallKind, float] = field(default_factory=dict)
 
     def carry(self, load: Load, now_s: float) -> None:
         """Takes in the load that came with an answer."""
@@ -80,13 +119,29 @@
         self._load_s = now_s
         self._local_then = len(self.running)
 
-    def refuse(self, route: str, retry_after_ms: int, now_s: float) -> None:
+    def refuse(
+        self,
+        kind: CallKind,
+        retry_after_ms: int,
+        now_s: float,
+    ) -> float:
         """Takes in a refusal: a new call would wait about so long.
 
-        Only calls of the same route are concerned: an upstream that refuses
-        long work has slots for short work.
+        Returns:
+            Until when such calls are held off, in monotonic seconds.
         """
-        self._full_until_s[route] = now_s + retry_after_ms / MS_PER_S
+        wait_s = retry_after_ms / MS_PER_S
+        self._full_until_s[kind] = now_s + wait_s
+        self._held_until_s[kind] = now_s + wait_s * _HOLD_SHARE
+        return self._held_until_s[kind]
+
+    def is_held(self, kind: CallKind, now_s: float) -> bool:
+        """Says whether the guard refused such a call a moment ago."""
+        return now_s < self._held_until_s.get(kind, 0)
+
+    def full_for_s(self, kind: CallKind, now_s: float) -> float:
+        """Returns how long such calls would wait since the last refusal."""
+        return max(0, self._full_until_s.get(kind, 0) - now_s)
 
     def observe(self, ratio: float, now_s: float) -> None:
         """Takes in a round trip over the median one of its route."""
@@ -101,7 +156,7 @@
 
     def cost_s(
         self,
-        route: str,
+        kind: CallKind,
         typical_s: float,
         ramp: float,
         now_s: float,
@@ -109,7 +164,7 @@
         """Returns the expected time to an answer, without the crossing.
 
         Args:
-            route: Name of the route.
+            kind: Kind of the call.
             typical_s: Median round trip of the route over all upstreams.
             ramp: Share from slow start.
             now_s: Monotonic seconds.
@@ -118,8 +173,7 @@
         limit = max(1.0, self._limit() * ramp)
         busy = self._busy(now_s)
         wait_s = run_s * max(0.0, busy + 1 - limit) / limit
-        full_until_s = self._full_until_s.get(route, 0)
-        wait_s = max(wait_s, full_until_s - now_s)
+        wait_s = max(wait_s, self.full_for_s(kind, now_s))
         idle_s = _IDLE_WEIGHT * typical_s * busy / limit
         factor = 1 if self.is_healthy else _UNHEALTHY_FACTOR
         return (run_s + wait_s + idle_s) * factor
@@ -149,3 +203,24 @@
             return self._faded_ratio(now_s)
         age_ratio = (now_s - oldest.started_s) / oldest.typical_s
         return max(self._faded_ratio(now_s), age_ratio)
+
+
+def first_room_s(
+    estimates: Sequence[Estimate],
+    kind: CallKind,
+    now_s: float,
+) -> float:
+    """Returns when the first of some upstreams may have room for a call.
+
+    Returns:
+        Seconds from now; 0 when one may take the call now.
+    """
+    is_open = any(
+        estimate.ejection.standing(now_s) is not Standing.OUT
+        and not estimate.is_held(kind, now_s)
+        for estimate in estimates
+    )
+    if is_open:
+        return 0
+    waits_s = (estimate.full_for_s(kind, now_s) for estimate in estimates)
+    return min(filter(None, waits_s), default=0)
--- a/waxwingsaddle/guard.py
+++ b/waxwingsaddle/guard.py
@@ -8,12 +8,14 @@
 from math import inf
 
 from waxwingsaddle.call_origins import CallOrigins
-from waxwingsaddle.lanes import LaneQueue, RunTimes
+from waxwingsaddle.lanes import LaneQueue, Waiting, waiting_for
 from waxwingsaddle.limit import ConcurrencyLimit
+from waxwingsaddle.run_times import RunTimes
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.verdicts import (
     BUSY,
+    OVERLOAD,
     Admitted,
     Duplicate,
     GuardPolicy,
@@ -28,13 +30,15 @@
 _LEAST_SPREAD = 0.5
 _MOST_SPREAD = 1.5
 _PERCENT = 100
-# Half of the mean: with the usual spread of run times few calls end sooner.
-_LEAST_RUN_SHARE = 0.5
+# Share of an objective that a call of a route without answers is expected to
+# run: operators set objectives at a few times the usual run time. With a far
+# lower guess, the queues of a start under load hold calls for seconds.
+_GUESS_SHARE = 0.25
 # Most finished call identifiers remembered, about 250 bytes each.
 _FINISHED_KEPT = 2000
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Running:
     call: Call
     lane: Lane
@@ -99,25 +103,19 @@
         if self._is_draining:
             return Refused(call, 'draining', 0)
         lane = self._times.lane_of(call)
-        left_s = call.deadline_s - self._clock()
+        now_s = self._clock()
+        left_s = call.deadline_s - now_s
         if left_s <= 0:
             return Refused(call, 'deadline', 0)
+        if call.due_s < inf:
+            guess_s = (call.due_s - now_s) * _GUESS_SHARE
+            self._times.expect(call.route, lane, max(0, guess_s))
         if not self._queues[lane] and self._has_room(lane):
             return self._admit(call, lane)
         if call.may_spill:
             return Refused(call, BUSY, 0)
-        queue = self._queues[lane]
-        wait_s = self._wait_s(lane, queue.ahead_of(call, is_inner))
-        is_late = not is_inner and self._is_late(call, wait_s)
-        if is_late:
-            if queue.has_timely:
-                return self._refused(lane, call, 'overload')
-            wait_s = self._wait_s(lane, len(queue))
-        usable_s = left_s - self._times.expected_s(call.route)
-        if wait_s > min(usable_s, self._bound_s(lane)):
-            return self._refused(lane, call, 'overload')
-        queue.push(call, is_inner, is_late)
-        return Queued(call, wait_s * MS_PER_S, self._displaced(lane))
+        run_s = self._times.expected_s(call.route)
+        return self._queue(waiting_for(call, is_inner, run_s), lane, now_s)
 
     def finished(
         self,
@@ -164,16 +162,13 @@
         They are too many when the upstream has slowed since they came.
         """
         now_s = self._clock()
-        late = [
+        expired = [
             (lane, call)
             for lane, queue in self._queues.items()
-            for call in queue
-            if call.deadline_s <= now_s + self._least_run_s(call)
+            for call in queue.take_expired(now_s)
         ]
-        for lane, call in late:
-            self._queues[lane].remove(call.call_id)
         return (
-            *(self._refused(*pair, 'deadline') for pair in late),
+            *(self._refused(*pair, 'deadline') for pair in expired),
             *chain.from_iterable(map(self._given_up, Lane)),
             *chain.from_iterable(map(self._displaced, Lane)),
         )
@@ -193,11 +188,28 @@
     def _knows(self, call_id: str) -> bool:
         if call_id in self._running or call_id in self._finished:
             return True
-        return any(
-            call.call_id == call_id
-            for queue in self._queues.values()
-            for call in queue
-        )
+        return any(call_id in queue for queue in self._queues.values())
+
+    def _queue(
+        self,
+        waiting: Waiting,
+        lane: Lane,
+        now_s: float,
+    ) -> Queued | Refused:
+        call = waiting.call
+        queue = self._queues[lane]
+        wait_s = self._wait_s(lane, queue.ahead_of(waiting))
+        is_late = now_s + wait_s > waiting.timely_start_s
+        if is_late and not waiting.is_inner:
+            if queue.has_timely:
+                return self._refused(lane, call, OVERLOAD)
+            waiting.is_late = True
+            wait_s = self._wait_s(lane, len(queue))
+        usable_s = call.deadline_s - now_s - self._times.expected_s(call.route)
+        if wait_s > min(usable_s, self._bound_s(lane)):
+            return self._refused(lane, call, OVERLOAD)
+        queue.push(waiting)
+        return Queued(call, wait_s * MS_PER_S, self._displaced(lane))
 
     def _remember(self, call: Call) -> None:
         if call.is_idempotent:
@@ -241,7 +253,7 @@
         if not queue.has_timely:
             return ()
         late = queue.take_late()
-        return tuple(self._refused(lane, call, 'overload') for call in late)
+        return tuple(self._refused(lane, call, OVERLOAD) for call in late)
 
     def _displaced(self, lane: Lane) -> tuple[Refused, ...]:
         """Sheds the calls of lowest rank that would wait too long."""
@@ -268,21 +280,10 @@
                 return tuple(started)
             started.append(following)
 
-    def _is_late(self, call: Call, wait_s: float = 0) -> bool:
-        """Says whether a call that waits so long misses its objective."""
-        run_s = self._times.expected_s(call.route)
-        return self._clock() + wait_s + run_s > call.due_s
-
-    def _least_run_s(self, call: Call) -> float:
-        """Returns the run time below which a call is not worth a send."""
-        if call.due_s == inf:
-            return 0
-        return self._times.expected_s(call.route) * _LEAST_RUN_SHARE
-
     def _next(self) -> Admitted | None:
         now_s = self._clock()
-        for waiting in self._queues.values():
-            waiting.demote(self._is_late)
+        for queued in self._queues.values():
+            queued.demote(now_s)
         heads = {
             lane: call
             for lane, queue in self._queues.items()
--- a/waxwingsaddle/spill.py
+++ b/waxwingsaddle/spill.py
@@ -5,7 +5,7 @@
 from itertools import islice
 
 from waxwingsaddle import config_models
-from waxwingsaddle.choice import Key, Upstream, key_of
+from waxwingsaddle.entry_keys import Key, Upstream, key_of
 from waxwingsaddle.retry import CallBudget
 
 # Enough for all calls in flight to an upstream that fills suddenly.
--- a/waxwingsaddle/tasks.py
+++ b/waxwingsaddle/tasks.py
@@ -7,13 +7,14 @@
 from eventlet.queue import LightQueue
 
 from waxwingsaddle import metrics
-from waxwingsaddle.calls import Answer, Request
-from waxwingsaddle.choice import Upstream
+from waxwingsaddle.calls import Answer, Request, not_run
 from waxwingsaddle.ejection import Evidence
+from waxwingsaddle.entry_keys import Upstream
 from waxwingsaddle.estimate import Ended
 from waxwingsaddle.routing import Match
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
+from waxwingsaddle.verdicts import OVERLOAD
 from waxwingsaddle.work import Call
 
 _attempts = metrics.counter(
@@ -32,7 +33,11 @@
 
 
 # Reasons of a guard that has more calls than its upstream can serve.
-_GUARD_FULL = frozenset(('overload', 'displaced'))
+_GUARD_FULL = frozenset((OVERLOAD, 'displaced'))
+# With these reasons, no byte of the attempt reached an upstream.
+_UNSENT = frozenset(
+    ('unreachable', 'upstream-refused', 'no-upstream', 'draining'),
+)
 # A second guard may have room where the first had none; a third one is rarely
 # worth the messages.
 _MOST_MOVES = 1
@@ -192,9 +197,21 @@
     )
 
 
+def is_unsent(answer: Answer) -> bool:
+    """Says whether no byte of an attempt reached an upstream."""
+    return answer.reason in _UNSENT
+
+
 def is_moved(task: Task, answer: Answer) -> bool:
     """Says whether a call may go to another guard, and counts it."""
     if answer.reason not in _GUARD_FULL or task.moved >= _MOST_MOVES:
         return False
     task.moved += 1
     return True
+
+
+def all_full(task: Task, full_s: float) -> Answer:
+    """Refuses a call that every upstream left would refuse."""
+    retry_after_ms = max(1, round(full_s * MS_PER_S))
+    task.trail.append(f'held off, all full for {retry_after_ms}ms')
+    return not_run(OVERLOAD, retry_after_ms)
--- a/waxwingsaddle/verdicts.py
+++ b/waxwingsaddle/verdicts.py
@@ -8,6 +8,8 @@
 
 # Reason of a call that another upstream may take without a wait.
 BUSY = 'busy'
+# Reason of a call that waits too long for a slot.
+OVERLOAD = 'overload'
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +42,7 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Admitted:
     """The call holds a slot: hand it to the upstream now.
 
@@ -53,7 +55,7 @@
     lane: Lane
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Refused:
     """The call was never handed over, and is not queued.
 
@@ -68,7 +70,7 @@
     retry_after_ms: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Queued:
     """The call waits for a slot.
 
@@ -90,7 +92,7 @@
     call: Call
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Load:
     """Load of an upstream, carried on answers.
 
