Serve the latest objective first, from short queues

Load pattern: more calls of one rank than slots, for seconds. In the order of their objectives every call waited until its objective hardly fitted, and a fourth to a third of the served ones were late.

Change: - Of equal rank, the call whose objective ends last goes first; calls that upstreams make keep their order. A call stays queued only while its expected wait is below a quarter of the time to its objective. - Upstreams that queue themselves get one call in ten slots ahead, so that no slot stands empty while an answer and the next call pass a busy host. - One running call that is old is weak evidence of a slow upstream: three calls in a hundred take seven times as long as the others.

--- a/test/test_choice.py
+++ b/test/test_choice.py
@@ -104,6 +104,61 @@
     assert first not in following
 
 
+def _refuse_all(node, wait_ms=400):
+    refused = Ended(Evidence.REFUSED, 0.001, retry_after_ms=wait_ms)
+    for entry in node.entries:
+        node.choice.finished(node.choice.started(entry, READ), refused)
+
+
+def test_full_guards_are_not_asked_again_at_once():
+    """Guards against processor time spent on calls that are refused anyway.
+
+    At a crest every refused call went to two guards, which cost both hosts
+    more than a third of what a served call costs.
+    """
+    node = _three()
+    assert not node.choice.refused_for_s(READ)
+    _refuse_all(node)
+    wait_ms = round(node.choice.refused_for_s(READ) * 1000)
+    assert 300 < wait_ms <= 400
+    # Half of the queues is left by then, so that no upstream runs dry.
+    node.now_s += 0.21
+    assert not node.choice.refused_for_s(READ)
+
+
+def test_hold_off_spares_other_calls():
+    """Guards against calls refused because others found no room."""
+    node = _three()
+    _refuse_all(node)
+    assert not node.choice.refused_for_s(replace(READ, route='urgent'))
+    # Guards refuse late calls first, so that one says nothing of timely ones.
+    late = replace(READ, due_s=node.now_s)
+    assert not node.choice.refused_for_s(late)
+    # One guard that has not refused is enough.
+    node = _three()
+    node.entries = node.entries[:2]
+    _refuse_all(node)
+    assert not node.choice.refused_for_s(READ)
+    tried = {key_of(Entry('z'))}
+    assert node.choice.refused_for_s(READ, tried)
+
+
+def test_large_answers_are_not_spilled_to_other_zones():
+    """Guards against transfers between zones that a short wait would save.
+
+    With one upstream in each zone, every download that found all slots taken
+    went to another zone at once, half of all downloads.
+    """
+    node = Node(Entry('near'), Entry('far', 'b'))
+    assert len(node.choice.spill_targets('r')) == 2
+    large = replace(GOOD, answer_bytes=90_000)
+    small = replace(GOOD, answer_bytes=5000)
+    node.send(near=large)
+    node.send(replace(READ, route='other'), near=small)
+    assert [one.name for one in node.choice.spill_targets('r')] == ['near']
+    assert len(node.choice.spill_targets('other')) == 2
+
+
 def test_refused_long_work_does_not_turn_short_work_away():
     """Guards against short calls that avoid slots reserved for them."""
     node = Node(Entry('near'), Entry('far', 'b'))
@@ -146,6 +201,29 @@
     assert node.shares(300)['x'] > 30, 'it must come back'
 
 
+def test_one_long_call_is_no_sign_of_a_slow_upstream():
+    """Guards against calls that cross zones because one call takes long.
+
+    Three calls in a hundred take seven times as long as the others. With one
+    upstream in each zone, the oldest running call made it look slow so often
+    that half of all large answers crossed zones.
+    """
+    node = Node(Entry('near'), Entry('far', 'b'))
+    large = replace(GOOD, answer_bytes=90_000)
+    for _ in range(20):
+        node.send(near=large, far=large)
+    near = node.entries[0]
+    node.choice.started(near, READ)
+    node.now_s += 0.3
+    # It runs fifteen times as long as usual.
+    node.choice.started(near, READ)
+    assert node.choice.choose(READ) is near
+    # Several old calls are one.
+    node.choice.started(near, READ)
+    node.now_s += 0.4
+    assert node.choice.choose(READ) is node.entries[1]
+
+
 def test_slow_upstream_is_ejected():
     """Guards against tails while an upstream is slow but answers."""
     node = _three()
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -14,6 +14,7 @@
 from waxwingsaddle.routing import Match
 from waxwingsaddle.util.clock import monotonic_s
 from waxwingsaddle.util.outcome import Outcome
+from waxwingsaddle.verdicts import Load
 
 SERVICE = config_models.Service(retry_percent=100)
 
@@ -169,3 +170,22 @@
     if call.may_spill:
         return not_run('busy')
     return Answer(Outcome.RAN, 200)
+
+
+def test_call_that_all_guards_would_refuse_is_not_sent():
+    """Guards against messages for calls that find no room in any case."""
+    attempts = []
+    dispatch = _dispatch(partial(_refuse_all, attempts))
+    first = dispatch.run(_task())
+    assert (first.outcome, len(attempts)) == (Outcome.NOT_RUN, 2)
+    held_off = dispatch.run(_task())
+    assert (held_off.outcome, held_off.reason) == (Outcome.NOT_RUN, 'overload')
+    assert 0 < held_off.retry_after_ms <= 1000
+    assert len(attempts) == 2
+
+
+def _refuse_all(attempts, name, *_):
+    attempts.append(name)
+    answer = not_run('overload', 1000)
+    answer.load = Load(4, 8, 4, 1000)
+    return answer
--- a/test/test_guard.py
+++ b/test/test_guard.py
@@ -286,3 +286,21 @@
         times.observe('read', Lane.SHORT, 0.2)
         times.observe('report', Lane.LONG, 0.2)
     assert times.lane_of(call) is Lane.SHORT
+
+
+def test_queued_call_goes_ahead_to_an_upstream_that_queues():
+    """Guards against slots that stand empty while the next call travels.
+
+    An upstream of six slots that ends sixty calls a second stood half a slot
+    empty with a host that needs 8 ms between an answer and the next call.
+    """
+    upstream = Upstream(10, ahead_percent=10)
+    for number in range(12):
+        upstream.offer(str(number))
+    assert len(upstream.running) == 10
+    # A call that finds slots taken waits here, where it can be refused.
+    assert upstream.end('0') == ['10', '11']
+    upstream.offer('12')
+    assert len(upstream.running) == 11
+    assert upstream.end('1') == ['12']
+    assert not upstream.end('2')
--- a/waxwingsaddle/choice.py
+++ b/waxwingsaddle/choice.py
@@ -103,13 +103,9 @@
         ]
         standings = {key_of(one): self._standing(one, now_s) for one in ready}
         if call.is_idempotent:
-            probes = [
-                entry
-                for entry in ready
-                if standings[key_of(entry)] is Standing.PROBE
-            ]
-            if probes:
-                return probes[0]
+            for entry in ready:
+                if standings[key_of(entry)] is Standing.PROBE:
+                    return entry
         is_open = [
             entry for entry in ready if standings[key_of(entry)] is Standing.IN
         ]
--- a/waxwingsaddle/config_models.py
+++ b/waxwingsaddle/config_models.py
@@ -70,6 +70,7 @@
     long_slots_percent: Percent = 34
     long_ratio: Ratio = 4
     initial_run_ms: TimeoutMs = 20
+    ahead_percent: Percent = 0
     queue_wait_ms: TimeoutMs = 250
     limit_floor_percent: Percent = 34
     slow_ratio: Ratio = 2
--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -17,7 +17,6 @@
 from waxwingsaddle.service_policies import PolicyTable, ServicePolicies
 from waxwingsaddle.tasks import (
     Task,
-    all_full,
     call_of,
     close_rest,
     count_attempt,
@@ -26,6 +25,7 @@
     hedged_attempts,
     is_moved,
     is_unsent,
+    none_left,
 )
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.verdicts import BUSY
@@ -93,19 +93,18 @@
         while True:
             call = self._call(policies, task, tried)
             full_s = policies.choice.refused_for_s(call, tried)
-            if full_s:
-                return all_full(task, full_s)
-            upstream = self._choose(policies, task, call, tried)
+            upstream = None
+            if not full_s:
+                upstream = self._choose(policies, task, call, tried)
             if upstream is None:
-                return not_run('no-upstream')
+                return none_left(task, full_s)
             task.number += 1
             answer = self._first_or_hedge(policies, task, call, upstream, tried)
             if task.is_cancelled or not self._is_failed(answer):
                 return answer
             if answer.reason == BUSY:
                 policies.spills.spilled()
-                task.number -= 1
-                task.spilled += 1
+                task.spill()
                 continue
             if not self._may_retry(policies, task, call, answer, tried):
                 answer.was_retried = answer.was_retried or task.number > 1
--- a/waxwingsaddle/documents.py
+++ b/waxwingsaddle/documents.py
@@ -17,6 +17,8 @@
 DOCUMENT_SITE = 'all'
 MAX_DOCUMENT_BYTES = 4_194_304
 # Below the usual bound of a fifth: the calls of a retried run count, too.
+# One call at upstreams of up to ten slots, two at those of thirteen.
+_AHEAD_PERCENT = 10
 _RETRY_PERCENT = 15
 _SIGN = '{"document":'
 
@@ -64,8 +66,9 @@
 
     Documents say nothing about tunables. Their services run as many calls as
     the upstreams announce slots: with fewer, slow upstreams serve less
-    without getting faster. Hedges are left out, because retries serve more
-    callers within the same bound on arrivals.
+    without getting faster. They queue a few calls themselves, so that a call
+    goes ahead to each. Hedges are left out, because retries serve more callers
+    within the same bound on arrivals.
 
     Args:
         health_path: Path of the health endpoint.
@@ -75,6 +78,7 @@
         'health_path': health_path,
         'connections': connections,
         'limit_floor_percent': 100,
+        'ahead_percent': _AHEAD_PERCENT,
         'hedge_percent': 0,
         'retry_percent': _RETRY_PERCENT,
     }
--- a/waxwingsaddle/estimate.py
+++ b/waxwingsaddle/estimate.py
@@ -18,6 +18,9 @@
 # Weight of load that does not make a call wait: spreads calls when idle.
 _IDLE_WEIGHT = 0.1
 _LEAST_RAMP = 0.1
+# One call in thirty takes several times as long as the median one. A single
+# call so old is no sign of a slow upstream, several are.
+_TAIL_RATIO = 4
 _UNHEALTHY_FACTOR = 1.5
 # A guard that refused is asked again after this share of the wait that it
 # told. Half of its queue is left then, so that the upstream does not run dry
@@ -198,11 +201,16 @@
         )
 
     def _slowness(self, now_s: float) -> float:
-        oldest = next(iter(self.running.values()), None)
-        if oldest is None:
-            return self._faded_ratio(now_s)
-        age_ratio = (now_s - oldest.started_s) / oldest.typical_s
-        return max(self._faded_ratio(now_s), age_ratio)
+        faded = self._faded_ratio(now_s)
+        if not self.running:
+            return faded
+        # Oldest first.
+        ratios = [
+            (now_s - one.started_s) / one.typical_s
+            for one in self.running.values()
+        ]
+        usual = ratios[len(ratios) // 2] if len(ratios) > 1 else 0
+        return max(faded, usual, ratios[0] / _TAIL_RATIO)
 
 
 def first_room_s(
--- a/waxwingsaddle/guard.py
+++ b/waxwingsaddle/guard.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import chain
-from math import inf
+from math import ceil, inf
 
 from waxwingsaddle.call_origins import CallOrigins
 from waxwingsaddle.lanes import LaneQueue, Waiting, waiting_for
@@ -115,7 +115,8 @@
         if call.may_spill:
             return Refused(call, BUSY, 0)
         run_s = self._times.expected_s(call.route)
-        return self._queue(waiting_for(call, is_inner, run_s), lane, now_s)
+        waiting = waiting_for(call, is_inner, run_s, now_s)
+        return self._queue(waiting, lane, now_s)
 
     def finished(
         self,
@@ -224,8 +225,8 @@
             return max(1, limit - self._held[Lane.LONG])
         return max(1, limit * self._policy.long_slots_percent // _PERCENT)
 
-    def _has_room(self, lane: Lane) -> bool:
-        if len(self._running) >= self._limit.current:
+    def _has_room(self, lane: Lane, ahead: int = 0) -> bool:
+        if len(self._running) >= self._limit.current + ahead:
             return False
         return lane is Lane.SHORT or self._held[lane] < self._capacity(lane)
 
@@ -259,13 +260,15 @@
         """Sheds the calls of lowest rank that would wait too long."""
         queue = self._queues[lane]
         displaced = []
-        while queue and self._wait_s(lane, len(queue) - 1) > self._bound_s(
-            lane
-        ):
+        while queue and self._is_too_long(lane, queue):
             loser = queue.pop_last()
             displaced.append(self._refused(lane, loser, 'displaced'))
         return tuple(displaced)
 
+    def _is_too_long(self, lane: Lane, queue: LaneQueue) -> bool:
+        wait_s = self._wait_s(lane, len(queue) - 1)
+        return wait_s > min(self._bound_s(lane), queue.longest_wait_s)
+
     def _refused(self, lane: Lane, call: Call, reason: str) -> Refused:
         wait_ms = self._wait_s(lane, len(self._queues[lane])) * MS_PER_S
         spread_ms = wait_ms * self._rng.uniform(_LEAST_SPREAD, _MOST_SPREAD)
@@ -284,10 +287,13 @@
         now_s = self._clock()
         for queued in self._queues.values():
             queued.demote(now_s)
+        ahead = ceil(
+            self._limit.current * self._policy.ahead_percent / _PERCENT
+        )
         heads = {
             lane: call
             for lane, queue in self._queues.items()
-            if self._has_room(lane)
+            if self._has_room(lane, ahead)
             and (call := queue.first_alive(now_s)) is not None
         }
         if not heads:
--- a/waxwingsaddle/lanes.py
+++ b/waxwingsaddle/lanes.py
@@ -11,6 +11,14 @@
 # Half of the mean: with the usual spread of run times few calls end sooner.
 _LEAST_RUN_SHARE = 0.5
 
+# Share of the time to its objective that a call may have to wait. A longer
+# queue serves no more calls in time, and those that leave it unserved have
+# waited longer.
+_WAIT_SHARE = 0.25
+# A queue of so few calls is no sign of overload. Upstreams with few slots need
+# it, because one call ahead makes a long wait there.
+_SHORT_QUEUE = 2
+
 _Order = tuple[bool, bool, int, float, float]
 _by_order = attrgetter('order')
 # Begin of the order of calls that no upstream made and that are late.
@@ -25,16 +33,18 @@
         call: The call.
         timely_start_s: Latest start within its objective.
         last_start_s: Latest start that is worth a send.
+        longest_wait_s: Longest expected wait with which it stays queued.
         is_inner: Whether an upstream made it.
         is_late: Whether it misses its objective.
         arrival: Number of its arrival.
         order: Whether no upstream made it, whether it is late, its rank, the
-            end of its objective, and its arrival.
+            end of its objective (the last one first), and its arrival.
     """
 
     call: Call
     timely_start_s: float = inf
     last_start_s: float = inf
+    longest_wait_s: float = inf
     is_inner: bool = False
     is_late: bool = False
     arrival: float = inf
@@ -47,25 +57,32 @@
             not self.is_inner,
             self.is_late,
             -call.rank,
-            call.due_s,
+            call.due_s if self.is_inner else -call.due_s,
             self.arrival,
         )
         return self.order
 
 
-def waiting_for(call: Call, is_inner: bool, run_s: float) -> Waiting:
+def waiting_for(
+    call: Call,
+    is_inner: bool,
+    run_s: float,
+    now_s: float,
+) -> Waiting:
     """Returns the place of a call.
 
     Args:
         call: The call.
         is_inner: Whether an upstream made it.
         run_s: Its expected run time, in seconds.
+        now_s: Monotonic seconds.
     """
     least_run_s = run_s * _LEAST_RUN_SHARE if call.due_s < inf else 0
     return Waiting(
         call,
         timely_start_s=call.due_s - run_s,
         last_start_s=call.deadline_s - least_run_s,
+        longest_wait_s=inf if is_inner else (call.due_s - now_s) * _WAIT_SHARE,
         is_inner=is_inner,
     )
 
@@ -76,7 +93,9 @@
     Calls that upstreams make while they work go first. Calls that are too
     late for their objective stand behind all others: in overload, slots that
     serve late calls first make the next ones late, too. Then the highest rank
-    goes first, and of equal ranks the objective that ends first.
+    goes first, and of equal ranks the objective that ends last. With the one
+    that ends first, every call waits under overload until its objective hardly
+    fits, and a third is served late.
 
     Under overload the queue is long and each answer asks it several times, so
     that it is searched by place and by identifier, and read as a whole only
@@ -124,15 +143,13 @@
         if now_s <= self._next_late_s:
             return
         timely = [
-            waiting
-            for waiting in self._waiting
-            if not waiting.is_inner and not waiting.is_late
+            one for one in self._waiting if not one.is_inner and not one.is_late
         ]
         late = [one for one in timely if one.timely_start_s < now_s]
-        for waiting in late:
-            self._waiting.remove(waiting)
-            waiting.is_late = True
-            self._insert(waiting)
+        for one in late:
+            self._waiting.remove(one)
+            one.is_late = True
+            self._insert(one)
         self._next_late_s = min(
             (one.timely_start_s for one in timely if not one.is_late),
             default=inf,
@@ -143,21 +160,28 @@
         if now_s < self._next_expiry_s:
             return ()
         expired = [one for one in self._waiting if one.last_start_s <= now_s]
-        for waiting in expired:
-            self.remove(waiting.call.call_id)
+        for one in expired:
+            self.remove(one.call.call_id)
         self._next_expiry_s = min(
-            (waiting.last_start_s for waiting in self._waiting),
+            (one.last_start_s for one in self._waiting),
             default=inf,
         )
-        return tuple(waiting.call for waiting in expired)
+        return tuple(one.call for one in expired)
 
     def take_late(self) -> tuple[Call, ...]:
         """Takes out the calls that miss their objective."""
         first = bisect_left(self._waiting, _FIRST_LATE, key=_by_order)
         late = self._waiting[first:]
-        for waiting in late:
-            self.remove(waiting.call.call_id)
-        return tuple(waiting.call for waiting in late)
+        for one in late:
+            self.remove(one.call.call_id)
+        return tuple(one.call for one in late)
+
+    @property
+    def longest_wait_s(self) -> float:
+        """Longest expected wait with which the last call stays queued."""
+        last = self._waiting[-1]
+        is_short = len(self._waiting) <= _SHORT_QUEUE
+        return inf if is_short or last.is_late else last.longest_wait_s
 
     def pop_last(self) -> Call:
         """Takes the call that would start last."""
--- a/waxwingsaddle/tasks.py
+++ b/waxwingsaddle/tasks.py
@@ -82,6 +82,11 @@
     trail: list[str] = field(default_factory=list)
     moved: int = 0
 
+    def spill(self) -> None:
+        """Counts an attempt that a full guard sent on."""
+        self.number -= 1
+        self.spilled += 1
+
 
 def count_attempt(task: Task) -> None:
     """Counts an attempt that is not a hedge."""
@@ -210,8 +215,16 @@
     return True
 
 
-def all_full(task: Task, full_s: float) -> Answer:
-    """Refuses a call that every upstream left would refuse."""
+def none_left(task: Task, full_s: float) -> Answer:
+    """Refuses a call that no upstream is left for.
+
+    Args:
+        task: The call.
+        full_s: For how long every upstream left refuses such calls; 0 when
+            there is none.
+    """
+    if not full_s:
+        return not_run('no-upstream')
     retry_after_ms = max(1, round(full_s * MS_PER_S))
     task.trail.append(f'held off, all full for {retry_after_ms}ms')
     return not_run(OVERLOAD, retry_after_ms)
--- a/waxwingsaddle/verdicts.py
+++ b/waxwingsaddle/verdicts.py
@@ -22,6 +22,9 @@
         long_ratio: Multiple of the median run time that makes work long.
         limit: Tunables of the adaptive limit.
         initial_run_ms: Run time assumed before the first answer.
+        ahead_percent: Queued calls that the upstream gets beyond its slots, in
+            percent of them. It queues them itself, and its slots stay busy
+            while an answer and the next call pass a busy host.
     """
 
     long_slots_percent: int = 50
@@ -29,6 +32,7 @@
     long_ratio: float = 4
     limit: LimitPolicy = field(default_factory=LimitPolicy)
     initial_run_ms: int = 20
+    ahead_percent: int = 0
 
     @classmethod
     def of(cls, service: config_models.Service) -> 'GuardPolicy':
@@ -39,6 +43,7 @@
             long_ratio=service.long_ratio,
             limit=LimitPolicy(service.limit_floor_percent, service.slow_ratio),
             initial_run_ms=service.initial_run_ms,
+            ahead_percent=service.ahead_percent,
         )
 
 
