Log refusals of guards, ejections and announcements

Cause: a refused call had a line at the node of its caller only; that a node stopped to choose an upstream, and that an upstream came, drained, left or fell silent, had none.

A call that a busy guard sent on may queue there when all others are held off.

--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -189,3 +189,27 @@
     answer = not_run('overload', 1000)
     answer.load = Load(4, 8, 4, 1000)
     return answer
+
+
+def _busy_then_full(attempts, name, call, *_):
+    attempts.append((name, call.may_spill))
+    if call.may_spill:
+        return not_run('busy')
+    if len(attempts) > 2:
+        return Answer(Outcome.RAN, 200)
+    answer = not_run('overload', 1000)
+    answer.load = Load(4, 8, 4, 1000)
+    return answer
+
+
+def test_call_sent_on_by_a_busy_guard_may_queue_there_in_the_end():
+    """Guards against a call refused because all guards but one are full."""
+    attempts = []
+    dispatch = _dispatch(partial(_busy_then_full, attempts))
+    answer = dispatch.run(_task())
+    assert answer.outcome is Outcome.NOT_RUN
+    assert [may_spill for _, may_spill in attempts] == [True, False]
+    # The second upstream is held off now; the first one still has a queue.
+    second = dispatch.run(_task())
+    assert second.outcome is Outcome.RAN, attempts
+    assert attempts[2][0] == attempts[0][0]
--- /dev/null
+++ b/test/test_guard_log.py
@@ -0,0 +1,99 @@
+"""Log lines about upstreams: refusals of guards, ejections, announcements."""
+
+from types import SimpleNamespace
+from unittest.mock import patch
+
+from waxwingsaddle import logs
+from waxwingsaddle.calls import not_run
+from waxwingsaddle.ejection import Evidence
+from waxwingsaddle.estimate import Ended
+from waxwingsaddle.guard_log import LINES_PER_S, GuardLog, log_standing
+from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.upstreams import AnnouncementBody, Upstreams
+from waxwingsaddle.verdicts import Load
+from waxwingsaddle.work import Call
+
+CALL = Call('a-1', 'browse', 'learned', 'normal', True, deadline_s=9)
+TTL_MS = 1000
+
+
+class Lines:
+    """Stands for the logger."""
+
+    def __init__(self):
+        """Has no lines."""
+        self.lines = []
+
+    def info(self, event, **fields):
+        """Takes a line."""
+        self.lines.append({'event': event, **fields})
+
+
+def _logging(lines):
+    return patch.object(logs, 'logger', lambda: lines)
+
+
+def test_refusal_has_what_the_guard_knew():
+    """Guards against a refused call whose guard cannot be asked why."""
+    lines = Lines()
+    answer = not_run('overload', 120)
+    answer.load = Load(6, 4, 6, 80)
+    with _logging(lines):
+        log = GuardLog(lambda: 8.5)
+        log.ended(CALL, 'r-1', 'i-1', answer, 8.25)
+    line = lines.lines[0]
+    assert (line['request_id'], line['attempt']) == ('r-1', 'a-1')
+    assert (line['outcome'], line['reason']) == ('not-run', 'overload')
+    assert (line['in_flight'], line['limit'], line['queued']) == (6, 6, 4)
+    assert (line['took_ms'], line['deadline_ms']) == (250, 750)
+
+
+def test_lines_of_guards_stay_bounded():
+    """Guards against logs that take the processor when all is refused."""
+    lines = Lines()
+    with _logging(lines):
+        log = GuardLog(lambda: 8.5)
+        for _ in range(1000):
+            log.ended(CALL, 'r-1', 'i-1', not_run('overload'), 8.5)
+    assert len(lines.lines) <= 2 * LINES_PER_S
+
+
+def test_ejection_names_the_upstream_and_what_decided():
+    """Guards against an upstream that gets no calls for no visible reason."""
+    lines = Lines()
+    upstream = SimpleNamespace(name='i-1', host='h-1', service='orders')
+    with _logging(lines):
+        log_standing(upstream, Ended(Evidence.FAILED, 0.2), is_ejected=True)
+    line = lines.lines[0]
+    assert line['event'] == 'upstream ejected'
+    assert (line['upstream'], line['upstream_host']) == ('i-1', 'h-1')
+    assert (line['evidence'], line['took_ms']) == ('failed', 200)
+
+
+def _announced(state):
+    return AnnouncementBody(
+        service='orders', address='127.0.0.1:1', slots=4, state=state
+    )
+
+
+def test_each_change_of_an_upstream_has_a_line():
+    """Guards against an upstream that leaves without a trace."""
+    lines = Lines()
+    now_s = [0.0]
+    kernel = Kernel()
+    upstreams = Upstreams(kernel, TTL_MS, lambda: now_s[0])
+    with _logging(lines):
+        for state in ('ready', 'ready', 'draining'):
+            upstreams.put('i-1', _announced(state))
+        upstreams.remove('i-1')
+        upstreams.put('i-2', _announced('ready'))
+        now_s[0] = 2.0
+        upstreams.expire()
+    states = [(line['upstream'], line['state']) for line in lines.lines]
+    assert states == [
+        ('i-1', 'ready'),
+        ('i-1', 'draining'),
+        ('i-1', 'left'),
+        ('i-2', 'ready'),
+        ('i-2', 'silent'),
+    ]
--- a/waxwingsaddle/choice.py
+++ b/waxwingsaddle/choice.py
@@ -59,7 +59,7 @@
         self._typical: dict[str, Quantile] = {}
         self._crossing = CrossingCost(crossing_ms / MS_PER_S)
         # No upstream is held off beyond this.
-        self._held_until_s = float('-inf')
+        self._held_until_s = 0.0
 
     def configure(self, service: config_models.Service) -> None:
         """Adopts new tunables and keeps what was learned."""
@@ -93,19 +93,24 @@
             tried: Keys of upstreams that this call was sent to already.
 
         Returns:
-            An upstream, or None when all are draining or tried.
+            An upstream, or None when all are draining, tried or held off.
         """
+        if self.refused_for_s(call, tried):
+            return None
         now_s = self._clock()
         ready = [
             entry
             for entry in self._entries
             if entry.state == 'ready' and key_of(entry) not in tried
         ]
-        standings = {key_of(one): self._standing(one, now_s) for one in ready}
+        standings = {
+            key: self._estimates[key].standing(now_s)
+            for key in map(key_of, ready)
+        }
         if call.is_idempotent:
-            for entry in ready:
-                if standings[key_of(entry)] is Standing.PROBE:
-                    return entry
+            for due in ready:
+                if standings[key_of(due)] is Standing.PROBE:
+                    return due
         is_open = [
             entry for entry in ready if standings[key_of(entry)] is Standing.IN
         ]
@@ -122,8 +127,7 @@
         can have moved costs two hosts processor time and is refused as well.
 
         Returns:
-            Seconds until the first one may take it; 0 when one may take it
-            now, or when none is left.
+            Seconds until the first one may take it; 0 for now or for never.
         """
         now_s = self._clock()
         if now_s >= self._held_until_s:
@@ -165,11 +169,16 @@
             estimate.running[ticket.number] = Running(self._clock(), typical_s)
         return ticket
 
-    def finished(self, ticket: Ticket, ended: Ended) -> None:
-        """Takes in how an attempt ended."""
+    def finished(self, ticket: Ticket, ended: Ended) -> bool:
+        """Takes in how an attempt ended.
+
+        Returns:
+            Whether this ejected the upstream, or brought it back.
+        """
         estimate = self._estimates.get(ticket.key)
         if estimate is None:
-            return
+            return False
+        was_ejected = estimate.ejection.is_ejected
         estimate.running.pop(ticket.number, None)
         now_s = self._clock()
         if ended.answer_bytes is not None:
@@ -183,6 +192,7 @@
             self._fail(estimate, now_s)
         else:
             self._observe(estimate, ticket, ended, now_s)
+        return estimate.ejection.is_ejected != was_ejected
 
     def hint(self, key: Key, is_healthy: bool) -> None:
         """Takes in a health endpoint; it only makes an upstream dearer."""
@@ -195,7 +205,7 @@
         return tuple(
             key
             for key, estimate in self._estimates.items()
-            if estimate.ejection.until_s
+            if estimate.ejection.is_ejected
         )
 
     def _is_own(self, entry: Upstream) -> bool:
@@ -205,13 +215,6 @@
         is_late = now_s + self._typical_s(call.route) > call.due_s
         return CallKind(call.route, is_late)
 
-    def _standing(self, entry: Upstream, now_s: float) -> Standing:
-        estimate = self._estimates[key_of(entry)]
-        standing = estimate.ejection.standing(now_s)
-        if standing is Standing.PROBE and estimate.running:
-            return Standing.OUT
-        return standing
-
     def _best(
         self,
         kind: CallKind,
--- a/waxwingsaddle/config_models.py
+++ b/waxwingsaddle/config_models.py
@@ -44,6 +44,8 @@
         long_ratio: Multiple of the median run time from which a route whose
             work is learned counts as long.
         initial_run_ms: Run time assumed before the first answer.
+        ahead_percent: Queued calls that an upstream gets beyond its slots, in
+            percent of them; it must queue them itself.
         queue_wait_ms: Longest expected wait in the queue of an upstream.
         limit_floor_percent: Least slots used of a slow upstream, in percent.
         slow_ratio: Multiple of the learned run time from which an upstream
--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -92,11 +92,9 @@
         tried: set[Key] = set()
         while True:
             call = self._call(policies, task, tried)
-            full_s = policies.choice.refused_for_s(call, tried)
-            upstream = None
-            if not full_s:
-                upstream = self._choose(policies, task, call, tried)
+            upstream = self._choose(policies, task, call, tried)
             if upstream is None:
+                full_s = policies.choice.refused_for_s(call, tried)
                 return none_left(task, full_s)
             task.number += 1
             answer = self._first_or_hedge(policies, task, call, upstream, tried)
@@ -255,7 +253,7 @@
             took_s = end_attempt(
                 task, call.call_id, answer, begun_s, self._clock
             )
-            policies.choice.finished(ticket, ended(answer, took_s))
+            policies.finished(ticket, upstream, ended(answer, took_s))
         return answer
 
     def _send(self, call: Call, upstream: Upstream, task: Task) -> Answer:
--- a/waxwingsaddle/ejection.py
+++ b/waxwingsaddle/ejection.py
@@ -58,6 +58,11 @@
     until_s: float = 0
     returned_s: float = float('-inf')
 
+    @property
+    def is_ejected(self) -> bool:
+        """Whether it is left out, or being probed."""
+        return bool(self.until_s)
+
     @property
     def is_sound(self) -> bool:
         """Whether nothing speaks against the upstream since its last answer."""
--- a/waxwingsaddle/estimate.py
+++ b/waxwingsaddle/estimate.py
@@ -138,6 +138,13 @@
         self._held_until_s[kind] = now_s + wait_s * _HOLD_SHARE
         return self._held_until_s[kind]
 
+    def standing(self, now_s: float) -> Standing:
+        """Returns whether it may be chosen; one probe runs at a time."""
+        standing = self.ejection.standing(now_s)
+        if standing is Standing.PROBE and self.running:
+            return Standing.OUT
+        return standing
+
     def is_held(self, kind: CallKind, now_s: float) -> bool:
         """Says whether the guard refused such a call a moment ago."""
         return now_s < self._held_until_s.get(kind, 0)
--- a/waxwingsaddle/guard.py
+++ b/waxwingsaddle/guard.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import chain
-from math import ceil, inf
+from math import inf
 
 from waxwingsaddle.call_origins import CallOrigins
 from waxwingsaddle.lanes import LaneQueue, Waiting, waiting_for
@@ -22,13 +22,10 @@
     Load,
     Queued,
     Refused,
+    refused_after,
 )
 from waxwingsaddle.work import Call, Lane
 
-_LEAST_RETRY_MS = 10
-_MOST_RETRY_MS = 5000
-_LEAST_SPREAD = 0.5
-_MOST_SPREAD = 1.5
 _PERCENT = 100
 # Share of an objective that a call of a route without answers is expected to
 # run: operators set objectives at a few times the usual run time. With a far
@@ -270,10 +267,8 @@
         return wait_s > min(self._bound_s(lane), queue.longest_wait_s)
 
     def _refused(self, lane: Lane, call: Call, reason: str) -> Refused:
-        wait_ms = self._wait_s(lane, len(self._queues[lane])) * MS_PER_S
-        spread_ms = wait_ms * self._rng.uniform(_LEAST_SPREAD, _MOST_SPREAD)
-        retry_ms = max(_LEAST_RETRY_MS, min(_MOST_RETRY_MS, spread_ms))
-        return Refused(call, reason, round(retry_ms))
+        wait_s = self._wait_s(lane, len(self._queues[lane]))
+        return refused_after(call, reason, wait_s, self._rng)
 
     def _start_queued(self) -> tuple[Admitted, ...]:
         started = []
@@ -287,9 +282,7 @@
         now_s = self._clock()
         for queued in self._queues.values():
             queued.demote(now_s)
-        ahead = ceil(
-            self._limit.current * self._policy.ahead_percent / _PERCENT
-        )
+        ahead = self._policy.calls_ahead(self._limit.current)
         heads = {
             lane: call
             for lane, queue in self._queues.items()
--- a/waxwingsaddle/guarding.py
+++ b/waxwingsaddle/guarding.py
@@ -18,9 +18,10 @@
     Queued,
     Refused,
 )
+from waxwingsaddle.guard_log import GuardLog
 from waxwingsaddle.guarded_stream import GuardedStream
 from waxwingsaddle.http_leg import LegPolicy, UpstreamLeg
-from waxwingsaddle.upstream_connection import Exchange
+from waxwingsaddle.upstream_connection import Exchange, request_id_of
 from waxwingsaddle.upstreams import Announcement, Upstreams
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.util.recent import RecentSet
@@ -92,6 +93,7 @@
         self._guarded: dict[str, _Guarded] = {}
         self._jobs: dict[str, _Job] = {}
         self._seen = RecentSet(call_ids_kept_s, clock)
+        self._log = GuardLog(clock)
         metrics.gauge(
             'waxwing_guard_queued',
             'Calls that wait for a slot at the upstreams of this node.',
@@ -139,6 +141,7 @@
         guarded = self._guarded.get(upstream)
         if guarded is None:
             return not_run('no-upstream')
+        begun_s = self._clock()
         job = _Job(call, guarded, Exchange(), Event())
         self._jobs[call.call_id] = job
         try:
@@ -151,6 +154,9 @@
         if claim and answer.outcome is Outcome.RAN:
             self._report_done(claim, answer)
         answer.load = guarded.guard.load()
+        if answer.outcome is not Outcome.RAN:
+            request_id = request_id_of(request, self._policy.names)
+            self._log.ended(call, request_id, upstream, answer, begun_s)
         return answer
 
     def cancel(self, call_id: str) -> None:
--- a/waxwingsaddle/lanes.py
+++ b/waxwingsaddle/lanes.py
@@ -146,10 +146,10 @@
             one for one in self._waiting if not one.is_inner and not one.is_late
         ]
         late = [one for one in timely if one.timely_start_s < now_s]
-        for one in late:
-            self._waiting.remove(one)
-            one.is_late = True
-            self._insert(one)
+        for demoted in late:
+            self._waiting.remove(demoted)
+            demoted.is_late = True
+            self._insert(demoted)
         self._next_late_s = min(
             (one.timely_start_s for one in timely if not one.is_late),
             default=inf,
@@ -160,8 +160,8 @@
         if now_s < self._next_expiry_s:
             return ()
         expired = [one for one in self._waiting if one.last_start_s <= now_s]
-        for one in expired:
-            self.remove(one.call.call_id)
+        for gone in expired:
+            self.remove(gone.call.call_id)
         self._next_expiry_s = min(
             (one.last_start_s for one in self._waiting),
             default=inf,
@@ -172,8 +172,8 @@
         """Takes out the calls that miss their objective."""
         first = bisect_left(self._waiting, _FIRST_LATE, key=_by_order)
         late = self._waiting[first:]
-        for one in late:
-            self.remove(one.call.call_id)
+        for gone in late:
+            self.remove(gone.call.call_id)
         return tuple(one.call for one in late)
 
     @property
--- a/waxwingsaddle/service_policies.py
+++ b/waxwingsaddle/service_policies.py
@@ -6,6 +6,9 @@
 
 from waxwingsaddle.choice import Choice
 from waxwingsaddle.config_models import Service
+from waxwingsaddle.entry_keys import Upstream
+from waxwingsaddle.estimate import Ended, Ticket
+from waxwingsaddle.guard_log import log_standing
 from waxwingsaddle.hedge import Hedges
 from waxwingsaddle.retry import Retries
 from waxwingsaddle.routing import Match
@@ -31,6 +34,17 @@
             self.hedges.configure(service)
             self.spills.configure(service)
 
+    def finished(
+        self,
+        ticket: Ticket,
+        upstream: Upstream,
+        ended: Ended,
+    ) -> None:
+        """Takes in how an attempt ended."""
+        if self.choice.finished(ticket, ended):
+            is_ejected = ticket.key in self.choice.ejected()
+            log_standing(upstream, ended, is_ejected)
+
 
 class PolicyTable:
     """Policies of the services of a node, made at the first call of each.
--- a/waxwingsaddle/upstream_connection.py
+++ b/waxwingsaddle/upstream_connection.py
@@ -85,7 +85,7 @@
             this connection, or the connection ended.
         OSError: The connection broke off.
     """
-    request_id = _request_id(request, names)
+    request_id = request_id_of(request, names)
     for _ in range(_MOST_STRAYS):
         head = _next_final(connection, limits)
         answered_id = head.fields.get(names.request_id_key, request_id)
@@ -110,7 +110,8 @@
             return head
 
 
-def _request_id(request: Request, names: HeaderNames) -> str:
+def request_id_of(request: Request, names: HeaderNames) -> str:
+    """Returns the identifier that the caller gave; empty without one."""
     if not names.request_id:
         return ''
     key = names.request_id_key
--- a/waxwingsaddle/upstreams.py
+++ b/waxwingsaddle/upstreams.py
@@ -7,6 +7,7 @@
 import eventlet
 import msgspec
 
+from waxwingsaddle import logs
 from waxwingsaddle.addresses import Address
 from waxwingsaddle.announcement_order import AnnouncementOrder
 from waxwingsaddle.config_models import Name
@@ -144,6 +145,7 @@
         )
         if announcement != before:
             self._known[name] = announcement
+            _log(announcement, announcement.state, body.sequence)
             self._changed()
         return True
 
@@ -159,12 +161,14 @@
         if known and started_at_ms and started_at_ms < known.incarnation:
             return False
         self._order.end(name, started_at_ms)
-        return self._forget(name)
+        return self._forget(name, 'left')
 
-    def _forget(self, name: str) -> bool:
+    def _forget(self, name: str, state: str) -> bool:
         self._heard_s.pop(name, None)
-        if self._known.pop(name, None) is None:
+        known = self._known.pop(name, None)
+        if known is None:
             return False
+        _log(known, state)
         self._changed()
         return True
 
@@ -191,7 +195,7 @@
         ]
         for name in silent:
             # It may only be cut off; its next announcement is taken.
-            self._forget(name)
+            self._forget(name, 'silent')
 
     def serve(
         self,
@@ -228,3 +232,16 @@
 
 def _started_s(body: AnnouncementBody, now_s: float) -> float:
     return now_s - _WARM_AGE_S if body.cold_ms == 0 else now_s
+
+
+def _log(one: Announcement, state: str, sequence: int | None = None) -> None:
+    logs.logger().info(
+        'upstream',
+        upstream=one.name,
+        service=one.service,
+        address=one.address,
+        slots=one.slots,
+        state=state,
+        incarnation=one.incarnation,
+        sequence=sequence,
+    )
--- a/waxwingsaddle/verdicts.py
+++ b/waxwingsaddle/verdicts.py
@@ -1,11 +1,19 @@
 """What a guard decides and tells, and its tunables."""
 
+import random
 from dataclasses import dataclass, field
+from math import ceil
 
 from waxwingsaddle import config_models
 from waxwingsaddle.limit import LimitPolicy
+from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.work import Call, Lane
 
+_PERCENT = 100
+_LEAST_RETRY_MS = 10
+_MOST_RETRY_MS = 5000
+_LEAST_SPREAD = 0.5
+_MOST_SPREAD = 1.5
 # Reason of a call that another upstream may take without a wait.
 BUSY = 'busy'
 # Reason of a call that waits too long for a slot.
@@ -34,6 +42,10 @@
     initial_run_ms: int = 20
     ahead_percent: int = 0
 
+    def calls_ahead(self, limit: int) -> int:
+        """Returns how many queued calls go beyond a number of slots."""
+        return ceil(limit * self.ahead_percent / _PERCENT)
+
     @classmethod
     def of(cls, service: config_models.Service) -> 'GuardPolicy':
         """Returns the policy of a service."""
@@ -75,6 +87,25 @@
     retry_after_ms: int
 
 
+def refused_after(
+    call: Call,
+    reason: str,
+    wait_s: float,
+    rng: random.Random,
+) -> Refused:
+    """Returns a refusal whose hint is spread around an expected wait.
+
+    Args:
+        call: The call.
+        reason: Why.
+        wait_s: When room is expected, in seconds.
+        rng: Spreads the hints, so that callers do not return at once.
+    """
+    spread_ms = wait_s * MS_PER_S * rng.uniform(_LEAST_SPREAD, _MOST_SPREAD)
+    retry_ms = max(_LEAST_RETRY_MS, min(_MOST_RETRY_MS, spread_ms))
+    return Refused(call, reason, round(retry_ms))
+
+
 @dataclass(slots=True)
 class Queued:
     """The call waits for a slot.
