Sync the folder after each deleted segment

Deleting two segments without a sync of their folder may leave, after a power loss, the first one and not the second; the gap looked like damage and the host set its identity aside. Entries from before a reset could come back in the same way.

Test: test_names_of_segments_last_when_entries_are_acknowledged fails without the syncs after deletions, and also without the one after a creation.

--- a/waxwingsaddle/segments.py
+++ b/waxwingsaddle/segments.py
@@ -125,13 +125,13 @@
     def drop_through(self, index: int) -> None:
         """Deletes the oldest segments that hold nothing after an entry."""
         while len(self._segments) > 1 and self._segments[0].max_index <= index:
-            self._segments.pop(0).path.unlink()
+            self._drop_first()
 
     def reset(self, prev_index: int, prev_term: int) -> None:
         """Deletes all entries; the next one follows the one given."""
         self.begin_segment(prev_index, prev_term)
         while len(self._segments) > 1:
-            self._segments.pop(0).path.unlink()
+            self._drop_first()
 
     def close(self) -> None:
         """Closes the file that is written to."""
@@ -139,6 +139,13 @@
             os.close(self._descriptor)
         self._descriptor = -1
 
+    def _drop_first(self) -> None:
+        # After a power loss, any deleted file may be back whose folder was not
+        # synced: without a sync each, a gap between segments, or entries from
+        # before a reset, would look like damage.
+        self._segments.pop(0).path.unlink()
+        sync_folder(self._folder)
+
     def _reopen(self, failed: Path) -> None:
         # The log goes on in the segment before the one that failed.
         self.close()
