Follow one request through the logs with waxwingctl explain

Cause: an engineer had to find the lines of a request in the logs of all processes by hand; most lines did not name their host, because the host was a context variable that other green threads do not have.

Change: waxwingctl explain REQUEST-ID FILE... reads the logs of any number of processes, with or without what a collector puts before each line, and shows the lines of the call, of the guards that it passed, and changes of belief of their hosts in the 5 s before, with the likely cause. All lines name host and program.

Tests: test_explanation.

--- a/waxwingsaddle/logs.py
+++ b/waxwingsaddle/logs.py
@@ -20,7 +20,7 @@
     Args:
         level: One of `LEVELS`.
         form: `json` for one JSON object a line, `text` for people.
-        context: Fields bound to every line, such as the host.
+        context: Fields of every line, such as the host.
     """
     renderer = (
         structlog.processors.JSONRenderer()
@@ -31,7 +31,8 @@
     )
     structlog.configure(
         processors=[
-            structlog.contextvars.merge_contextvars,
+            # Each green thread has context variables of its own.
+            lambda _logger, _method, fields: {**context, **fields},
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt='iso', utc=True),
             renderer,
@@ -42,7 +43,6 @@
         logger_factory=lambda *_names: _writer,
         cache_logger_on_first_use=True,
     )
-    structlog.contextvars.bind_contextvars(**context)
 
 
 def dropped() -> int:
--- a/waxwingsaddle/ui/ctl.py
+++ b/waxwingsaddle/ui/ctl.py
@@ -10,6 +10,7 @@
 from waxwingsaddle.ui import (
     ctl_backup,
     ctl_edits,
+    ctl_explain,
     ctl_fleet,
     ctl_keys,
     ctl_members,
@@ -30,6 +31,7 @@
     ctl_members.RemoveCommand,
     ctl_members.ReplaceCommand,
     ctl_timeline.TimelineCommand,
+    ctl_explain.ExplainCommand,
     ctl_backup.BackupCommand,
     ctl_backup.RestoreCommand,
     ctl_keys.KeysNewCommand,
