Have no lane for long work in services of documents

It counted as long work, and a third of the slots is the most that the lane for long work may hold: guards refused bookings, the most urgent calls, with two of six slots at work.

Change: services of documents have a ratio from which work is long that no run time reaches. Objectives and priorities order all calls in one queue. Services of base files keep their lanes.

Test: test_urgent_calls_of_documents_get_all_slots; it fails with the usual ratio.

--- a/test/test_guard_objectives.py
+++ b/test/test_guard_objectives.py
@@ -4,6 +4,10 @@
 from heapq import heappop, heappush
 from math import inf
 
+import msgspec
+
+from waxwingsaddle.config_models import Service
+from waxwingsaddle.documents import service_entry
 from waxwingsaddle.guard import Guard
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.verdicts import Admitted, GuardPolicy, Queued, Refused
@@ -26,6 +30,7 @@
         self.late = []
         self.served = []
         self.refused = {}
+        self.run_s = {}
         self.guard = Guard(
             slots,
             GuardPolicy(
@@ -48,7 +53,8 @@
             self.served.append(call.call_id)
             is_good = self.now_s <= call.due_s
             (self.in_objective if is_good else self.late).append(call)
-            started = self.guard.finished(call.call_id, Outcome.RAN, RUN_S)
+            run_s = self.run_s.pop(call.call_id)
+            started = self.guard.finished(call.call_id, Outcome.RAN, run_s)
             for admitted in started:
                 self._note(admitted, RUN_S)
             for refused in self.guard.expire():
@@ -58,6 +64,7 @@
     def _note(self, verdict, run_s):
         if isinstance(verdict, Admitted):
             end_s = self.now_s + run_s
+            self.run_s[verdict.call.call_id] = run_s
             heappush(self.events, (end_s, verdict.call.call_id, verdict.call))
         elif isinstance(verdict, Refused):
             self.refused[verdict.call.call_id] = self.now_s
@@ -212,3 +219,27 @@
     replay.offer(_call(0, 0), run_s=0.5)
     replay.offer(_call(1, 0, deadline_s=0.12))
     assert '00001' in replay.refused
+
+
+def test_urgent_calls_of_documents_get_all_slots():
+    """Guards against slots that stand empty while urgent calls are refused.
+
+    A booking runs four times as long as the checks that upstreams make at the
+    same service, counted as long work for it, and got a third of the slots:
+    guards refused bookings with two of six slots at work.
+    """
+    replay = Replay()
+    service = msgspec.convert(service_entry('', 0), Service)
+    replay.guard.configure(SLOTS, GuardPolicy.of(service))
+    for number in range(200):
+        replay.offer(_inner(number, replay.now_s), run_s=0.02)
+        if number % 5 == 0:
+            origin = ('orders', 'gallery')[number % 2]
+            booking = _booking(1000 + number, replay.now_s, origin)
+            replay.offer(booking, run_s=0.2)
+        replay.run_until(replay.now_s + 0.25)
+    running = [
+        replay.guard.offer(_booking(number, replay.now_s, 'orders'))
+        for number in range(300, 300 + SLOTS)
+    ]
+    assert all(isinstance(verdict, Admitted) for verdict in running)
--- a/waxwingsaddle/config_models.py
+++ b/waxwingsaddle/config_models.py
@@ -19,8 +19,10 @@
 
 Name = Annotated[str, msgspec.Meta(pattern=_NAME_PATTERN)]
 TimeoutMs = Annotated[int, msgspec.Meta(ge=1, le=MAX_TIMEOUT_MS)]
+# No run time is so many times the median one.
+MAX_RATIO = 1000
 Percent = Annotated[int, msgspec.Meta(ge=0, le=100)]
-Ratio = Annotated[float, msgspec.Meta(gt=1, le=1000)]
+Ratio = Annotated[float, msgspec.Meta(gt=1, le=MAX_RATIO)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=100)]
 RequestHost = Annotated[str, msgspec.Meta(pattern=_HOST_PATTERN)]
 
--- a/waxwingsaddle/documents.py
+++ b/waxwingsaddle/documents.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from waxwingsaddle.config_models import MAX_RATIO
 from waxwingsaddle.util.codec import Tree
 
 # Site of all nodes whose operators send documents.
@@ -66,7 +67,10 @@
 
     Documents say nothing about tunables. Their services run as many calls as
     the upstreams announce slots: with fewer, slow upstreams serve less
-    without getting faster. They queue a few calls themselves, so that a call
+    without getting faster. None of their work counts as long: their routes have
+    objectives and priorities, which order all calls in one queue, and a lane
+    for long work kept slots empty while the most urgent calls were refused.
+    Upstreams queue a few calls themselves, so that a call
     goes ahead to each. Hedges are left out, because retries serve more callers
     within the same bound on arrivals.
 
@@ -79,6 +83,7 @@
         'connections': connections,
         'limit_floor_percent': 100,
         'ahead_percent': _AHEAD_PERCENT,
+        'long_ratio': MAX_RATIO,
         'hedge_percent': 0,
         'retry_percent': _RETRY_PERCENT,
     }
