--- a/waxwingsaddle/run_times.py
+++ b/waxwingsaddle/run_times.py
@@ -10,7 +10,7 @@
 _MEAN_SMOOTHING = 0.1
 # A guess weighs as much as one answer: the first answers of a start are those
 # of the shortest calls, and their mean alone is too low.
-_GUESS_ANSWERS = 2
+_GUESS_WEIGHT = 1
 # The baseline hardly follows run times far above it, so that a slowdown of
 # seconds does not become the new normal. Below that it is a plain mean: one
 # that falls faster than it rises made a healthy upstream look slow.
@@ -116,7 +116,7 @@
 
 def _weight(answers: int) -> float:
     """Returns the weight of the next answer in a mean."""
-    return max(_MEAN_SMOOTHING, 1 / (answers + _GUESS_ANSWERS))
+    return max(_MEAN_SMOOTHING, 1 / (answers + 1 + _GUESS_WEIGHT))
 
 
 def _median(times_s: Iterable[float]) -> float:
