--- a/waxwingsaddle/pipeline.py
+++ b/waxwingsaddle/pipeline.py
@@ -220,19 +220,20 @@
         if self._writer is not None:
             return
         self._writer = getcurrent()
+        is_done, is_polite = True, False
         try:
             is_done = self._write_ready()
-        except (OSError, BrokenBodyError):
+            is_polite = True
+        except (OSError, BrokenBodyError) as error:
             # The caller left, or an answer broke off in the middle.
-            is_done = None
+            logs.logger().debug('answer not written', error=repr(error))
         except Exception:
             # Without the end of the connection its caller would wait for ever.
             logs.logger().exception('writing an answer failed')
-            is_done = None
         finally:
             self._writer = None
-        if is_done is not False:
-            self._stop(is_polite=is_done is not None)
+        if is_done:
+            self._stop(is_polite=is_polite)
 
     def _write_ready(self) -> bool:
         """Writes answers in order; says whether the connection is done."""
