Serve histograms of latencies

Cause: the metrics of a node had counters and gauges only; how long calls of callers, waits at guards and upstreams take could be seen in log lines alone.

Change: waxwing_ingress_seconds by outcome, waxwing_guard_wait_seconds and waxwing_upstream_seconds.

Tests: test_latency_histograms_have_cumulative_buckets; test_docs compares the names with docs/metrics.md.

--- a/waxwingsaddle/guarding.py
+++ b/waxwingsaddle/guarding.py
@@ -39,6 +39,14 @@
     'waxwing_guard_duplicates',
     'Calls dropped because their identifier was seen before.',
 )
+_waited = metrics.histogram(
+    'waxwing_guard_wait_seconds',
+    'Time that calls waited for a slot, those that got one at once left out.',
+)
+_ran = metrics.histogram(
+    'waxwing_upstream_seconds',
+    'Time from the hand-over of a call to the head of its answer.',
+)
 
 
 @dataclass(slots=True)
@@ -173,7 +181,9 @@
         decision = job.guarded.guard.offer(job.call)
         if isinstance(decision, Queued):
             self._answer_all(decision.displaced)
+            queued_s = self._clock()
             decision = self._wait_turn(job)
+            _waited.observe(self._clock() - queued_s)
         if isinstance(decision, Admitted):
             return self._send(job, decision, request)
         if isinstance(decision, Duplicate):
@@ -204,13 +214,14 @@
             job.exchange,
             job.call.is_idempotent,
         )
+        took_s = self._clock() - begun_s
+        _ran.observe(took_s)
         if answer.stream is None:
             outcome = answer.outcome
             if job.exchange.is_aborted:
                 outcome = Outcome.CANCELLED
-            self._finish(job, outcome, self._clock() - begun_s)
+            self._finish(job, outcome, took_s)
         else:
-            took_s = self._clock() - begun_s
             answer.stream = GuardedStream(
                 answer.stream,
                 self._clock,
--- a/waxwingsaddle/ingress.py
+++ b/waxwingsaddle/ingress.py
@@ -50,6 +50,12 @@
     'Calls of callers by outcome.',
     ('outcome', 'reason'),
 )
+_took = metrics.histogram(
+    'waxwing_ingress_seconds',
+    'Time from the head of a call to its answer, by outcome.',
+    labels=('outcome',),
+)
+_took_by_outcome = {outcome: _took.labels(outcome.value) for outcome in Outcome}
 
 
 @dataclass(slots=True)
@@ -159,6 +165,8 @@
             How the call ended; its `stream` must be closed.
         """
         answer = self._dispatch.run(admitted.task)
+        took_s = self._clock() - admitted.arrived_s
+        _took_by_outcome[answer.outcome].observe(took_s)
         self._log.ended(
             admitted.head,
             admitted.task,
--- a/waxwingsaddle/metrics.py
+++ b/waxwingsaddle/metrics.py
@@ -11,6 +11,9 @@
 _metrics = imports.submodule('prometheus_client', 'metrics')
 _registry = imports.submodule('prometheus_client', 'registry')
 _text = imports.submodule('prometheus_client', 'openmetrics.exposition')
+# Upper bounds in seconds: around the objectives of calls, tenths of a second,
+# and down to the time of a hop.
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5)
 REGISTRY = _registry.CollectorRegistry(auto_describe=True)
 CONTENT_TYPE = _text.CONTENT_TYPE_LATEST
 
@@ -28,7 +31,7 @@
 def histogram(
     name: str,
     text: str,
-    buckets: tuple[float, ...],
+    buckets: tuple[float, ...] = LATENCY_BUCKETS_S,
     labels: tuple[str, ...] = (),
 ) -> 'Histogram':
     """Returns a new histogram of the program."""
