Drain an upstream that is leaving when a node first hears of it

A node that restarts in between hears of the upstream as draining first, and its guard took calls.

Change: such a guard drains at once.

Test: test_guarding, which fails without it.

--- a/waxwingsaddle/guarding.py
+++ b/waxwingsaddle/guarding.py
@@ -251,7 +251,8 @@
         guarded = self._guarded.get(name)
         service = self._service(announcement.service)
         policy = GuardPolicy.of(service)
-        if guarded is None or _is_new(guarded.announcement, announcement):
+        is_new = guarded is None or _is_new(guarded.announcement, announcement)
+        if is_new:
             if guarded is not None:
                 guarded.leg.close()
             guarded = _Guarded(
@@ -266,7 +267,10 @@
             )
             self._guarded[name] = guarded
         is_draining = announcement.state == _DRAINING
-        if is_draining and guarded.announcement.state != _DRAINING:
+        if is_draining and is_new:
+            # This node has restarted; the others have heard of the drain.
+            guarded.guard.drain()
+        elif is_draining and guarded.announcement.state != _DRAINING:
             eventlet.spawn_after(self._drain_wait_s, guarded.guard.drain)
         guarded.announcement = announcement
         guarded.leg.pool.most = service.connections or self._policy.connections
