--- a/test/test_announcement_order.py
+++ b/test/test_announcement_order.py
@@ -45,6 +45,25 @@
     assert _states(upstreams) == {'i-1': 'ready'}
 
 
+def test_late_heartbeat_after_a_leave_that_a_restart_has_met():
+    """Guards against calls to an upstream that left while its node restarted.
+
+    The leave message names no incarnation, and a node that has just started
+    knows none: a heartbeat from before, 2.2 s late, made the upstream ready
+    again, and it got calls after its drain (DRAIN 40, trouble-2 --seed
+    792948733395 of mawqif-hq).
+    """
+    now_s = [1.0]
+    upstreams = Upstreams(Kernel(), 10_000, lambda: now_s[0])
+    upstreams.remove('i-1')
+    now_s[0] = 3.2
+    assert not upstreams.put('i-1', _body(100, 15))
+    assert not _states(upstreams)
+    # An upstream that starts again under its name is taken later.
+    now_s[0] = 12.0
+    assert upstreams.put('i-1', _body(200, 7))
+
+
 def test_newer_upstream_takes_an_address():
     """Guards against calls to an upstream whose address another one has."""
     upstreams = _upstreams()
--- a/waxwingsaddle/upstreams.py
+++ b/waxwingsaddle/upstreams.py
@@ -103,7 +103,8 @@
         self._clock = clock
         self._known: dict[str, Announcement] = {}
         self._heard_s: dict[str, float] = {}
-        self._order = AnnouncementOrder()
+        # A heartbeat that is later than its own life says nothing.
+        self._order = AnnouncementOrder(self._ttl_s, clock)
         self._is_draining = False
         self._announced: tuple[Announcement, ...] = ()
 
