Try another upstream after a slow answer of it

A call that cannot reach its upstream goes to another one for free when that is sound, and a single slow answer counted against it: with short answers on a busy machine, four times the median is a pause of the machine. Calls were lost while an upstream answered.

Change: only failures without an answer make an upstream unsound; slow answers still lead to its ejection.

Test: test_slow_answer_leaves_an_upstream_to_try; it fails without the change.

--- a/test/test_choice.py
+++ b/test/test_choice.py
@@ -201,6 +201,21 @@
     assert node.shares(300)['x'] > 30, 'it must come back'
 
 
+def test_slow_answer_leaves_an_upstream_to_try():
+    """Guards against calls lost with one upstream while another one answers.
+
+    A call that cannot reach its upstream goes to another one that is sound; a
+    single slow answer there counted as a failure, and the call was lost.
+    """
+    node = Node(Entry('x'), Entry('y'))
+    node.shares(20)
+    tried = {key_of(node.entries[0])}
+    for ended, is_sound in ((SLOW, True), (FAILED, False), (GOOD, True)):
+        ticket = node.choice.started(node.entries[1], READ)
+        node.choice.finished(ticket, ended)
+        assert node.choice.has_sound(tried) is is_sound, ended
+
+
 def test_one_long_call_is_no_sign_of_a_slow_upstream():
     """Guards against calls that cross zones because one call takes long.
 
--- a/waxwingsaddle/choice.py
+++ b/waxwingsaddle/choice.py
@@ -98,11 +98,7 @@
         if self.refused_for_s(call, tried):
             return None
         now_s = self._clock()
-        ready = [
-            entry
-            for entry in self._entries
-            if entry.state == 'ready' and key_of(entry) not in tried
-        ]
+        ready = self._ready(tried)
         standings = {
             key: self._estimates[key].standing(now_s)
             for key in map(key_of, ready)
@@ -133,11 +129,7 @@
         if now_s >= self._held_until_s:
             return 0
         kind = self._kind_of(call, now_s)
-        left = [
-            self._estimates[key_of(entry)]
-            for entry in self._entries
-            if entry.state == 'ready' and key_of(entry) not in tried
-        ]
+        left = [self._estimates[key] for key in map(key_of, self._ready(tried))]
         return first_room_s(left, kind, now_s)
 
     def spill_targets(self, route: str) -> Sequence[Upstream]:
@@ -147,12 +139,10 @@
         return tuple(filter(self._is_own, self._entries))
 
     def has_sound(self, tried: AbstractSet[Key]) -> bool:
-        """Says whether an upstream without a recent failure is left to try."""
+        """Says whether an upstream that answered last is left to try."""
         return any(
-            entry.state == 'ready'
-            and key_of(entry) not in tried
-            and self._estimates[key_of(entry)].ejection.is_sound
-            for entry in self._entries
+            self._estimates[key].ejection.is_sound
+            for key in map(key_of, self._ready(tried))
         )
 
     def started(self, entry: Upstream, call: Call) -> Ticket:
@@ -189,7 +179,7 @@
             held_s = estimate.refuse(ticket.kind, ended.retry_after_ms, now_s)
             self._held_until_s = max(self._held_until_s, held_s)
         elif ended.evidence is Evidence.FAILED:
-            self._fail(estimate, now_s)
+            self._fail(estimate, now_s, is_slow=False)
         else:
             self._observe(estimate, ticket, ended, now_s)
         return estimate.ejection.is_ejected != was_ejected
@@ -208,6 +198,13 @@
             if estimate.ejection.is_ejected
         )
 
+    def _ready(self, tried: AbstractSet[Key]) -> list[Upstream]:
+        return [
+            entry
+            for entry in self._entries
+            if entry.state == 'ready' and key_of(entry) not in tried
+        ]
+
     def _is_own(self, entry: Upstream) -> bool:
         return entry.availability_zone == self._zone
 
@@ -286,15 +283,15 @@
         if not is_cancelled:
             typical = self._typical.setdefault(ticket.kind.route, Quantile(0.5))
             typical.observe(took_s)
-        slow_ratio = self._service.eject_slow_ratio
-        if is_cancelled:
-            slow_ratio *= _CANCELLED_FACTOR
-        if ratio >= slow_ratio:
-            self._fail(estimate, now_s)
+        factor = _CANCELLED_FACTOR if is_cancelled else 1
+        if ratio >= self._service.eject_slow_ratio * factor:
+            self._fail(estimate, now_s, not is_cancelled)
         elif not is_cancelled:
             estimate.ejection.succeed(self._service, now_s)
 
-    def _fail(self, estimate: Estimate, now_s: float) -> None:
+    def _fail(self, estimate: Estimate, now_s: float, is_slow: bool) -> None:
         most = len(self._entries) * self._service.max_ejected_percent
         may_eject = (len(self.ejected()) + 1) * _PERCENT <= most
-        estimate.ejection.fail(self._service, now_s, may_eject, self._rng)
+        estimate.ejection.fail(
+            self._service, now_s, may_eject, self._rng, has_answered=is_slow
+        )
--- a/waxwingsaddle/ejection.py
+++ b/waxwingsaddle/ejection.py
@@ -48,12 +48,14 @@
 
     Attributes:
         failures: Failures or slow answers in a row.
+        unanswered: Failures among them, without an answer.
         times: Ejections since the upstream was last steady.
         until_s: End of the ejection; zero when not ejected.
         returned_s: When it came back from the last ejection.
     """
 
     failures: int = 0
+    unanswered: int = 0
     times: int = 0
     until_s: float = 0
     returned_s: float = float('-inf')
@@ -65,8 +67,8 @@
 
     @property
     def is_sound(self) -> bool:
-        """Whether nothing speaks against the upstream since its last answer."""
-        return not self.until_s and not self.failures
+        """Whether it has answered last, if slowly, and is not ejected."""
+        return not self.until_s and not self.unanswered
 
     def standing(self, now_s: float) -> Standing:
         """Returns whether the upstream may be chosen."""
@@ -77,6 +79,7 @@
     def succeed(self, service: config_models.Service, now_s: float) -> None:
         """Takes in a good answer."""
         self.failures = 0
+        self.unanswered = 0
         if self.until_s:
             self.until_s = 0
             self.returned_s = now_s
@@ -89,6 +92,8 @@
         now_s: float,
         may_eject: bool,
         rng: random.Random,
+        *,
+        has_answered: bool = False,
     ) -> bool:
         """Takes in a failure or a slow answer.
 
@@ -97,11 +102,13 @@
             now_s: Monotonic seconds.
             may_eject: Whether the bound on the ejected share allows one more.
             rng: Spreads the probes of different nodes.
+            has_answered: Whether it answered, only slowly.
 
         Returns:
             Whether this ejected the upstream.
         """
         self.failures += 1
+        self.unanswered = 0 if has_answered else self.unanswered + 1
         was_in = not self.until_s
         if was_in and (self.failures < service.eject_failures or not may_eject):
             return False
