--- a/test/test_pipeline.py
+++ b/test/test_pipeline.py
@@ -170,7 +170,7 @@
         idle.sendall(request('/designs/1'))
         read_until(idle, b'/designs/1')
         server.drain()
-        assert server.finish(2) == 0
+        assert server.finish(1) == 0
         idle.sendall(request('/designs/2'))
         assert read_until(idle, b'never') == b''
         assert dispatch.begun == ['/designs/1']
