--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -13,6 +13,7 @@
 from waxwingsaddle.dispatch import CallTask, Dispatcher
 from waxwingsaddle.guard_decisions import Load
 from waxwingsaddle.routing import Match
+from waxwingsaddle.tasks import attempt_result
 from waxwingsaddle.util.clock import monotonic_s
 from waxwingsaddle.util.outcome import Outcome
 
@@ -217,3 +218,11 @@
     second = dispatcher.run(_task())
     assert second.outcome is Outcome.RAN, attempts
     assert attempts[2][0] == attempts[0][0]
+
+
+def test_request_body_counts_as_transfer():
+    """Guards against large uploads that leave their zone like small calls."""
+    upload = Request('POST', '/', (), b'x' * 60_000)
+    answer = Answer(Outcome.RAN, 200, body=b'ok')
+    assert attempt_result(answer, 0.1, upload).transfer_bytes == 60_002
+    assert attempt_result(not_run('busy'), 0.1, upload).transfer_bytes is None
--- a/test/test_load_balancer.py
+++ b/test/test_load_balancer.py
@@ -153,8 +153,8 @@
     """
     node = Node(Entry('near'), Entry('far', 'b'))
     assert len(node.balancer.spillover_targets('r')) == 2
-    large = replace(GOOD, answer_bytes=90_000)
-    small = replace(GOOD, answer_bytes=5000)
+    large = replace(GOOD, transfer_bytes=90_000)
+    small = replace(GOOD, transfer_bytes=5000)
     node.send(near=large)
     node.send(replace(READ, route='other'), near=small)
     assert [up.name for up in node.balancer.spillover_targets('r')] == ['near']
@@ -226,7 +226,7 @@
     that half of all large answers came from another zone.
     """
     node = Node(Entry('near'), Entry('far', 'b'))
-    large = replace(GOOD, answer_bytes=90_000)
+    large = replace(GOOD, transfer_bytes=90_000)
     for _ in range(20):
         node.send(near=large, far=large)
     near = node.entries[0]
--- a/waxwingsaddle/config_models.py
+++ b/waxwingsaddle/config_models.py
@@ -133,6 +133,7 @@
         attempts: Maximum number of upstreams that a call is sent to; 0 for the
             limit of the service.
         answers: Expected size of answers.
+        bodies: Expected size of request bodies.
         work: Expected run time: `short`, `long`, or `learned` from answers.
         priority: `lowest` calls are shed first, `highest` calls last.
     """
@@ -150,6 +151,7 @@
     objective_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_TIMEOUT_MS)] = 0
     attempts: Annotated[int, msgspec.Meta(ge=0, le=100)] = 0
     answers: Literal['small', 'large'] = 'small'
+    bodies: Literal['small', 'large'] = 'small'
     work: Literal['short', 'long', 'learned'] = 'learned'
     priority: Priority = 'normal'
 
--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -18,7 +18,6 @@
 from waxwingsaddle.tasks import (
     CallTask,
     allow_guard_move,
-    attempt_result,
     build_call,
     close_losers,
     count_attempt,
@@ -252,12 +251,10 @@
         try:
             answer = self._send(call, upstream, task)
         finally:
-            elapsed_s = end_attempt(
+            result = end_attempt(
                 task, call.call_id, answer, started_s, self._clock
             )
-            policies.finish_attempt(
-                ticket, upstream, attempt_result(answer, elapsed_s)
-            )
+            policies.finish_attempt(ticket, upstream, result)
         return answer
 
     def _send(self, call: Call, upstream: Upstream, task: CallTask) -> Answer:
--- a/waxwingsaddle/load_balancer.py
+++ b/waxwingsaddle/load_balancer.py
@@ -178,8 +178,8 @@
         was_ejected = estimate.ejection.is_ejected
         estimate.in_flight.pop(ticket.number, None)
         now_s = self._clock()
-        if result.answer_bytes is not None:
-            self._zone_cost.observe(ticket.kind.route, result.answer_bytes)
+        if result.transfer_bytes is not None:
+            self._zone_cost.observe(ticket.kind.route, result.transfer_bytes)
         if result.load:
             estimate.record_load(result.load, now_s)
         if result.evidence is Evidence.REFUSED:
--- a/waxwingsaddle/tasks.py
+++ b/waxwingsaddle/tasks.py
@@ -102,21 +102,24 @@
         _first_attempts.inc()
 
 
-def attempt_result(answer: Answer | None, elapsed_s: float) -> AttemptResult:
+def attempt_result(
+    answer: Answer | None, elapsed_s: float, request: Request
+) -> AttemptResult:
     """Returns the result of an attempt for the load balancer."""
     return AttemptResult(
         evidence=_evidence(answer),
         elapsed_s=elapsed_s,
         load=answer and answer.load,
         retry_after_ms=answer.retry_after_ms if answer else 0,
-        answer_bytes=_answer_bytes(answer),
+        transfer_bytes=_transfer_bytes(answer, request),
     )
 
 
-def _answer_bytes(answer: Answer | None) -> int | None:
+def _transfer_bytes(answer: Answer | None, request: Request) -> int | None:
     if answer is None or answer.outcome is not Outcome.RAN:
         return None
-    return len(answer.body) or answer.length
+    answer_bytes = len(answer.body) or answer.length
+    return None if answer_bytes is None else answer_bytes + len(request.body)
 
 
 def _evidence(answer: Answer | None) -> Evidence:
@@ -146,7 +149,7 @@
     answer: Answer | None,
     started_s: float,
     clock: Callable[[], float],
-) -> float:
+) -> AttemptResult:
     """Removes an attempt from a task and records whether it may have run.
 
     Args:
@@ -157,7 +160,7 @@
         clock: Returns monotonic seconds.
 
     Returns:
-        Duration of the attempt, in seconds.
+        The result of the attempt for the load balancer.
     """
     elapsed_s = clock() - started_s
     upstream = task.in_flight.pop(call_id, None)
@@ -167,7 +170,7 @@
         )
     if answer is None or answer.outcome not in _EXACT_OUTCOMES:
         task.may_have_run = True
-    return elapsed_s
+    return attempt_result(answer, elapsed_s, task.request)
 
 
 def _describe_attempt(
--- a/waxwingsaddle/upstream_estimate.py
+++ b/waxwingsaddle/upstream_estimate.py
@@ -51,14 +51,15 @@
         elapsed_s: Time from start to end, in seconds.
         load: Load of the guard that came with the answer, if any.
         retry_after_ms: Wait that a refusal reported, in milliseconds.
-        answer_bytes: Size of the answer body in bytes, if known.
+        transfer_bytes: Size of the request body and the answer body together,
+            in bytes; None if not known.
     """
 
     evidence: Evidence
     elapsed_s: float
     load: Load | None = None
     retry_after_ms: int = 0
-    answer_bytes: int | None = None
+    transfer_bytes: int | None = None
 
 
 @dataclass(slots=True)
