--- a/waxwingsaddle/connection_pool.py
+++ b/waxwingsaddle/connection_pool.py
@@ -39,6 +39,7 @@
 
     Attributes:
         max_connections: Maximum number of open connections; may be changed.
+        open_count: Number of open connections.
     """
 
     def __init__(
@@ -55,7 +56,7 @@
         self._idle_limit_s = idle_limit_s
         self._clock = clock
         self._idle: dict[Lane, list[Connection]] = defaultdict(list)
-        self._open_count = 0
+        self.open_count = 0
         self._is_closed = False
 
     def close(self) -> None:
@@ -63,29 +64,34 @@
         self._is_closed = True
         self.discard_idle()
 
-    def acquire(self, lane: Lane, wait_s: float) -> Connection | NoConnection:
+    def acquire(
+        self, lane: Lane, wait_s: float, *, must_be_new: bool = False
+    ) -> Connection | NoConnection:
         """Returns a connection for a request; may block the green thread.
 
         Args:
             lane: Lane of the call; idle connections are kept per lane.
             wait_s: Longest wait for a new connection, in seconds.
+            must_be_new: Whether to pass over idle connections.
         """
         idle = self._idle[lane]
-        while idle:
+        if must_be_new and self.open_count >= self.max_connections:
+            self.discard_idle()
+        while idle and not must_be_new:
             connection = idle.pop()
             if self._is_usable(connection):
                 return connection
             self.discard(connection)
-        if self._open_count >= self.max_connections:
+        if self.open_count >= self.max_connections:
             return NoConnection('connections')
-        self._open_count += 1
+        self.open_count += 1
         try:
             return Connection(
                 self._target,
                 min(wait_s, self._connect_timeout_s),
             )
         except OSError:
-            self._open_count -= 1
+            self.open_count -= 1
             return NoConnection('upstream-refused')
 
     def release(
@@ -111,7 +117,7 @@
 
     def discard(self, connection: Connection) -> None:
         """Closes a connection."""
-        self._open_count -= 1
+        self.open_count -= 1
         connection.close()
 
     def discard_idle(self) -> None:
--- a/waxwingsaddle/socket_reader.py
+++ b/waxwingsaddle/socket_reader.py
@@ -7,9 +7,12 @@
 import time
 from typing import Any
 
-from eventlet import hubs
+from eventlet import greenthread, hubs
 
 _RECEIVE_BYTES = 65_536
+# Receives in a row that may return bytes at once before other green threads
+# run: a peer that never stops sending must not hold up the event loop.
+_RECEIVES_PER_TURN = 16
 # Minimum timeout of one wait; shorter timers cost the event loop more than they
 # gain in precision.
 _MIN_TIMEOUT_S = 0.001
@@ -30,12 +33,16 @@
         self.deadline_s: float | None = None
         self._sock = sock
         self._buffer = b''
+        # Position of the first unread byte. Advancing it instead of slicing
+        # keeps reading many short lines linear in their size.
+        self._start = 0
         self._is_ended = False
+        self._receives = 0
 
     @property
     def has_buffered(self) -> bool:
         """Whether the buffer contains unread bytes."""
-        return bool(self._buffer)
+        return self._start < len(self._buffer)
 
     def peek(self) -> bytes:
         """Returns the buffer without consuming it; waits if it is empty.
@@ -46,8 +53,11 @@
         Raises:
             OSError: The connection broke off or the deadline passed.
         """
-        if not self._buffer:
+        if not self.has_buffered:
             self._receive_more()
+        if self._start:
+            self._buffer = self._buffer[self._start :]
+            self._start = 0
         return self._buffer
 
     def read(self, size_bytes: int) -> bytes:
@@ -57,9 +67,10 @@
             OSError: The connection broke off or the deadline passed.
         """
         blocks = []
-        while size_bytes > 0 and self.peek():
-            block = self._buffer[:size_bytes]
-            self._buffer = self._buffer[size_bytes:]
+        while size_bytes > 0:
+            if not (self.has_buffered or self._receive_more()):
+                break
+            block = self._take(size_bytes)
             size_bytes -= len(block)
             blocks.append(block)
         return blocks[0] if len(blocks) == 1 else b''.join(blocks)
@@ -70,39 +81,52 @@
         Raises:
             OSError: The connection broke off or the deadline passed.
         """
-        while b'\n' not in self._buffer and len(self._buffer) < max_bytes:
-            if not self._receive_more():
-                break
-        end = self._buffer.find(b'\n', 0, max_bytes) + 1 or max_bytes
-        line = self._buffer[:end]
-        self._buffer = self._buffer[end:]
-        return line
+        while True:
+            limit = self._start + max_bytes
+            end = self._buffer.find(b'\n', self._start, limit) + 1
+            if end:
+                return self._take(end - self._start)
+            if len(self._buffer) >= limit or not self._receive_more():
+                return self._take(max_bytes)
 
     def discard(self) -> None:
         """Discards the buffered bytes."""
         self._buffer = b''
+        self._start = 0
 
     def close(self) -> None:
         """Discards the buffered bytes; later reads return no bytes."""
-        self._buffer = b''
+        self.discard()
         self._is_ended = True
 
+    def _take(self, size_bytes: int) -> bytes:
+        end = self._start + size_bytes
+        block = self._buffer[self._start : end]
+        if end < len(self._buffer):
+            self._start = end
+        else:
+            self.discard()
+        return block
+
     def _receive_more(self) -> bool:
         if self._is_ended:
             return False
         received = self._receive()
         self._is_ended = not received
-        self._buffer += received
+        self._buffer = self._buffer[self._start :] + received
+        self._start = 0
         return bool(received)
 
     def _receive(self) -> bytes:
         # Reads the raw socket, because the green socket returns no bytes when
         # the connection is reset: an answer that broke off would look complete.
         raw_socket = self._sock.fd
+        self._check_turn()
         while True:
             try:
                 return raw_socket.recv(_RECEIVE_BYTES)
             except BlockingIOError:
+                self._receives = 0
                 hubs.trampoline(
                     raw_socket,
                     read=True,
@@ -110,6 +134,16 @@
                     timeout_exc=TimeoutError('no bytes received in time'),
                 )
 
+    def _check_turn(self) -> None:
+        """Applies the deadline and yields while bytes arrive without a wait."""
+        self._receives += 1
+        if self._receives < _RECEIVES_PER_TURN:
+            return
+        self._receives = 0
+        greenthread.sleep(0)
+        if self.deadline_s is not None and time.monotonic() > self.deadline_s:
+            raise TimeoutError('read deadline passed')
+
     def _timeout_s(self) -> float | None:
         if self.deadline_s is None:
             return self._sock.gettimeout()
--- a/waxwingsaddle/upstream_client.py
+++ b/waxwingsaddle/upstream_client.py
@@ -4,7 +4,7 @@
 of processor time per call.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from eventlet import greenthread
@@ -13,7 +13,6 @@
 from waxwingsaddle.calls import (
     OUTCOME_HEADER,
     Answer,
-    BrokenBodyError,
     Request,
     end_to_end_headers,
     not_run,
@@ -21,18 +20,20 @@
 )
 from waxwingsaddle.connection_pool import ConnectionPool, NoConnection
 from waxwingsaddle.header_names import HeaderNames
-from waxwingsaddle.http_bodies import Body
 from waxwingsaddle.http_heads import HeadLimits, MalformedError, ResponseHead
 from waxwingsaddle.retry import RETRIED_HEADER
+from waxwingsaddle.streamed_body import StreamedBody, StreamLimits
 from waxwingsaddle.upstream_connection import (
     Connection,
     Exchange,
     answer_body,
     read_answer,
+    request_id_of,
 )
 from waxwingsaddle.upstream_requests import request_head, send_request
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
+from waxwingsaddle.util.recent_set import RecentSet
 
 _CONNECTION_ERRORS = (OSError, MalformedError)
 # A timeout of zero would make the socket non-blocking.
@@ -42,6 +43,8 @@
 # milliseconds on a busy machine. After a broken connection, calls that must not
 # run twice wait this long, so that none is sent on the next one to break.
 _BROKEN_CONNECTION_HOLD_S = 0.02
+# A refused call that returns to the same upstream does so within this time.
+_REFUSED_IDS_KEPT_S = 30
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +58,10 @@
         inline_bytes: Answers with a larger body are streamed.
         chunk_bytes: Largest piece of a streamed body.
         stall_timeout_s: Longest wait for the next piece of a streamed body.
+        stream_overtime_s: Longest wait, after the deadline, for a streamed
+            body that comes at less than the minimum rate.
+        stream_min_bytes_per_s: Minimum rate of streamed bodies.
+        unsized_bytes: Largest answer body without a length.
         head_limits: Limits for the heads of answers.
         names: Names of the header fields that upstreams use.
     """
@@ -65,6 +72,9 @@
     inline_bytes: int = 65_536
     chunk_bytes: int = 65_536
     stall_timeout_s: float = 10
+    stream_overtime_s: float = 2
+    stream_min_bytes_per_s: float = 8192
+    unsized_bytes: int = 1_073_741_824
     head_limits: HeadLimits = field(default_factory=HeadLimits)
     names: HeaderNames = field(default_factory=HeaderNames)
 
@@ -101,6 +111,14 @@
         self._policy = policy
         self._clock = clock
         self._hold_end_s = float('-inf')
+        self._refused_ids = RecentSet(_REFUSED_IDS_KEPT_S, clock)
+        self._stream_limits = StreamLimits(
+            policy.chunk_bytes,
+            policy.stall_timeout_s,
+            policy.stream_overtime_s,
+            policy.stream_min_bytes_per_s,
+            policy.unsized_bytes,
+        )
 
     def close(self) -> None:
         """Closes idle connections now and the others after their request."""
@@ -125,14 +143,20 @@
 
         Returns:
             The answer. Its outcome is `NOT_RUN` only if no byte was sent or if
-            the upstream reports that it did not run the call.
+            the upstream reports that it did not run the call. To be sure that
+            such a report is not a copy of an earlier one, the connection of a
+            refusal is closed, and the same call gets a new connection.
         """
         if not is_idempotent:
             self._wait_for_hold()
         remaining_s = deadline_s - self._clock()
         if remaining_s <= 0:
             return not_run('deadline')
-        connection = self.pool.acquire(lane, remaining_s)
+        names = self._policy.names
+        is_returning = request_id_of(request, names) in self._refused_ids
+        connection = self.pool.acquire(
+            lane, remaining_s, must_be_new=is_returning
+        )
         if isinstance(connection, NoConnection):
             return not_run(connection.reason)
         exchange.connection = connection
@@ -172,6 +196,7 @@
     ) -> Answer:
         remaining_s = max(_MIN_TIMEOUT_S, deadline_s - self._clock())
         connection.sock.settimeout(remaining_s)
+        connection.reader.deadline_s = self._clock() + remaining_s
         names = self._policy.names
         remaining_ms = max(1, int(remaining_s * MS_PER_S))
         head = request_head(request, names, self._name, remaining_ms)
@@ -183,19 +208,24 @@
             # The remainder of the request body would be read as a new request.
             sender.kill()
             connection.is_reusable = False
+        answer = _build_answer(head, inline if body.is_complete else b'', names)
+        if answer.outcome is Outcome.NOT_RUN:
+            self._refused_ids.add(request_id_of(request, names))
+            self.pool.discard(connection)
+            return answer
         if body.is_complete:
             self.pool.release(connection, head, lane)
-            answer = _build_answer(head, inline, names)
             if request.method == 'HEAD':
                 answer.length = head.framing.length
             return answer
-        answer = _build_answer(head, b'', names)
         answer.length = head.framing.length
-        answer.stream = _StreamedBody(
+        answer.stream = StreamedBody(
             inline,
             body,
             connection,
-            self._policy,
+            self._stream_limits,
+            deadline_s,
+            self._clock,
             lambda is_complete: self._end_stream(
                 connection, head, lane, is_complete
             ),
@@ -215,42 +245,6 @@
             self.pool.discard(connection)
 
 
-class _StreamedBody:
-    """Large answer body that is read from the upstream piece by piece."""
-
-    def __init__(
-        self,
-        first: bytes,
-        body: Body,
-        connection: Connection,
-        policy: UpstreamClientPolicy,
-        on_end: Callable[[bool], None],
-    ) -> None:
-        self._first = first
-        self._body = body
-        self._chunk_bytes = policy.chunk_bytes
-        self._on_end = on_end
-        self._is_open = True
-        connection.sock.settimeout(policy.stall_timeout_s)
-
-    def __iter__(self) -> Iterator[bytes]:
-        """Yields the pieces of the body."""
-        yield self._first
-        while not self._body.is_complete:
-            try:
-                piece = self._body.read(self._chunk_bytes)
-            except _CONNECTION_ERRORS as error:
-                raise BrokenBodyError(str(error)) from None
-            if piece:
-                yield piece
-
-    def close(self) -> None:
-        """Reports whether the body was read in full, for the connection."""
-        if self._is_open:
-            self._is_open = False
-            self._on_end(self._body.is_complete)
-
-
 def _build_answer(
     head: ResponseHead, body: bytes, names: HeaderNames
 ) -> Answer:
--- a/waxwingsaddle/upstream_connection.py
+++ b/waxwingsaddle/upstream_connection.py
@@ -20,7 +20,10 @@
 _MAX_STRAY_BYTES = 1_048_576
 # Statuses whose answers have no body.
 BODYLESS = frozenset((204, 304))
+_SWITCHING_PROTOCOLS_STATUS = 101
 _MIN_FINAL_STATUS = 200
+# Maximum number of interim answers before the final answer to a request.
+_MAX_INTERIM_ANSWERS = 8
 _MIN_REDIRECT_STATUS = 300
 
 
@@ -93,18 +96,22 @@
 
     Before it, an upstream may send a late second answer to an earlier request.
     Such a stray answer is recognized by its request identifier and skipped, and
-    the connection is not reused.
+    the connection is not reused. An answer without identifier may be a stray
+    one as well, unless the request has none.
 
     Raises:
-        MalformedError: The answer is malformed or too large, there are too many
-            stray answers, or the upstream closed the connection.
+        MalformedError: The answer is malformed, too large or not identified,
+            there are too many stray or interim answers, or the upstream closed
+            the connection.
         OSError: The connection broke.
     """
     request_id = request_id_of(request, names)
     for _ in range(_MAX_STRAY_ANSWERS):
         head = _read_final_head(connection, limits)
-        answered_id = head.fields.get(names.request_id_key, request_id)
-        if answered_id == request_id:
+        answered_id = head.fields.get(names.request_id_key, '')
+        if request_id and not answered_id:
+            raise MalformedError('an answer without a request identifier')
+        if answered_id == request_id or not request_id:
             _check_signature(head, names)
             return head
         connection.is_reusable = False
@@ -118,13 +125,16 @@
 def _read_final_head(
     connection: Connection, limits: HeadLimits
 ) -> ResponseHead:
-    while True:
+    for _ in range(_MAX_INTERIM_ANSWERS + 1):
         raw = read_head(connection.reader, limits)
         if not raw:
             raise MalformedError('the upstream closed the connection')
         head = parse_response(raw)
+        if head.status == _SWITCHING_PROTOCOLS_STATUS:
+            raise MalformedError('a change of protocol that nobody asked for')
         if head.status >= _MIN_FINAL_STATUS:
             return head
+    raise MalformedError('too many interim answers')
 
 
 def request_id_of(request: Request, names: HeaderNames) -> str:
--- a/waxwingsaddle/util/recent_set.py
+++ b/waxwingsaddle/util/recent_set.py
@@ -24,6 +24,9 @@
     def __len__(self) -> int:
         return len(self._young) + len(self._old)
 
+    def __contains__(self, identifier: str) -> bool:
+        return identifier in self._young or identifier in self._old
+
     def add(self, identifier: str) -> bool:
         """Adds an identifier, and returns whether it was not yet present."""
         now_s = self._clock()
@@ -32,7 +35,7 @@
             self._old = set() if is_stale else self._young
             self._young = set()
             self._rotated_s = now_s
-        if identifier in self._young or identifier in self._old:
+        if identifier in self:
             return False
         self._young.add(identifier)
         return True
