--- /dev/null
+++ b/test/test_broken_answers.py
@@ -0,0 +1,94 @@
+"""Answers of upstreams that break off, seen by callers behind two hosts."""
+
+from contextlib import contextmanager
+from http.client import HTTPConnection, HTTPException
+
+from nose2.tools import params
+
+from test.nodes import node_environment
+from test.scripted_upstreams import ScriptedUpstream, reset
+
+WHOLE = (
+    b'HTTP/1.1 200 OK\r\nX-Id: z1\r\nContent-Length: 300000\r\n'
+    b'Connection: close\r\n\r\n'
+)
+UNSIZED = b'HTTP/1.1 200 OK\r\nX-Id: z1\r\n\r\n'
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+BODY = b'z' * 300_000
+CHUNK = b'186a0\r\n%b\r\n' % BODY[:100_000]
+# Cuts in the status line, in and after a field, and before the empty line.
+HALF_HEADS = tuple(WHOLE[:size] for size in (0, 7, 15, 17, 21, 27, 40, 50, 72))
+
+
+@contextmanager
+def _two_hosts(*scripts):
+    """Yields the addresses of a guarding node and of an entry node."""
+    upstream = ScriptedUpstream(*scripts)
+    upstream.name, upstream.slots = 'up-1', 6
+    with node_environment() as started:
+        guard = started.new_node('guard')
+        entry = started.new_node('entry')
+        guard.start(nodes=(entry, guard))
+        guard.announce(upstream)
+        entry.start([guard.entry(upstream)], nodes=(entry, guard))
+        try:
+            yield guard.http_address, entry.http_address
+        finally:
+            upstream.close()
+
+
+def _post(address):
+    """Makes a call that must not run twice; returns status and body."""
+    connection = HTTPConnection(address, timeout=10)
+    try:
+        connection.request('POST', '/orders?id=z1')
+        response = connection.getresponse()
+        return response.status, response.read()
+    except HTTPException:
+        return 0, b''
+    finally:
+        connection.close()
+
+
+def test_half_head_is_no_answer():
+    """Guards against a success with an empty or short body.
+
+    An upstream stops in the middle of the head of its answer, and closes or
+    resets the connection.
+    """
+    scripts = [
+        [half, *end]
+        for half in HALF_HEADS
+        for end in ([None], [reset, None])
+        for _ in range(2)
+    ]
+    with _two_hosts(*scripts) as addresses:
+        for half in HALF_HEADS:
+            for _ in range(2):
+                results = [_post(address)[0] for address in addresses]
+                assert results == [502, 502], (half, results)
+
+
+@params(
+    ('length, closed', [WHOLE + BODY[:-1], None]),
+    ('length, no byte of the body', [WHOLE, None]),
+    ('length, reset', [WHOLE + BODY[:-1], reset, None]),
+    ('no length, reset', [UNSIZED + BODY, reset, None]),
+    ('chunks, closed', [CHUNKED + CHUNK, None]),
+    ('chunks, closed in a chunk', [CHUNKED + CHUNK[:-9], None]),
+    ('chunks, closed before the trailers', [CHUNKED + CHUNK + b'0\r\n', None]),
+)
+def test_short_body_never_looks_whole(name, script):
+    """Guards against a body that breaks off and is framed as complete."""
+    with _two_hosts(script, script) as addresses:
+        for address in addresses:
+            status, body = _post(address)
+            assert status in {0, 502}, (name, status, len(body))
+
+
+def test_body_that_ends_with_its_connection_is_whole():
+    """Guards against a complete answer without length taken for broken."""
+    script = [UNSIZED + BODY, None]
+    with _two_hosts(script, script) as addresses:
+        for address in addresses:
+            assert _post(address) == (200, BODY)
