--- a/test/test_broken_answers.py
+++ b/test/test_broken_answers.py
@@ -2,6 +2,7 @@
 
 from contextlib import contextmanager
 from http.client import HTTPConnection, HTTPException
+from itertools import product
 
 from nose2.tools import params
 
@@ -16,6 +17,7 @@
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 BODY = b'z' * 300_000
 CHUNK = b'186a0\r\n%b\r\n' % BODY[:100_000]
+LAST_CHUNK = b'%b%b0\r\n' % (CHUNKED, CHUNK)
 # Cuts in the status line, in and after a field, and before the empty line.
 HALF_HEADS = tuple(WHOLE[:size] for size in (0, 7, 15, 17, 21, 27, 40, 50, 72))
 
@@ -24,7 +26,8 @@
 def _two_hosts(*scripts):
     """Yields the addresses of a guarding node and of an entry node."""
     upstream = ScriptedUpstream(*scripts)
-    upstream.name, upstream.slots = 'up-1', 6
+    upstream.name = 'up-1'
+    upstream.slots = 6
     with node_environment() as started:
         guard = started.new_node('guard')
         entry = started.new_node('entry')
@@ -56,12 +59,8 @@
     An upstream stops in the middle of the head of its answer, and closes or
     resets the connection.
     """
-    scripts = [
-        [half, *end]
-        for half in HALF_HEADS
-        for end in ([None], [reset, None])
-        for _ in range(2)
-    ]
+    ends = ([None], [None], [reset, None], [reset, None])
+    scripts = [[half, *end] for half, end in product(HALF_HEADS, ends)]
     with _two_hosts(*scripts) as addresses:
         for half in HALF_HEADS:
             for _ in range(2):
@@ -76,7 +75,7 @@
     ('no length, reset', [UNSIZED + BODY, reset, None]),
     ('chunks, closed', [CHUNKED + CHUNK, None]),
     ('chunks, closed in a chunk', [CHUNKED + CHUNK[:-9], None]),
-    ('chunks, closed before the trailers', [CHUNKED + CHUNK + b'0\r\n', None]),
+    ('chunks, closed before the trailers', [LAST_CHUNK, None]),
 )
 def test_short_body_never_looks_whole(name, script):
     """Guards against a body that breaks off and is framed as complete."""
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -12,7 +12,9 @@
 from waxwingsaddle.calls import Answer, Request, not_run, unknown
 from waxwingsaddle.dispatch import CallTask, Dispatcher
 from waxwingsaddle.guard_decisions import Load
+from waxwingsaddle.retry_allowance import UNBOUNDED_ALLOWANCE
 from waxwingsaddle.routing import Match
+from waxwingsaddle.service_policies import PolicyTable
 from waxwingsaddle.tasks import attempt_result
 from waxwingsaddle.util.clock import monotonic_s
 from waxwingsaddle.util.outcome import Outcome
@@ -38,8 +40,7 @@
     entries = (_upstream('x'), _upstream('y'))
     dispatcher = Dispatcher(
         'here',
-        'a',
-        10,
+        PolicyTable('a', 10, monotonic_s, UNBOUNDED_ALLOWANCE),
         SimpleNamespace(upstreams_of=lambda _: entries),
         SimpleNamespace(run=run, cancel=lambda _: None),
         None,
--- a/test/test_endless_callers.py
+++ b/test/test_endless_callers.py
@@ -14,6 +14,7 @@
 START = b'POST /orders/0 HTTP/1.1\r\nHost: shop.example\r\n'
 SIZED = b'%bContent-Length: 5000\r\n\r\n' % START
 CHUNKED = b'%bTransfer-Encoding: chunked\r\n\r\n' % START
+TRAILERS = b'%b0\r\n' % CHUNKED
 
 
 @params(
@@ -29,8 +30,8 @@
     ('chunks', CHUNKED, flood(b'1\r\nx\r\n'), b'413'),
     ('slow chunk size', CHUNKED, trickle(b'0'), b'408'),
     ('long chunk size', CHUNKED, flood(b'0'), b'400'),
-    ('slow trailers', CHUNKED + b'0\r\n', trickle(b'X: x\r\n'), b'408'),
-    ('trailers', CHUNKED + b'0\r\n', flood(b'X: x\r\n'), b'400'),
+    ('slow trailers', TRAILERS, trickle(b'X: x\r\n'), b'408'),
+    ('trailers', TRAILERS, flood(b'X: x\r\n'), b'400'),
 )
 def test_endless_request_is_refused(name, start, script, status):
     """Guards against a caller that holds a connection without end."""
--- a/waxwingsaddle/derived_timeouts.py
+++ b/waxwingsaddle/derived_timeouts.py
@@ -28,6 +28,8 @@
             milliseconds.
         retry_percent: Maximum number of attempts beyond the first of each call
             that the fleet may send to upstreams, in percent of the calls.
+        fleet_retries: Such attempts that the fleet may send in addition within
+            a few seconds; 0 for no such bound.
     """
 
     contact_ms: int
@@ -37,6 +39,7 @@
     stop_ms: int
     announce_ms: int
     retry_percent: int
+    fleet_retries: int
 
 
 # Fractions of the propagation bound. A silent control host is detected after
@@ -79,6 +82,7 @@
     """Returns the settings of a node that follow from the bounds."""
     propagation_ms = bounds.propagation_ms
     return {
+        'fleet_retries': bounds.fleet_retries,
         'upstream_ttl_ms': bounds.announce_ms * _ANNOUNCEMENTS_PER_TTL,
         'lease_renew_ms': round(propagation_ms * _RENEW_SHARE),
         'answer_wait_ms': round(propagation_ms * _ANSWER_SHARE),
--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -36,8 +36,7 @@
 
     Args:
         host: Name of this host.
-        availability_zone: Availability zone of this host.
-        crossing_ms: Round trip to another zone, in milliseconds.
+        policies: Policies of each service.
         directory: Service with `upstreams_of`, the directory of upstreams.
         upstream_calls: Runs calls at the upstreams of this node.
         remote: Runs calls at the upstreams of other nodes.
@@ -47,8 +46,7 @@
     def __init__(
         self,
         host: str,
-        availability_zone: str,
-        crossing_ms: float,
+        policies: PolicyTable,
         directory,
         upstream_calls: UpstreamCalls,
         remote: RemoteCalls,
@@ -59,7 +57,7 @@
         self._upstream_calls = upstream_calls
         self._remote = remote
         self._clock = clock
-        self._policies = PolicyTable(availability_zone, crossing_ms, clock)
+        self._policies = policies
         # The random part keeps call identifiers unique across restarts.
         self._id_prefix = f'{host}-{os.urandom(6).hex()}-'
         self._ids = count(1)
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable
 from functools import partial
 
-from waxwingsaddle import claim_service, entry_bound, metrics
+from waxwingsaddle import (
+    claim_service,
+    entry_bound,
+    metrics,
+    retry_allowance,
+    service_policies,
+)
 from waxwingsaddle.call_server import CallServer
 from waxwingsaddle.disconnect_watch import DisconnectWatch
 from waxwingsaddle.dispatch import Dispatcher
@@ -178,11 +184,19 @@
         ),
         monotonic_s,
     )
-    dispatcher = Dispatcher(
-        settings.host,
+    directory = kernel.find('directory')
+    policies = service_policies.PolicyTable(
         settings.availability_zone,
         settings.crossing_ms,
-        kernel.find('directory'),
+        monotonic_s,
+        retry_allowance.RetryAllowance(
+            settings.fleet_retries, lambda: len(directory)
+        ),
+    )
+    dispatcher = Dispatcher(
+        settings.host,
+        policies,
+        directory,
         upstream_calls,
         remote,
         monotonic_s,
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -119,6 +119,9 @@
             expire.
         claim_grace_ms: Wait for the last keeper after two have granted.
         claim_pause_ms: Mean pause before a key is requested again.
+        fleet_retries: Retries beyond a percentage of the calls that all nodes
+            together may send within a few seconds, for each service; 0 for no
+            such bound.
         claims_max_bytes: Total size of the claims stored for other nodes from
             which new keys are refused.
     """
@@ -168,6 +171,7 @@
     claim_grace_ms: Positive
     claim_pause_ms: Positive
     claims_max_bytes: Positive
+    fleet_retries: Annotated[int, msgspec.Meta(ge=0)]
 
     @property
     def head_limits(self) -> HeadLimits:
--- a/waxwingsaddle/retry.py
+++ b/waxwingsaddle/retry.py
@@ -7,6 +7,7 @@
 
 from waxwingsaddle import config_models
 from waxwingsaddle.call_class import Call
+from waxwingsaddle.retry_allowance import UNBOUNDED_ALLOWANCE, RetryAllowance
 from waxwingsaddle.util.outcome import Outcome
 
 RETRIED_HEADER = 'Waxwing-Retried'
@@ -35,6 +36,11 @@
         self._capacity = capacity
         self._tokens = capacity / 2
 
+    def resize(self, capacity: float) -> None:
+        """Changes the capacity; tokens beyond it are lost."""
+        self._capacity = capacity
+        self._tokens = min(self._tokens, capacity)
+
     @property
     def level(self) -> float:
         """Tokens in the bucket, as a share of the capacity."""
@@ -62,12 +68,14 @@
         """Takes a token for one extra attempt if the budget allows it.
 
         Args:
-            reserved_share: Share of the capacity that must remain.
+            reserved_share: Share of the capacity, beyond one token, that must
+                remain.
 
         Returns:
             Whether a token was taken.
         """
-        is_enough = self._tokens - 1 >= reserved_share * self._capacity
+        reserved = reserved_share * max(0, self._capacity - 1)
+        is_enough = self._tokens - 1 >= reserved
         if not self.percent or not is_enough:
             return False
         self._tokens -= 1
@@ -110,16 +118,21 @@
     Args:
         service: Settings of the service.
         clock: Returns monotonic seconds.
+        allowance: Bounds the burst of retries of this node.
     """
 
     def __init__(
         self,
         service: config_models.Service,
         clock: Callable[[], float],
+        allowance: RetryAllowance = UNBOUNDED_ALLOWANCE,
     ) -> None:
         self._clock = clock
+        self._allowance = allowance
         self._max_attempts = service.max_attempts
-        self._budget = AttemptBudget(service.retry_percent, capacity=10)
+        self._budget = AttemptBudget(
+            service.retry_percent, allowance.burst_tokens()
+        )
 
     def configure(self, service: config_models.Service) -> None:
         """Applies new settings and keeps the tokens."""
@@ -143,6 +156,7 @@
             return False
         if attempt.is_free:
             return True
+        self._budget.resize(self._allowance.burst_tokens())
         return self._budget.spend(_RESERVED_SHARES[call.priority])
 
 
--- a/waxwingsaddle/service_policies.py
+++ b/waxwingsaddle/service_policies.py
@@ -9,6 +9,7 @@
 from waxwingsaddle.hedging import HedgingPolicy
 from waxwingsaddle.load_balancer import LoadBalancer
 from waxwingsaddle.retry import RetryPolicy
+from waxwingsaddle.retry_allowance import RetryAllowance
 from waxwingsaddle.routing import Match
 from waxwingsaddle.spillover import SpilloverPolicy
 from waxwingsaddle.upstream_estimate import AttemptResult, Ticket
@@ -53,6 +54,7 @@
         availability_zone: Availability zone of the node.
         crossing_ms: Round trip to another zone, in milliseconds.
         clock: Returns monotonic seconds.
+        allowance: Bounds the burst of retries of the node.
     """
 
     def __init__(
@@ -60,10 +62,12 @@
         availability_zone: str,
         crossing_ms: float,
         clock: Callable[[], float],
+        allowance: RetryAllowance,
     ) -> None:
         self._zone = availability_zone
         self._crossing_ms = crossing_ms
         self._clock = clock
+        self._allowance = allowance
         self._policies: dict[str, ServicePolicies] = {}
 
     def for_match(self, match: Match) -> ServicePolicies:
@@ -82,7 +86,7 @@
             policies = ServicePolicies(
                 service,
                 balancer,
-                RetryPolicy(service, self._clock),
+                RetryPolicy(service, self._clock, self._allowance),
                 HedgingPolicy(service),
                 SpilloverPolicy(service),
             )
