--- /dev/null
+++ b/test/test_platform_bounds.py
@@ -0,0 +1,17 @@
+"""Bounds of a deployment in the settings file of the platform."""
+
+from nose2.tools import params
+
+from test.meshports import SETTINGS
+from waxwingsaddle.node_settings import NodeSettings
+
+from meshport.platform_settings import parse_platform_settings  # isort: skip
+from meshport.node_program import node_settings  # isort: skip
+
+
+@params(('', 0), ('budgetSlack = 64', 64), ('budgetSlack = 89.6', 89))
+def test_retry_budget_may_have_a_fraction(line, fleet_retries):
+    """Guards against a node that does not start with a fraction as bound."""
+    node = node_settings(parse_platform_settings('boot.toml', SETTINGS + line))
+    assert isinstance(node, NodeSettings), node
+    assert node.fleet_retries == fleet_retries
