--- a/waxwingsaddle/call_server.py
+++ b/waxwingsaddle/call_server.py
@@ -1,18 +1,16 @@
 """Serves calls that other nodes send to the upstreams of this node."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from functools import partial
 
 import eventlet
 import msgspec
-from eventlet.event import Event
 
+from waxwingsaddle.body_sender import BodySender
 from waxwingsaddle.calls import (
     Answer,
-    BrokenBodyError,
     CallAnswer,
     CallCancel,
-    CallChunk,
     CallCredit,
     CallRequest,
     Request,
@@ -29,28 +27,6 @@
 _decode_credit = msgspec.msgpack.Decoder(CallCredit).decode
 
 
-@dataclass(slots=True)
-class _BodyTransfer:
-    """State of a streamed body that is sent to the node of the caller.
-
-    Attributes:
-        credit_bytes: Bytes that may be sent now.
-        receiver: Route of the connection that the chunks are sent on.
-        changed: Set when credit or a cancellation arrives.
-        is_cancelled: Whether the call was cancelled.
-    """
-
-    credit_bytes: int = 0
-    receiver: bytes = b''
-    changed: Event = field(default_factory=Event)
-    is_cancelled: bool = False
-
-    def notify(self) -> None:
-        """Wakes the green thread that waits for credit."""
-        if not self.changed.ready():
-            self.changed.send(None)
-
-
 class CallServer:
     """Runs the calls of `CallRequest` messages and sends back the answers.
 
@@ -70,9 +46,8 @@
     ) -> None:
         self._transport = transport
         self._upstream_calls = upstream_calls
-        self._stall_timeout_s = stall_timeout_s
         self._clock = clock
-        self._transfers: dict[str, _BodyTransfer] = {}
+        self._bodies = BodySender(transport, stall_timeout_s, clock)
         self._callers: dict[str, bytes] = {}
         transport.subscribe_raw(CallRequest, self._on_request)
         transport.subscribe_raw(CallCancel, self._on_cancel)
@@ -96,19 +71,14 @@
         self._cancel(_decode_cancel(received.body).call_id)
 
     def _cancel(self, call_id: str) -> None:
-        transfer = self._transfers.get(call_id)
-        if transfer is not None:
-            transfer.is_cancelled = True
-            transfer.notify()
+        self._bodies.cancel(call_id)
         self._upstream_calls.cancel(call_id)
 
     def _on_credit(self, received: ReceivedMessage) -> None:
         credit = _decode_credit(received.body)
-        transfer = self._transfers.get(credit.call_id)
-        if transfer is not None:
-            transfer.credit_bytes += credit.credit_bytes
-            transfer.receiver = received.sender
-            transfer.notify()
+        self._bodies.add_credit(
+            credit.call_id, credit.credit_bytes, received.sender
+        )
 
     def _cancel_orphans(self) -> None:
         while True:
@@ -170,40 +140,5 @@
         if answer.stream is None:
             self._transport.answer(sender, message, [answer.body])
             return
-        try:
-            self._transfers[call_id] = _BodyTransfer()
-            if self._transport.answer(sender, message, [b'']):
-                self._send_body(call_id, answer)
-        finally:
-            self._transfers.pop(call_id, None)
-            answer.stream.close()
-
-    def _send_body(self, call_id: str, answer: Answer) -> None:
-        transfer = self._transfers[call_id]
-        sequence = 0
-        is_broken = False
-        try:
-            for piece in answer.stream:
-                if not self._wait_for_credit(transfer):
-                    return
-                transfer.credit_bytes -= len(piece)
-                chunk = CallChunk(call_id, sequence)
-                if not self._transport.answer(
-                    transfer.receiver, chunk, [piece]
-                ):
-                    return
-                sequence += 1
-        except BrokenBodyError:
-            is_broken = True
-        end = CallChunk(call_id, sequence, not is_broken, is_broken)
-        if self._wait_for_credit(transfer):
-            self._transport.answer(transfer.receiver, end, [b''])
-
-    def _wait_for_credit(self, transfer: _BodyTransfer) -> bool:
-        while transfer.credit_bytes <= 0 and not transfer.is_cancelled:
-            transfer.changed = Event()
-            with eventlet.Timeout(self._stall_timeout_s, False):
-                transfer.changed.wait()
-            if not transfer.changed.ready():
-                return False
-        return not transfer.is_cancelled
+        send_head = partial(self._transport.answer, sender, message, [b''])
+        self._bodies.send(call_id, answer, send_head)
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -177,7 +177,7 @@
     remote = RemoteCalls(
         kernel.find('hop'),
         RemoteCallPolicy(
-            bulk_threshold_bytes=settings.inline_answer_bytes,
+            bulk_threshold_bytes=settings.bulk_request_bytes,
             credit_window_bytes=settings.credit_window_bytes,
             stall_timeout_s=settings.stall_timeout_ms / MS_PER_S,
             answer_grace_s=settings.answer_grace_ms / MS_PER_S,
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -89,8 +89,9 @@
             quarters of it on.
         entry_body_bytes: Maximum total size of the request bodies held for
             such calls.
-        inline_answer_bytes: Size above which answers are streamed in chunks,
-            and request bodies use the connection for bulk data.
+        inline_answer_bytes: Size above which answers are streamed in chunks.
+        bulk_request_bytes: Size above which request bodies use the connection
+            for bulk data.
         chunk_bytes: Maximum size of a chunk of a streamed answer.
         credit_window_bytes: Bytes of a streamed answer that may be in transit.
         stall_timeout_ms: Maximum wait for the next chunk of an answer.
@@ -152,6 +153,7 @@
     entry_calls: Positive
     entry_body_bytes: Positive
     inline_answer_bytes: Positive
+    bulk_request_bytes: Positive
     chunk_bytes: Positive
     credit_window_bytes: Positive
     stall_timeout_ms: Positive
