--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -6,6 +6,7 @@
 
 from waxwingsaddle import (
     claim_service,
+    claims,
     entry_bound,
     metrics,
     retry_allowance,
@@ -123,14 +124,14 @@
 def _provide_claim_service(
     kernel: Kernel, settings: NodeSettings
 ) -> claim_service.ClaimService:
-    claims = claim_service.attach(kernel, settings)
+    service = claim_service.attach(kernel, settings)
     # Not a condition of readiness: while a dead node is still listed, this node
     # can't settle, yet it serves everything except the claims that it stores.
     metrics.gauge(
         'waxwing_claims_settled',
         'Whether this node knows all claims that it has to keep.',
-    ).set_function(lambda: claims.is_settled)
-    return claims
+    ).set_function(lambda: service.is_settled)
+    return service
 
 
 def _provide_upstream_calls(
@@ -146,7 +147,9 @@
             connect_timeout_s=settings.connect_timeout_ms / MS_PER_S,
             idle_limit_s=settings.upstream_idle_limit_ms / MS_PER_S,
             inline_bytes=settings.inline_answer_bytes,
+            stored_bytes=claims.MAX_ANSWER_BYTES,
             chunk_bytes=settings.chunk_bytes,
+            read_ahead_bytes=settings.read_ahead_bytes,
             stall_timeout_s=settings.stall_timeout_ms / MS_PER_S,
             head_limits=settings.head_limits,
             names=names,
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -94,6 +94,8 @@
             for bulk data.
         chunk_bytes: Maximum size of a chunk of a streamed answer.
         credit_window_bytes: Bytes of a streamed answer that may be in transit.
+        read_ahead_bytes: Bytes of streamed answers that a guard reads before
+            their callers take them.
         stall_timeout_ms: Maximum wait for the next chunk of an answer.
         answer_grace_ms: Time after the deadline in which the guard can still
             report whether the call ran.
@@ -156,6 +158,7 @@
     bulk_request_bytes: Positive
     chunk_bytes: Positive
     credit_window_bytes: Positive
+    read_ahead_bytes: Positive
     stall_timeout_ms: Positive
     answer_grace_ms: Positive
     caller_check_ms: Positive
--- a/waxwingsaddle/upstream_calls.py
+++ b/waxwingsaddle/upstream_calls.py
@@ -21,6 +21,7 @@
 )
 from waxwingsaddle.guard_log import GuardLog
 from waxwingsaddle.guarded_stream import GuardedStream
+from waxwingsaddle.read_ahead import ReadAheadBuffer, ReadAheadStream
 from waxwingsaddle.upstream_client import UpstreamClient, UpstreamClientPolicy
 from waxwingsaddle.upstream_connection import Exchange, request_id_of
 from waxwingsaddle.upstreams import Announcement, Upstreams
@@ -66,6 +67,7 @@
     guarded: _GuardedUpstream
     exchange: Exchange
     decision: Event
+    is_keyed: bool
 
 
 class UpstreamCalls:
@@ -102,6 +104,7 @@
         self._jobs: dict[str, _Job] = {}
         self._seen_ids = RecentSet(call_ids_kept_s, clock)
         self._log = GuardLog(clock)
+        self._read_ahead = ReadAheadBuffer(policy.read_ahead_bytes)
         metrics.gauge(
             'waxwing_guard_queued',
             'Calls that wait for a slot at the upstreams of this node.',
@@ -152,7 +155,7 @@
         if guarded is None:
             return not_run('no-upstream')
         started_s = self._clock()
-        job = _Job(call, guarded, Exchange(), Event())
+        job = _Job(call, guarded, Exchange(), Event(), bool(claim))
         self._jobs[call.call_id] = job
         try:
             answer = self._admit_and_send(job, request)
@@ -214,6 +217,7 @@
             job.call.deadline_s,
             job.exchange,
             job.call.is_idempotent,
+            is_answer_stored=job.is_keyed,
         )
         elapsed_s = self._clock() - started_s
         _upstream_histogram.observe(elapsed_s)
@@ -223,13 +227,14 @@
                 outcome = Outcome.CANCELLED
             self._finish(job, outcome, elapsed_s)
         else:
-            answer.stream = GuardedStream(
+            guarded_stream = GuardedStream(
                 answer.stream,
                 self._clock,
                 lambda outcome, reading_s: self._finish(
                     job, outcome, elapsed_s + reading_s
                 ),
             )
+            answer.stream = ReadAheadStream(guarded_stream, self._read_ahead)
         return answer
 
     def _finish(self, job: _Job, outcome: Outcome, elapsed_s: float) -> None:
@@ -252,7 +257,9 @@
         guarded = self._guarded.get(name)
         service = self._service_of(announcement.service)
         policy = GuardPolicy.of(service)
-        is_new = guarded is None or _is_new(guarded.announcement, announcement)
+        is_new = guarded is None or announcement.is_restart_of(
+            guarded.announcement
+        )
         if is_new:
             if guarded is not None:
                 guarded.client.close()
@@ -290,10 +297,3 @@
         return sum(
             guarded.guard.load().in_flight for guarded in self._guarded.values()
         )
-
-
-def _is_new(before: Announcement, after: Announcement) -> bool:
-    # A drain cannot be undone: an upstream that returns gets a new guard.
-    is_ready_again = before.state == _DRAINING and after.state != _DRAINING
-    is_restarted = before.incarnation != after.incarnation
-    return is_ready_again or is_restarted or before.address != after.address
--- a/waxwingsaddle/upstream_client.py
+++ b/waxwingsaddle/upstream_client.py
@@ -56,8 +56,11 @@
         connect_timeout_s: Longest wait for a new connection.
         idle_limit_s: Connections idle for longer are not reused.
         inline_bytes: Answers with a larger body are streamed.
+        stored_bytes: The same for calls whose answers are stored.
         chunk_bytes: Largest piece of a streamed body.
         stall_timeout_s: Longest wait for the next piece of a streamed body.
+        read_ahead_bytes: Bytes of streamed bodies of all upstreams that are
+            read before their callers take them.
         stream_overtime_s: Longest wait, after the deadline, for a streamed
             body that comes at less than the minimum rate.
         stream_min_bytes_per_s: Minimum rate of streamed bodies.
@@ -70,8 +73,10 @@
     connect_timeout_s: float = 1
     idle_limit_s: float = 15
     inline_bytes: int = 65_536
+    stored_bytes: int = 65_536
     chunk_bytes: int = 65_536
     stall_timeout_s: float = 10
+    read_ahead_bytes: int = 1_048_576
     stream_overtime_s: float = 2
     stream_min_bytes_per_s: float = 8192
     unsized_bytes: int = 1_073_741_824
@@ -131,6 +136,8 @@
         deadline_s: float,
         exchange: Exchange,
         is_idempotent: bool = False,
+        *,
+        is_answer_stored: bool = False,
     ) -> Answer:
         """Sends a request to the upstream; blocks the green thread.
 
@@ -140,6 +147,8 @@
             deadline_s: When the caller gives up, on the clock of the client.
             exchange: Lets another green thread abort the request.
             is_idempotent: Whether the request may run more than once.
+            is_answer_stored: Whether the answer is stored for repeats of its
+                request, which is possible only if it is not streamed.
 
         Returns:
             The answer. Its outcome is `NOT_RUN` only if no byte was sent or if
@@ -163,8 +172,15 @@
         if exchange.is_aborted:
             self.pool.discard(connection)
             return not_run('cancelled')
+        inline_bytes = (
+            self._policy.stored_bytes
+            if is_answer_stored
+            else self._policy.inline_bytes
+        )
         try:
-            return self._send_and_read(connection, request, lane, deadline_s)
+            return self._send_and_read(
+                connection, request, lane, deadline_s, inline_bytes
+            )
         except TimeoutError:
             reason = 'deadline'
         except _CONNECTION_ERRORS:
@@ -193,6 +209,7 @@
         request: Request,
         lane: Lane,
         deadline_s: float,
+        inline_bytes: int,
     ) -> Answer:
         remaining_s = max(_MIN_TIMEOUT_S, deadline_s - self._clock())
         connection.sock.settimeout(remaining_s)
@@ -203,7 +220,7 @@
         sender = send_request(connection, head, request.body)
         head = read_answer(connection, request, self._policy.head_limits, names)
         body = answer_body(connection, request, head)
-        inline = body.read(self._policy.inline_bytes)
+        inline = body.read(inline_bytes)
         if sender is not None and not sender.dead:
             # The remainder of the request body would be read as a new request.
             sender.kill()
--- a/waxwingsaddle/upstreams.py
+++ b/waxwingsaddle/upstreams.py
@@ -81,6 +81,18 @@
         """Milliseconds since it was first announced."""
         return int((monotonic_s() - self.started_s) * MS_PER_S)
 
+    def is_restart_of(self, earlier: 'Announcement') -> bool:
+        """Returns whether the upstream has started anew, or moved.
+
+        A drain cannot be undone: an upstream that is ready again has started
+        anew.
+        """
+        return (
+            (earlier.state == 'draining' and self.state != 'draining')
+            or earlier.incarnation != self.incarnation
+            or earlier.address != self.address
+        )
+
 
 class Upstreams:
     """Keeps the announced upstreams and removes those without heartbeats.
