--- a/waxwingsaddle/body_sender.py
+++ b/waxwingsaddle/body_sender.py
@@ -7,6 +7,7 @@
 import eventlet
 from eventlet.event import Event
 
+from waxwingsaddle.bulk_order import BulkTurn
 from waxwingsaddle.bulk_window import BulkWindow, Piece
 from waxwingsaddle.calls import Answer, BrokenBodyError, CallChunk
 from waxwingsaddle.node_transport import NodeTransport
@@ -22,12 +23,14 @@
     Attributes:
         credit_bytes: Bytes that the receiver can take now.
         receiver: Route of the connection that the chunks are sent on.
-        changed: Set when credit or a cancellation arrives.
+        changed: Set when credit, a turn or a cancellation arrives.
         is_cancelled: Whether the call was cancelled.
         is_started: Whether the first credit has arrived.
+        turn: Position among the answers that wait for room.
         pieces: Pieces that the receiver has not taken yet.
     """
 
+    turn: BulkTurn
     credit_bytes: int = 0
     receiver: bytes = b''
     changed: Event = field(default_factory=Event)
@@ -36,7 +39,7 @@
     pieces: deque[Piece] = field(default_factory=deque)
 
     def notify(self) -> None:
-        """Wakes the green thread that waits for credit."""
+        """Wakes the green thread that waits for credit or room."""
         if not self.changed.ready():
             self.changed.send(None)
 
@@ -60,7 +63,8 @@
         self._stall_timeout_s = stall_timeout_s
         self._window = BulkWindow(clock)
         self._transfers: dict[str, _Transfer] = {}
-        self._waiting: deque[Event] = deque()
+        self._clock = clock
+        self._waiting: list[_Transfer] = []
 
     def send(
         self, call_id: str, answer: Answer, send_head: Callable[[], bool]
@@ -72,7 +76,7 @@
             answer: The answer; its stream is closed at the end.
             send_head: Sends the head; returns False if that failed.
         """
-        transfer = _Transfer()
+        transfer = _Transfer(BulkTurn(self._clock(), answer.length))
         self._transfers[call_id] = transfer
         try:
             if send_head():
@@ -125,9 +129,11 @@
                 ):
                     return
                 transfer.credit_bytes -= len(block)
+                transfer.turn.sent_bytes += len(block)
                 transfer.pieces.append(
                     self._window.send(transfer.receiver, len(block))
                 )
+                self._wake_next()
                 sequence += 1
         except BrokenBodyError:
             is_broken = True
@@ -145,24 +151,20 @@
         return not transfer.is_cancelled
 
     def _wait_for_room(self, transfer: _Transfer, size_bytes: int) -> None:
-        """Waits for room in the window, behind the answers that wait."""
-        has_waited = False
+        """Waits until it is the turn of an answer and the window has room."""
+        self._waiting.append(transfer)
         while not transfer.is_cancelled:
-            is_first = has_waited or not self._waiting
-            if is_first and self._window.has_room(size_bytes):
+            is_next = self._next_waiting() is transfer
+            if is_next and self._window.has_room(size_bytes):
                 break
-            turn = Event()
-            if has_waited:
-                self._waiting.appendleft(turn)
-            else:
-                self._waiting.append(turn)
+            transfer.changed = Event()
             with eventlet.Timeout(_RECHECK_S, False):
-                turn.wait()
-            if turn in self._waiting:
-                self._waiting.remove(turn)
-            has_waited = True
-        self._wake_next()
+                transfer.changed.wait()
+        self._waiting.remove(transfer)
 
     def _wake_next(self) -> None:
         if self._waiting and self._window.has_room(0):
-            self._waiting.popleft().send(None)
+            self._next_waiting().notify()
+
+    def _next_waiting(self) -> _Transfer:
+        return min(self._waiting, key=lambda waiting: waiting.turn.order)
