--- a/test/test_raft.py
+++ b/test/test_raft.py
@@ -163,6 +163,17 @@
     return simulation.leader
 
 
+@params(*range(8))
+def test_leader_soon_after_all_lost_power(seed):
+    """Guards against election timeouts that add to the restart of all hosts."""
+    simulation = _start_simulation(seed)
+    _commit(simulation)
+    for host in list(simulation.up):
+        simulation.crash(host)
+    took_s = simulation.until(partial(_has_leader, simulation))
+    assert took_s < simulation.timing.election_min_s, took_s
+
+
 def test_leadership_transfer_needs_no_timeout():
     """Guards against a leadership transfer that waits for a timeout."""
     simulation = _start_simulation()
--- a/waxwingsaddle/raft_state.py
+++ b/waxwingsaddle/raft_state.py
@@ -7,6 +7,10 @@
 from waxwingsaddle.raft_log import RaftLog
 from waxwingsaddle.raft_messages import Message, Pulse, Snapshot, Vote
 
+# Shortest election timeout after a start, as a share of the usual one. Several
+# round trips and syncs fit into it.
+_START_SHARE = 0.2
+
 
 class Role(enum.Enum):
     """Role of a replica in the current term."""
@@ -164,9 +168,18 @@
             self.majority_contact_s = proven_s
 
     def reset_election_timer(self) -> None:
-        """Restarts the election timer with a new random timeout."""
+        """Restarts the election timer with a new random timeout.
+
+        It is short while this replica has had no contact with a majority since
+        its start: usually all replicas have lost power, and none has a leader.
+        If there is one, the pre-votes of this replica are denied.
+        """
         timing = self.timing
+        shortest_s = timing.election_min_s
+        longest_s = timing.election_max_s
+        if self.majority_contact_s is None:
+            longest_s = shortest_s
+            shortest_s *= _START_SHARE
         self.election_deadline_s = self.now_s + self.rng.uniform(
-            timing.election_min_s,
-            timing.election_max_s,
+            shortest_s, longest_s
         )
