--- a/waxwingsaddle/version_queries.py
+++ b/waxwingsaddle/version_queries.py
@@ -11,9 +11,12 @@
 from waxwingsaddle.control_link import query_versions
 from waxwingsaddle.known_controls import ControlList
 from waxwingsaddle.neighbours import Neighbours
-from waxwingsaddle.util.clock import MS_PER_S
+from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
 from waxwingsaddle.util.wake_flag import WakeFlag
 
+# Pause before the second query of a control host; later ones are twice as long.
+_FIRST_PAUSE_S = 0.1
+
 
 @dataclass(slots=True)
 class VersionQueries:
@@ -66,6 +69,8 @@
     def query_all(self) -> tuple[VersionReply, ...]:
         """Queries all control hosts and neighbours at once.
 
+        Control hosts without a fresh majority contact are queried again: after
+        a loss of power of all hosts they elect a leader in this time.
         Once a control host with a fresh majority contact has replied, the
         other control hosts get `answer_wait_ms` only and the replies of the
         neighbours are discarded: a fresh control host that replies later would
@@ -77,7 +82,7 @@
             self.neighbours.query_versions, timeout_ms
         )
         fresh_reply = WakeFlag()
-        replies: list[VersionReply] = []
+        replies: dict[str, VersionReply] = {}
         threads = [
             greenthread.spawn(
                 self._collect_reply, control, replies, fresh_reply
@@ -90,9 +95,9 @@
                 _wait_all(threads)
             for thread in (neighbour_query, *threads):
                 thread.kill()
-            return tuple(replies)
+            return tuple(replies.values())
         _wait_all(threads)
-        return (*replies, *neighbour_query.wait())
+        return (*replies.values(), *neighbour_query.wait())
 
     def fetch_full(self, replies: tuple[VersionReply, ...]) -> Any:
         """Fetches the full configuration from the newest neighbour.
@@ -115,15 +120,23 @@
     def _collect_reply(
         self,
         control: NodeControl,
-        replies: list[VersionReply],
+        replies: dict[str, VersionReply],
         fresh_reply: WakeFlag,
     ) -> None:
-        """Queries a control host and signals a fresh reply."""
-        received = self._query((control,), self.settings.floor_wait_ms)
-        replies.extend(received)
+        """Queries a control host until any of them has a fresh reply."""
+        deadline_s = monotonic_s() + self.settings.floor_wait_ms / MS_PER_S
         limit_ms = self.settings.majority_age_limit_ms
-        if any(reply.is_fresh(limit_ms) for reply in received):
-            fresh_reply.set()
+        pause_s = _FIRST_PAUSE_S
+        while not fresh_reply.is_set():
+            remaining_s = deadline_s - monotonic_s()
+            if remaining_s <= 0:
+                return
+            received = self._query((control,), round(remaining_s * MS_PER_S))
+            replies.update((control.host, reply) for reply in received)
+            if any(reply.is_fresh(limit_ms) for reply in received):
+                fresh_reply.set()
+            fresh_reply.wait(min(pause_s, remaining_s))
+            pause_s *= 2
 
     def _query(
         self, controls: Any, timeout_ms: int
