--- a/test/test_meshport.py
+++ b/test/test_meshport.py
@@ -240,14 +240,12 @@
 
 def _call(log, path, body=b'', base='00000005'):
     statuses = []
-    pages = ConfigurationPages(log)
-    answer = pages(
+    head = SimpleNamespace(fields={'x-waxwingsaddle-base-version': base})
+    answer = ConfigurationPages(log)(
         {
             'PATH_INFO': path,
             'wsgi.input': io.BytesIO(body),
-            'waxwing.head': SimpleNamespace(
-                fields={'x-waxwingsaddle-base-version': base}
-            ),
+            'waxwing.head': head,
         },
         lambda status, headers: statuses.append(status),
     )
