--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -17,6 +17,7 @@
 LIMITS = peers.PeerLimits(
     queue_messages=100,
     message_bytes=1_000_000,
+    connect_timeout_ms=200,
     reconnect_ms=20,
     reconnect_limit_ms=100,
     keepalive_ms=1000,
--- a/waxwingsaddle/control_link.py
+++ b/waxwingsaddle/control_link.py
@@ -23,6 +23,8 @@
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
 from waxwingsaddle.util.codec import pack
 
+# Longest wait for a new connection, unless the settings name one.
+CONNECT_TIMEOUT_MS = 1000
 # First and largest delay before zmq reconnects.
 RECONNECT_MS = 100
 RECONNECT_LIMIT_MS = 2000
@@ -46,6 +48,9 @@
         queue_messages: Maximum number of messages queued per direction.
         receiver: Called with this link, the message and its second frame,
             which is empty if there is none.
+        connect_timeout_ms: Longest wait for a new connection, in milliseconds,
+            before another attempt. A host without power does not answer, and
+            TCP repeats its first packet only after a second.
     """
 
     def __init__(
@@ -54,11 +59,13 @@
         identity: bytes,
         queue_messages: int,
         receiver: Receiver,
+        connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
     ) -> None:
         self.control = control
         self._identity = identity
         self._queue_messages = queue_messages
         self._receiver = receiver
+        self._connect_timeout_ms = connect_timeout_ms
         self._socket: Any = None
         self._thread: greenthread.GreenThread | None = None
 
@@ -71,6 +78,7 @@
             (zmq.SNDHWM, self._queue_messages),
             (zmq.RCVHWM, self._queue_messages),
             (zmq.MAXMSGSIZE, MAX_WHOLE_BYTES),
+            (zmq.CONNECT_TIMEOUT, self._connect_timeout_ms),
             (zmq.RECONNECT_IVL, RECONNECT_MS),
             (zmq.RECONNECT_IVL_MAX, RECONNECT_LIMIT_MS),
         ):
@@ -159,6 +167,7 @@
     controls: ControlList,
     site: str,
     timeout_ms: int,
+    connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
 ) -> VersionReply | None:
     """Queries the version and majority age of a control host.
 
@@ -167,12 +176,14 @@
         controls: Updated with the control hosts that the reply lists.
         site: Site of the node.
         timeout_ms: Maximum wait in milliseconds.
+        connect_timeout_ms: Part of it after which a connection is given up
+            and tried again.
 
     Returns:
         The reply; none if it did not arrive in time.
     """
     collector = _ReplyCollector()
-    link = ControlLink(control, b'', 1, collector.receive)
+    link = ControlLink(control, b'', 1, collector.receive, connect_timeout_ms)
     link.open()
     try:
         with Timeout(timeout_ms / MS_PER_S, exception=False):
@@ -194,11 +205,19 @@
     controls: ControlList,
     site: str,
     timeout_ms: int,
+    connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
 ) -> tuple[VersionReply, ...]:
     """Queries several control hosts in parallel."""
     pool = GreenPool()
     queries = [
-        pool.spawn(query_version, control, controls, site, timeout_ms)
+        pool.spawn(
+            query_version,
+            control,
+            controls,
+            site,
+            timeout_ms,
+            connect_timeout_ms,
+        )
         for control in queried_controls
     ]
     return tuple(filter(None, (query.wait() for query in queries)))
--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -73,6 +73,7 @@
         peer_queue_messages: Maximum number of messages queued to or from one
             control host.
         peer_message_bytes: Maximum size of a message of a control host.
+        peer_connect_timeout_ms: Timeout for connecting to a control host.
         peer_reconnect_ms: Delay before the first attempt to reconnect.
         peer_reconnect_limit_ms: Maximum delay between such attempts.
         peer_keepalive_ms: Interval of probes on idle connections.
@@ -117,6 +118,7 @@
     ready_majority_age_ms: Positive
     peer_queue_messages: Positive
     peer_message_bytes: Positive
+    peer_connect_timeout_ms: Positive
     peer_reconnect_ms: Positive
     peer_reconnect_limit_ms: Positive
     peer_keepalive_ms: Positive
@@ -189,6 +191,7 @@
         return PeerLimits(
             queue_messages=self.peer_queue_messages,
             message_bytes=self.peer_message_bytes,
+            connect_timeout_ms=self.peer_connect_timeout_ms,
             reconnect_ms=self.peer_reconnect_ms,
             reconnect_limit_ms=self.peer_reconnect_limit_ms,
             keepalive_ms=self.peer_keepalive_ms,
--- a/waxwingsaddle/derived_timeouts.py
+++ b/waxwingsaddle/derived_timeouts.py
@@ -117,5 +117,6 @@
         'ready_majority_age_ms': bounds.contact_ms,
         'peer_keepalive_ms': election_ms // 2,
         'peer_keepalive_timeout_ms': election_ms * 2,
+        'peer_connect_timeout_ms': round(propagation_ms * _CONNECT_SHARE),
         'peer_reconnect_limit_ms': election_ms,
     }
--- a/waxwingsaddle/node_session.py
+++ b/waxwingsaddle/node_session.py
@@ -107,6 +107,7 @@
             self._identity,
             self._settings.control_queue_messages,
             self._receive,
+            self._settings.connect_timeout_ms,
         )
         link.open()
         return link
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -71,8 +71,6 @@
             upstream.
         upstream_idle_limit_ms: Idle time after which a connection to an
             upstream is not reused.
-        connect_timeout_ms: Timeout for connecting to an upstream or to
-            another node.
         crossing_ms: Round-trip time to another availability zone.
         request_body_limit_bytes: Maximum size of a request body.
         head_bytes: Maximum size of the head of a request or of an upstream's
@@ -145,7 +143,6 @@
     upstream_ttl_ms: Positive
     upstream_connections: Positive
     upstream_idle_limit_ms: Positive
-    connect_timeout_ms: Positive
     crossing_ms: Positive
     request_body_limit_bytes: Positive
     head_bytes: HeadBytes
--- a/waxwingsaddle/peers.py
+++ b/waxwingsaddle/peers.py
@@ -72,6 +72,9 @@
     Attributes:
         queue_messages: Messages queued to or from one peer.
         message_bytes: Largest message accepted from a peer.
+        connect_timeout_ms: Longest wait for a new connection. A host without
+            power does not answer, and TCP repeats its first packet only after
+            a second.
         reconnect_ms: First delay before a lost connection is reopened.
         reconnect_limit_ms: Largest such delay.
         keepalive_ms: Interval of the probes that detect dead connections.
@@ -81,6 +84,7 @@
 
     queue_messages: int
     message_bytes: int
+    connect_timeout_ms: int
     reconnect_ms: int
     reconnect_limit_ms: int
     keepalive_ms: int
@@ -221,6 +225,7 @@
             (zmq.SNDHWM, limits.queue_messages),
             (zmq.RCVHWM, limits.queue_messages),
             (zmq.MAXMSGSIZE, limits.message_bytes),
+            (zmq.CONNECT_TIMEOUT, limits.connect_timeout_ms),
             (zmq.RECONNECT_IVL, limits.reconnect_ms),
             (zmq.RECONNECT_IVL_MAX, limits.reconnect_limit_ms),
             (zmq.HEARTBEAT_IVL, limits.keepalive_ms),
--- a/waxwingsaddle/publisher.py
+++ b/waxwingsaddle/publisher.py
@@ -66,12 +66,14 @@
                 self._version and state.stored_version(next_version) is not None
             )
             self._version = next_version if is_kept else state.version
+            logs.logger().info('configuration accepted', version=self._version)
             self._publish('configuration-accepted', version=self._version)
 
     def _publish_leader(self) -> None:
         leader = self._replication.leader
         if leader != self._leader:
             self._leader = leader
+            logs.logger().info('leader changed', leader=leader)
             self._publish('leader-changed', leader=leader)
 
     def _publish_members(self) -> None:
--- a/waxwingsaddle/subscription_settings.py
+++ b/waxwingsaddle/subscription_settings.py
@@ -27,6 +27,8 @@
             after a start.
         busy_limit_ms: Maximum time for which the node retries at a busy control
             host.
+        connect_timeout_ms: Timeout for connecting to a control host, an
+            upstream or another node.
         home_check_ms: Interval of attempts to return to a control host of the
             node's availability zone.
         reconnect_ms: Upper bound of the random delay before the first retry.
@@ -41,6 +43,7 @@
     majority_age_limit_ms: Positive
     floor_wait_ms: Positive
     busy_limit_ms: Positive
+    connect_timeout_ms: Positive
     home_check_ms: Positive
     reconnect_ms: Positive
     reconnect_limit_ms: Positive
--- a/waxwingsaddle/version_queries.py
+++ b/waxwingsaddle/version_queries.py
@@ -146,6 +146,7 @@
             self.controls,
             self.settings.site,
             timeout_ms,
+            self.settings.connect_timeout_ms,
         )
 
 
