--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -40,7 +40,7 @@
     entries = (_upstream('x'), _upstream('y'))
     dispatcher = Dispatcher(
         'here',
-        PolicyTable('a', 10, monotonic_s, UNBOUNDED_ALLOWANCE),
+        PolicyTable('n', 'a', 10, monotonic_s, UNBOUNDED_ALLOWANCE),
         SimpleNamespace(upstreams_of=lambda _: entries),
         SimpleNamespace(run=run, cancel=lambda _: None),
         None,
--- a/waxwingsaddle/load_balancer.py
+++ b/waxwingsaddle/load_balancer.py
@@ -6,6 +6,7 @@
 from itertools import count, filterfalse
 
 from waxwingsaddle import config_models
+from waxwingsaddle.aperture import Aperture, sample
 from waxwingsaddle.call_class import Call
 from waxwingsaddle.cross_zone_cost import CrossZoneCost
 from waxwingsaddle.ejection import EjectionState, Evidence
@@ -22,7 +23,6 @@
 from waxwingsaddle.util.quantile import Quantile
 
 _PERCENT = 100
-_SAMPLE_SIZE = 2
 # A cancelled attempt would have taken longer than the time measured so far, so
 # a smaller ratio counts as slow.
 _CANCELLED_FACTOR = 0.5
@@ -40,6 +40,7 @@
         service: Settings of the service.
         clock: Returns monotonic seconds.
         rng: Samples the candidates.
+        host: Name of the host of this node.
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         service: config_models.Service,
         clock: Callable[[], float],
         rng: random.Random,
+        host: str = '',
     ) -> None:
         self._zone = availability_zone
         self._service = service
@@ -57,6 +59,7 @@
         self._ticket_numbers = count(1)
         self._entries: Sequence[Upstream] = ()
         self._estimates: dict[UpstreamKey, Estimate] = {}
+        self._aperture = Aperture(host)
         self._medians: dict[str, Quantile] = {}
         self._zone_cost = CrossZoneCost(crossing_ms / MS_PER_S)
         # Latest end of the hold-offs of all upstreams, in monotonic seconds.
@@ -71,6 +74,10 @@
         if entries is self._entries:
             return
         self._entries = entries
+        self._aperture.update(
+            filter(self._is_local, entries),
+            filterfalse(self._is_local, entries),
+        )
         now_s = self._clock()
         existing = self._estimates
         self._estimates = {}
@@ -132,10 +139,8 @@
         if now_s >= self._held_until_s:
             return 0
         kind = self._kind_of(call, now_s)
-        remaining = [
-            self._estimates[key] for key in map(key_of, self._ready(tried))
-        ]
-        return earliest_room_s(remaining, kind, now_s)
+        keys = map(key_of, self._ready(tried))
+        return earliest_room_s(self._estimates, keys, kind, now_s)
 
     def spillover_targets(self, route: str) -> Sequence[Upstream]:
         """Returns the upstreams that calls of a route may spill over to."""
@@ -224,34 +229,33 @@
     def _cheapest(
         self, kind: CallKind, entries: Sequence[Upstream], now_s: float
     ) -> Upstream | None:
-        local = tuple(filter(self._is_local, entries))
-        remote = tuple(filterfalse(self._is_local, entries))
-        candidates = [*self._sample(local, now_s), *self._sample(remote, now_s)]
+        candidates: list[Upstream] = []
+        # Those of the own availability zone, then all others.
+        for select in (filter, filterfalse):
+            group = self._prefer(select(self._is_local, entries), kind, now_s)
+            candidates += sample(group, self._ramp, self._rng)
         return min(
             candidates,
             key=lambda entry: self._cost_s(entry, kind, now_s),
             default=None,
         )
 
-    def _sample(
-        self, entries: Sequence[Upstream], now_s: float
-    ) -> Iterable[Upstream]:
-        """Returns two random entries; cold ones are sampled less often."""
-        warm = [
-            entry
-            for entry in entries
-            if self._rng.random() < self._ramp(entry, now_s)
-        ]
-        candidates = warm or entries
-        return self._rng.sample(candidates, min(_SAMPLE_SIZE, len(candidates)))
+    def _prefer(
+        self, entries: Iterable[Upstream], kind: CallKind, now_s: float
+    ) -> Sequence[Upstream]:
+        """Returns the preferred entries; others if none of them has room."""
+        preferred, others = self._aperture.split(entries)
+        keys = map(key_of, preferred)
+        wait_s = earliest_room_s(self._estimates, keys, kind, now_s)
+        return preferred if preferred and not wait_s else others or preferred
 
-    def _ramp(self, entry: Upstream, now_s: float) -> float:
+    def _ramp(self, entry: Upstream) -> float:
         slow_start_s = self._service.slow_start_ms / MS_PER_S
-        return self._estimates[key_of(entry)].ramp(slow_start_s, now_s)
+        return self._estimates[key_of(entry)].ramp(slow_start_s, self._clock())
 
     def _cost_s(self, entry: Upstream, kind: CallKind, now_s: float) -> float:
         cost_s = self._estimates[key_of(entry)].cost_s(
-            kind, self._median_s(kind.route), self._ramp(entry, now_s), now_s
+            kind, self._median_s(kind.route), self._ramp(entry), now_s
         )
         if self._is_local(entry):
             return cost_s
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -189,6 +189,7 @@
     )
     directory = kernel.find('directory')
     policies = service_policies.PolicyTable(
+        settings.host,
         settings.availability_zone,
         settings.crossing_ms,
         monotonic_s,
--- a/waxwingsaddle/placement.py
+++ b/waxwingsaddle/placement.py
@@ -1,20 +1,18 @@
 """Home zones of keys, and keepers of buckets by rendezvous hashing."""
 
 from collections.abc import Iterable, Sequence
-from functools import cached_property, lru_cache
+from functools import cached_property
 from hashlib import blake2b
 
+from waxwingsaddle.util.rendezvous import hash_of, mix_hashes
+
 KEEPERS_PER_BUCKET = 3
 # Keys are placed by bucket, so that a change of membership costs a pass over
 # the buckets instead of the keys.
 BUCKETS = 1024
 
-_MASK = 0xFFFFFFFFFFFFFFFF
-_MULTIPLIER = 0xBF58476D1CE4E5B9
-_SHIFT_BITS = 31
 _MEMBERSHIP_DIGEST_BYTES = 16
 _HASH_BYTES = 8
-_HASH_CACHE_SIZE = 4096
 
 
 def home_zone(key: str, zones: Sequence[str]) -> str:
@@ -30,8 +28,8 @@
     zone_prefix, separator, _ = key.partition('.')
     if separator and zone_prefix in zones:
         return zone_prefix
-    key_hash = _hash(key)
-    return max(zones, key=lambda zone: _mix_hashes(_hash(zone), key_hash))
+    key_hash = hash_of(key)
+    return max(zones, key=lambda zone: mix_hashes(hash_of(zone), key_hash))
 
 
 def bucket_of(key_digest: bytes) -> int:
@@ -99,23 +97,10 @@
 
 
 def _top_hosts(hosts: Iterable[str], bucket: int) -> tuple[str, ...]:
-    bucket_hash = _hash(str(bucket))
+    bucket_hash = hash_of(str(bucket))
     ranked = sorted(
         hosts,
-        key=lambda host: (_mix_hashes(_hash(host), bucket_hash), host),
+        key=lambda host: (mix_hashes(hash_of(host), bucket_hash), host),
         reverse=True,
     )
     return tuple(ranked[:KEEPERS_PER_BUCKET])
-
-
-def _mix_hashes(first: int, second: int) -> int:
-    """Mixes two hashes with steps of the SplitMix64 finalizer."""
-    mixed = first ^ second
-    mixed = ((mixed ^ (mixed >> _SHIFT_BITS)) * _MULTIPLIER) & _MASK
-    return mixed ^ (mixed >> _SHIFT_BITS)
-
-
-@lru_cache(maxsize=_HASH_CACHE_SIZE)
-def _hash(name: str) -> int:
-    digest = blake2b(name.encode(), digest_size=_HASH_BYTES).digest()
-    return int.from_bytes(digest, 'big')
--- a/waxwingsaddle/service_policies.py
+++ b/waxwingsaddle/service_policies.py
@@ -51,6 +51,7 @@
     """Policies of the services of a node, created at the first call of each.
 
     Args:
+        host: Name of the host of the node.
         availability_zone: Availability zone of the node.
         crossing_ms: Round trip to another zone, in milliseconds.
         clock: Returns monotonic seconds.
@@ -59,11 +60,13 @@
 
     def __init__(
         self,
+        host: str,
         availability_zone: str,
         crossing_ms: float,
         clock: Callable[[], float],
         allowance: RetryAllowance,
     ) -> None:
+        self._host = host
         self._zone = availability_zone
         self._crossing_ms = crossing_ms
         self._clock = clock
@@ -82,6 +85,7 @@
                 service,
                 self._clock,
                 random.Random(),
+                self._host,
             )
             policies = ServicePolicies(
                 service,
--- a/waxwingsaddle/upstream_estimate.py
+++ b/waxwingsaddle/upstream_estimate.py
@@ -1,6 +1,6 @@
 """Load and latency estimate of one upstream at one node."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from math import exp
 from typing import NamedTuple
@@ -230,21 +230,29 @@
 
 
 def earliest_room_s(
-    estimates: Sequence[Estimate],
+    estimates: Mapping[UpstreamKey, Estimate],
+    keys: Iterable[UpstreamKey],
     kind: CallKind,
     now_s: float,
 ) -> float:
     """Returns when the first of some upstreams may have room for a call.
 
+    Args:
+        estimates: What is known of all upstreams.
+        keys: Keys of the upstreams in question.
+        kind: Kind of the call.
+        now_s: Monotonic time, in seconds.
+
     Returns:
         Seconds from now; 0 if one may accept the call now.
     """
+    named = [estimates[key] for key in keys]
     has_room = any(
         estimate.ejection.state(now_s) is not EjectionState.OUT
         and not estimate.is_held_off(kind, now_s)
-        for estimate in estimates
+        for estimate in named
     )
     if has_room:
         return 0
-    waits_s = (estimate.full_wait_s(kind, now_s) for estimate in estimates)
+    waits_s = (estimate.full_wait_s(kind, now_s) for estimate in named)
     return min(filter(None, waits_s), default=0)
