--- a/waxwingsaddle/bulk_order.py
+++ b/waxwingsaddle/bulk_order.py
@@ -1,4 +1,4 @@
-"""Order in which large answers of a host use its link.
+"""Order in which large bodies of a host use its link.
 
 Load pattern: several large answers of very different sizes are on their way at
 once, for moments more than the link can carry. Served in turns, all of them end
@@ -15,7 +15,7 @@
 
 @dataclass(slots=True)
 class BulkTurn:
-    """Position of a large answer among those of its host.
+    """Position of a large body among those of its host.
 
     Attributes:
         opened_s: When its first piece was ready, in monotonic seconds.
--- a/waxwingsaddle/bulk_window.py
+++ b/waxwingsaddle/bulk_window.py
@@ -1,8 +1,8 @@
-"""Bytes of large answers that may be on their way from this host.
+"""Bytes of large bodies that may be on their way.
 
-A few large answers at once fill the link of their host, and the short answers
-of the host then wait behind them. The window limits the sum over all large
-answers. It follows the queueing delay of the link, as LEDBAT (RFC 6817) does:
+A few large bodies at once fill the link of a host, and its short messages then
+wait behind them. A window limits the sum over all large answers that a host
+sends, another one that over all large request bodies it takes. It follows the queueing delay of the link, as LEDBAT (RFC 6817) does:
 it shrinks once pieces take longer than the shortest round trip to their
 receiver, and grows while the link is idle.
 """
@@ -30,12 +30,12 @@
 
 @dataclass(slots=True)
 class Piece:
-    """A piece of a large answer that was sent.
+    """A piece of a large body that was sent or asked for.
 
     Attributes:
-        receiver: Identity of the connection that it was sent on.
+        receiver: Identity of the connection to the other node.
         size_bytes: Its size.
-        sent_s: When it was sent, in monotonic seconds.
+        sent_s: When it was sent or asked for, in monotonic seconds.
         is_counted: Whether it counts as on its way.
     """
 
@@ -46,7 +46,7 @@
 
 
 class BulkWindow:
-    """Window of all large answers of one host.
+    """Window of all large bodies in one direction at one host.
 
     Args:
         clock: Returns monotonic seconds.
--- a/waxwingsaddle/call_server.py
+++ b/waxwingsaddle/call_server.py
@@ -1,5 +1,6 @@
 """Serves calls that other nodes send to the upstreams of this node."""
 
+import random
 from collections.abc import Callable
 from functools import partial
 
@@ -7,6 +8,7 @@
 import msgspec
 
 from waxwingsaddle.body_sender import BodySender
+from waxwingsaddle.call_class import Call
 from waxwingsaddle.calls import (
     Answer,
     CallAnswer,
@@ -14,14 +16,19 @@
     CallCredit,
     CallRequest,
     Request,
+    not_run,
 )
 from waxwingsaddle.node_transport import NodeTransport, ReceivedMessage
+from waxwingsaddle.upload_admission import refuse_before_body
+from waxwingsaddle.upload_messages import CallUpload
+from waxwingsaddle.upload_receiver import UploadReceiver
 from waxwingsaddle.upstream_calls import UpstreamCalls
 from waxwingsaddle.util.clock import MS_PER_S
 
 # Interval of checks whether the nodes that sent calls are still reachable.
 _CALLER_CHECK_INTERVAL_S = 0.2
 
+_decode_upload = msgspec.msgpack.Decoder(CallUpload).decode
 _decode_request = msgspec.msgpack.Decoder(CallRequest).decode
 _decode_cancel = msgspec.msgpack.Decoder(CallCancel).decode
 _decode_credit = msgspec.msgpack.Decoder(CallCredit).decode
@@ -48,8 +55,11 @@
         self._upstream_calls = upstream_calls
         self._clock = clock
         self._bodies = BodySender(transport, stall_timeout_s, clock)
+        self._uploads = UploadReceiver(transport, self._spawn_call, clock)
+        self._rng = random.Random()
         self._callers: dict[str, bytes] = {}
         transport.subscribe_raw(CallRequest, self._on_request)
+        transport.subscribe_raw(CallUpload, self._on_upload)
         transport.subscribe_raw(CallCancel, self._on_cancel)
         transport.subscribe_raw(CallCredit, self._on_credit)
 
@@ -65,13 +75,52 @@
     def _on_request(self, received: ReceivedMessage) -> None:
         message = _decode_request(received.body)
         deadline_s = self._clock() + message.remaining_ms / MS_PER_S
-        eventlet.spawn_n(self._run, received, message, deadline_s)
+        body = received.frames[0] if received.frames else b''
+        self._spawn_call(received.sender, message, body, deadline_s)
+
+    def _on_upload(self, received: ReceivedMessage) -> None:
+        message = _decode_upload(received.body)
+        now_s = self._clock()
+        deadline_s = now_s + message.request.remaining_ms / MS_PER_S
+        call = message.request.to_call(deadline_s)
+        refusal = self._refuse_before_body(message, call, now_s)
+        if refusal is not None:
+            self._send_answer(received.sender, call.call_id, refusal)
+            return
+        # Sent to another upstream after this, the body would be sent twice.
+        request = msgspec.structs.replace(message.request, may_spill=False)
+        self._uploads.start(
+            received.sender, request, message.body_bytes, deadline_s
+        )
+
+    def _refuse_before_body(
+        self, message: CallUpload, call: Call, now_s: float
+    ) -> Answer | None:
+        load = self._upstream_calls.load_of(message.request.upstream)
+        if load is None:
+            return not_run('no-upstream')
+        refused = refuse_before_body(call, load, now_s, self._rng)
+        if refused is None:
+            return None
+        answer = not_run(refused.reason, refused.retry_after_ms)
+        answer.load = load
+        return answer
+
+    def _spawn_call(
+        self,
+        sender: bytes,
+        message: CallRequest,
+        body: bytes,
+        deadline_s: float,
+    ) -> None:
+        eventlet.spawn_n(self._run, sender, message, body, deadline_s)
 
     def _on_cancel(self, received: ReceivedMessage) -> None:
         self._cancel(_decode_cancel(received.body).call_id)
 
     def _cancel(self, call_id: str) -> None:
         self._bodies.cancel(call_id)
+        self._uploads.cancel(call_id)
         self._upstream_calls.cancel(call_id)
 
     def _on_credit(self, received: ReceivedMessage) -> None:
@@ -83,6 +132,7 @@
     def _cancel_orphans(self) -> None:
         while True:
             eventlet.sleep(_CALLER_CHECK_INTERVAL_S)
+            self._uploads.check()
             senders = set(self._callers.values())
             unreachable = {
                 identity
@@ -99,15 +149,15 @@
 
     def _run(
         self,
-        received: ReceivedMessage,
+        sender: bytes,
         message: CallRequest,
+        body: bytes,
         deadline_s: float,
     ) -> None:
         call_id = message.call_id
         is_duplicate = call_id in self._callers
         if not is_duplicate:
-            self._callers[call_id] = received.sender
-        body = received.frames[0] if received.frames else b''
+            self._callers[call_id] = sender
         request = Request(message.method, message.target, message.headers, body)
         try:
             answer = self._upstream_calls.run(
@@ -117,7 +167,7 @@
                 message.claim,
             )
             if answer is not None:
-                self._send_answer(received.sender, call_id, answer)
+                self._send_answer(sender, call_id, answer)
         finally:
             if not is_duplicate:
                 self._callers.pop(call_id, None)
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -88,8 +88,8 @@
         entry_body_bytes: Maximum total size of the request bodies held for
             such calls.
         inline_answer_bytes: Size above which answers are streamed in chunks.
-        bulk_request_bytes: Size above which request bodies use the connection
-            for bulk data.
+        bulk_request_bytes: Size above which request bodies are sent in the
+            pieces that the guarding node asks for.
         chunk_bytes: Maximum size of a chunk of a streamed answer.
         credit_window_bytes: Bytes of a streamed answer that may be in transit.
         read_ahead_bytes: Bytes of streamed answers that a guard reads before
--- a/waxwingsaddle/node_transport.py
+++ b/waxwingsaddle/node_transport.py
@@ -213,6 +213,8 @@
 
     def is_reachable(self, sender: bytes) -> bool:
         """Returns whether the connection of a sender is still open."""
+        if self._router is None:
+            return False
         try:
             self._router.send([sender, PROBE])
         except zmq.ZMQError as error:
--- a/waxwingsaddle/remote_upstreams.py
+++ b/waxwingsaddle/remote_upstreams.py
@@ -1,23 +1,20 @@
 """Runs calls at the upstreams of other nodes."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import inf
 
 import eventlet
 import msgspec
 from eventlet.event import Event
-from eventlet.queue import Empty, LightQueue
 
 from waxwingsaddle import metrics
 from waxwingsaddle.call_class import Call
 from waxwingsaddle.calls import (
     Answer,
-    BrokenBodyError,
     CallAnswer,
     CallCancel,
     CallChunk,
-    CallCredit,
     CallRequest,
     Request,
     not_run,
@@ -26,13 +23,13 @@
 from waxwingsaddle.guard import Load
 from waxwingsaddle.link import Link
 from waxwingsaddle.node_transport import NodeTransport, ReceivedMessage
+from waxwingsaddle.remote_stream import RemoteCallPolicy, RemoteStream
+from waxwingsaddle.upload_sender import UploadSender
 from waxwingsaddle.util.clock import MS_PER_S
+from waxwingsaddle.util.outcome import Outcome
 
-_SHORT_LANE = 'short'
-_BULK_LANE = 'bulk'
-# A connection within a region is established within 20 ms. If its first packet
-# is lost, it takes a second; the body is then sent on the link of its call.
-_BULK_CONNECT_TIMEOUT_S = 0.1
+# Reasons of calls that have not run because their body was not sent whole.
+_REASON_UNSENT = {'connection-lost': 'unreachable'}
 
 _stray_answers = metrics.counter(
     'waxwing_hop_stray_answers',
@@ -43,26 +40,6 @@
 _decode_chunk = msgspec.msgpack.Decoder(CallChunk).decode
 
 
-@dataclass(frozen=True, slots=True)
-class RemoteCallPolicy:
-    """Settings of calls to other nodes.
-
-    Attributes:
-        bulk_threshold_bytes: Request bodies above this size are sent on the
-            connection for bulk data.
-        credit_window_bytes: Bytes of a streamed answer in flight at once.
-        stall_timeout_s: Longest wait for the next chunk of a streamed answer,
-            in seconds.
-        answer_grace_s: Extra wait beyond the deadline for the guard to report
-            whether the call ran, in seconds.
-    """
-
-    bulk_threshold_bytes: int = 65_536
-    credit_window_bytes: int = 262_144
-    stall_timeout_s: float = 10
-    answer_grace_s: float = 0.05
-
-
 @dataclass(slots=True)
 class _PendingCall:
     link: Link
@@ -88,7 +65,8 @@
         self._policy = policy
         self._clock = clock
         self._pending: dict[str, _PendingCall] = {}
-        self._streams: dict[str, _RemoteStream] = {}
+        self._streams: dict[str, RemoteStream] = {}
+        self._uploads = UploadSender(transport)
         transport.subscribe_answers(CallAnswer, self._on_answer)
         transport.subscribe_answers(CallChunk, self._on_chunk)
         transport.on_link_lost(self._on_link_lost)
@@ -113,9 +91,7 @@
         Returns:
             The answer of the call; the caller must close its `stream`.
         """
-        is_bulk = len(request.body) > self._policy.bulk_threshold_bytes
-        lane = _BULK_LANE if is_bulk else _SHORT_LANE
-        link = self._transport.link(address, lane)
+        link = self._transport.link(address)
         if not link.wait_connected(call.deadline_s - self._clock()):
             return not_run('unreachable')
         remaining_s = call.deadline_s - self._clock()
@@ -125,6 +101,10 @@
         pending = _PendingCall(link)
         self._pending[call.call_id] = pending
         try:
+            if len(request.body) > self._policy.bulk_threshold_bytes:
+                return self._upload(
+                    call, pending, message, request.body, remaining_s
+                )
             if not self._transport.send(link, message, [request.body]):
                 return not_run('unreachable')
             return self._wait_for_answer(call, pending, remaining_s)
@@ -138,6 +118,26 @@
             self._transport.send(pending.link, CallCancel(call_id))
             pending.done.send(unknown('cancelled'))
 
+    def _upload(
+        self,
+        call: Call,
+        pending: _PendingCall,
+        message: CallRequest,
+        body: bytes,
+        remaining_s: float,
+    ) -> Answer:
+        """Makes a call whose body the guarding node takes piece by piece."""
+        try:
+            if not self._uploads.start(pending.link, message, body):
+                return not_run('unreachable')
+            answer = self._wait_for_answer(call, pending, remaining_s)
+        finally:
+            was_sent = self._uploads.end(call.call_id)
+        if answer.outcome is Outcome.UNKNOWN and not was_sent:
+            reason = answer.reason
+            return not_run(_REASON_UNSENT.get(reason, reason))
+        return answer
+
     def _wait_for_answer(
         self, call: Call, pending: _PendingCall, remaining_s: float
     ) -> Answer:
@@ -168,8 +168,8 @@
             answer.stream = self._open_stream(message.call_id, pending.link)
         pending.done.send(answer)
 
-    def _open_stream(self, call_id: str, link: Link) -> '_RemoteStream':
-        stream = _RemoteStream(
+    def _open_stream(self, call_id: str, link: Link) -> RemoteStream:
+        stream = RemoteStream(
             call_id,
             self._transport,
             link,
@@ -196,76 +196,6 @@
                 stream.abort()
 
 
-class _RemoteStream:
-    """Body of a large answer from another node, with credit flow control."""
-
-    def __init__(
-        self,
-        call_id: str,
-        transport: NodeTransport,
-        link: Link,
-        policy: RemoteCallPolicy,
-        on_end: Callable[[], None],
-    ) -> None:
-        self.link = link
-        self._call_id = call_id
-        self._transport = transport
-        self._address = link.address
-        self._policy = policy
-        self._on_end = on_end
-        self._next_sequence = 0
-        self._chunks: LightQueue = LightQueue()
-        self._is_closed = False
-
-    def __iter__(self) -> Iterator[bytes]:
-        """Yields the body in chunks; raises `BrokenBodyError` on failure."""
-        bulk = self._transport.link(self._address, _BULK_LANE)
-        if bulk.wait_connected(_BULK_CONNECT_TIMEOUT_S):
-            self.link = bulk
-        self._grant_credit(self._policy.credit_window_bytes)
-        while True:
-            chunk, piece = self._next_chunk()
-            if chunk is None or chunk.is_broken:
-                raise BrokenBodyError('answer body ended early')
-            if chunk.is_last:
-                self._is_closed = True
-                return
-            yield piece
-            self._grant_credit(len(piece))
-
-    def add_chunk(self, chunk: CallChunk, piece: bytes) -> None:
-        """Queues a chunk that arrived; aborts the body if one is missing."""
-        if chunk.sequence == self._next_sequence:
-            self._next_sequence += 1
-            self._chunks.put((chunk, piece))
-        else:
-            self.abort()
-
-    def abort(self) -> None:
-        """Makes the iteration fail, since the body cannot be completed."""
-        self._chunks.put((None, b''))
-
-    def close(self) -> None:
-        """Closes the stream; cancels the call if the body was not read."""
-        self._on_end()
-        if not self._is_closed:
-            self._is_closed = True
-            self._transport.notify(self._address, CallCancel(self._call_id))
-
-    def _next_chunk(self) -> tuple[CallChunk | None, bytes]:
-        try:
-            return self._chunks.get(timeout=self._policy.stall_timeout_s)
-        except Empty:
-            raise BrokenBodyError(
-                'no chunk of the answer body arrived in time'
-            ) from None
-
-    def _grant_credit(self, credit_bytes: int) -> None:
-        credit = CallCredit(self._call_id, credit_bytes)
-        if not self._transport.send(self.link, credit):
-            raise BrokenBodyError('guarding node is unreachable')
-
-
 def _call_request(
     upstream: str,
     call: Call,
--- a/waxwingsaddle/upstream_calls.py
+++ b/waxwingsaddle/upstream_calls.py
@@ -7,7 +7,7 @@
 import eventlet
 from eventlet.event import Event
 
-from waxwingsaddle import metrics
+from waxwingsaddle import guard_metrics, metrics
 from waxwingsaddle.call_class import Call
 from waxwingsaddle.calls import Answer, Request, not_run
 from waxwingsaddle.config_models import Service
@@ -16,6 +16,7 @@
     Duplicate,
     Guard,
     GuardPolicy,
+    Load,
     Queued,
     Refused,
 )
@@ -31,24 +32,6 @@
 _CANCELLED = 'cancelled'
 _DRAINING = 'draining'
 
-_refused_counter = metrics.counter(
-    'waxwing_guard_refused',
-    'Calls that the guards of this node refused.',
-    ('reason',),
-)
-_duplicate_counter = metrics.counter(
-    'waxwing_guard_duplicates',
-    'Calls dropped because their identifier was seen before.',
-)
-_wait_histogram = metrics.histogram(
-    'waxwing_guard_wait_seconds',
-    'Time that calls waited for a slot, those that got one at once left out.',
-)
-_upstream_histogram = metrics.histogram(
-    'waxwing_upstream_seconds',
-    'Time from the hand-over of a call to the head of its answer.',
-)
-
 
 @dataclass(slots=True)
 class _GuardedUpstream:
@@ -119,6 +102,11 @@
         """Number of calls that are queued or running."""
         return len(self._jobs)
 
+    def load_of(self, upstream: str) -> Load | None:
+        """Returns the load of an upstream; None if it is not on this host."""
+        guarded = self._guarded.get(upstream)
+        return guarded and guarded.guard.load()
+
     def refresh(self, **_fields: object) -> None:
         """Applies the current announcements and configuration."""
         latest = {
@@ -149,7 +137,7 @@
             call identifier.
         """
         if not self._seen_ids.add(call.call_id):
-            _duplicate_counter.inc()
+            guard_metrics.DUPLICATES.inc()
             return None
         guarded = self._guarded.get(upstream)
         if guarded is None:
@@ -190,12 +178,12 @@
             self._wake_refused(decision.displaced)
             queued_s = self._clock()
             decision = self._wait_for_decision(job)
-            _wait_histogram.observe(self._clock() - queued_s)
+            guard_metrics.WAIT.observe(self._clock() - queued_s)
         if isinstance(decision, Admitted):
             return self._run_admitted(job, decision, request)
         if isinstance(decision, Duplicate):
             raise AssertionError(f'call {job.call.call_id} was offered twice')
-        _refused_counter.labels(decision.reason).inc()
+        guard_metrics.REFUSED.labels(decision.reason).inc()
         return not_run(decision.reason, decision.retry_after_ms)
 
     def _wait_for_decision(self, job: _Job) -> Admitted | Refused:
@@ -220,7 +208,7 @@
             is_answer_stored=job.is_keyed,
         )
         elapsed_s = self._clock() - started_s
-        _upstream_histogram.observe(elapsed_s)
+        guard_metrics.UPSTREAM_TIME.observe(elapsed_s)
         if answer.stream is None:
             outcome = answer.outcome
             if job.exchange.is_aborted:
