--- a/waxwingsaddle/bulk_window.py
+++ b/waxwingsaddle/bulk_window.py
@@ -2,9 +2,10 @@
 
 A few large bodies at once fill the link of a host, and its short messages then
 wait behind them. A window limits the sum over all large answers that a host
-sends, another one that over all large request bodies it takes. It follows the queueing delay of the link, as LEDBAT (RFC 6817) does:
-it shrinks once pieces take longer than the shortest round trip to their
-receiver, and grows while the link is idle.
+sends, another one that over all large request bodies it takes. It follows the
+queueing delay of the link, as LEDBAT (RFC 6817) does: it shrinks once pieces
+take longer than the shortest round trip to their receiver, and grows while the
+link is idle.
 """
 
 from collections import deque
