--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -14,7 +14,9 @@
     send,
     trickle,
 )
+from waxwingsaddle.call_class import Lane
 from waxwingsaddle.calls import BrokenBodyError
+from waxwingsaddle.upstream_connection import Exchange
 from waxwingsaddle.util.outcome import Outcome
 
 DEADLINE_S = 0.5
@@ -115,6 +117,25 @@
         assert not upstream.open_sockets, name
 
 
+@params(
+    ('without length', UNSIZED + BLOCK, b'x' * 1000),
+    ('in chunks', b'%b186a0\r\n%b\r\n' % (CHUNKED, BLOCK), b'1\r\nx\r\n'),
+)
+def test_fast_body_without_end_is_broken(name, start, piece):
+    """Guards against a caller and a slot held by a body that never ends."""
+    policy = {'stream_overtime_s': 0.5}
+    with scripted_client([start, flood(piece)], **policy) as pair:
+        upstream, client = pair
+        started_s = time.monotonic()
+        streamed = send(client, request('z1'), DEADLINE_S)
+        with eventlet.Timeout(10):
+            assert _is_broken(streamed), name
+        elapsed_s = time.monotonic() - started_s
+        assert elapsed_s < DEADLINE_S + 0.5 + CLOSE_S, (name, elapsed_s)
+        eventlet.sleep(CLOSE_S)
+        assert not upstream.open_sockets, name
+
+
 def test_slow_reader_does_not_break_a_streamed_body():
     """Guards against blaming an upstream for a caller that reads slowly."""
     policy = {'stream_overtime_s': 0.1, 'chunk_bytes': 30_000}
@@ -148,3 +169,22 @@
     finally:
         streamed.stream.close()
     return False
+
+
+def test_cancelled_answer_leaves_its_upstream_at_once():
+    """Guards against an upstream that sends on for a minute after the end.
+
+    Its window is full when the call is cancelled. A connection that is only
+    shut down and closed lets it wait for room in the window until the kernel
+    forgets the connection.
+    """
+    with scripted_client([CHUNKED, flood(b'8\r\nabcdefgh\r\n')]) as pair:
+        upstream, client = pair
+        exchange = Exchange()
+        deadline_s = time.monotonic() + 30
+        streamed = client.send(request('z1'), Lane.SHORT, deadline_s, exchange)
+        eventlet.sleep(CLOSE_S)
+        exchange.abort()
+        assert _is_broken(streamed)
+        eventlet.sleep(CLOSE_S)
+        assert not upstream.open_sockets
--- a/waxwingsaddle/connection_pool.py
+++ b/waxwingsaddle/connection_pool.py
@@ -120,6 +120,11 @@
         self.open_count -= 1
         connection.close()
 
+    def reset(self, connection: Connection) -> None:
+        """Resets a connection whose answer was not read in full."""
+        self.open_count -= 1
+        connection.reset()
+
     def discard_idle(self) -> None:
         """Closes all idle connections."""
         for idle in self._idle.values():
--- a/waxwingsaddle/streamed_body.py
+++ b/waxwingsaddle/streamed_body.py
@@ -13,14 +13,16 @@
 class StreamLimits:
     """Limits of streamed bodies.
 
-    Only the time in which the upstream keeps the reader waiting counts, so that
-    a caller who reads slowly does not break its own answer off.
+    For a body with a length, only the time in which the upstream keeps the
+    reader waiting counts, so that a caller who reads slowly does not break its
+    own answer off. A body without one may never end, however fast it comes.
 
     Attributes:
         piece_bytes: Largest piece.
         stall_timeout_s: Longest wait for the next bytes, in seconds.
         overtime_s: Longest wait after the deadline of the call for bytes that
-            arrive at less than the minimum rate, in seconds.
+            arrive at less than the minimum rate, and for the end of a body
+            without a length, in seconds.
         min_bytes_per_s: Minimum rate after the deadline.
         unsized_bytes: Largest body without a length.
     """
@@ -63,6 +65,7 @@
         self._on_end = on_end
         self._is_open = True
         self._waited_s = 0.0
+        self._unsized_end_s = deadline_s + limits.overtime_s
         self._read_bytes = len(first)
         self._patience_s = (
             max(0, deadline_s - clock())
@@ -102,7 +105,14 @@
         piece = self._body.read(self._limits.piece_bytes)
         self._waited_s += self._clock() - started_s
         self._read_bytes += len(piece)
-        is_unsized = self._body.length is None
-        if is_unsized and self._read_bytes > self._limits.unsized_bytes:
-            raise MalformedError('a body without length is too long')
+        if self._body.length is None:
+            self._check_unsized()
         return piece
+
+    def _check_unsized(self) -> None:
+        if self._body.is_complete:
+            return
+        if self._read_bytes > self._limits.unsized_bytes:
+            raise MalformedError('a body without length is too long')
+        if self._clock() > self._unsized_end_s:
+            raise MalformedError('a body without length lasts too long')
--- a/waxwingsaddle/upstream_client.py
+++ b/waxwingsaddle/upstream_client.py
@@ -188,9 +188,9 @@
             if not exchange.is_aborted:
                 self._record_broken_connection()
         except BaseException:
-            self.pool.discard(connection)
+            self.pool.reset(connection)
             raise
-        self.pool.discard(connection)
+        self.pool.reset(connection)
         return unknown('cancelled' if exchange.is_aborted else reason)
 
     def _wait_for_hold(self) -> None:
@@ -228,7 +228,8 @@
         answer = _build_answer(head, inline if body.is_complete else b'', names)
         if answer.outcome is Outcome.NOT_RUN:
             self._refused_ids.add(request_id_of(request, names))
-            self.pool.discard(connection)
+            close = self.pool.discard if body.is_complete else self.pool.reset
+            close(connection)
             return answer
         if body.is_complete:
             self.pool.release(connection, head, lane)
@@ -259,7 +260,7 @@
         if is_complete:
             self.pool.release(connection, head, lane)
         else:
-            self.pool.discard(connection)
+            self.pool.reset(connection)
 
 
 def _build_answer(
--- a/waxwingsaddle/upstream_connection.py
+++ b/waxwingsaddle/upstream_connection.py
@@ -1,5 +1,7 @@
 """HTTP connection to an upstream, and reading of answers from it."""
 
+import struct
+
 from eventlet.green import socket
 
 from waxwingsaddle.calls import Request
@@ -25,6 +27,8 @@
 # Maximum number of interim answers before the final answer to a request.
 _MAX_INTERIM_ANSWERS = 8
 _MIN_REDIRECT_STATUS = 300
+# Closing a socket with this SO_LINGER option resets the connection.
+_LINGER_ZERO = struct.pack('ii', 1, 0)
 
 
 class Connection:
@@ -67,6 +71,15 @@
         self.reader.close()
         self.sock.close()
 
+    def reset(self) -> None:
+        """Resets the connection, in the middle of an answer.
+
+        After a plain close, an upstream that goes on sending may wait for room
+        in its window for as long as the kernel knows the connection, a minute.
+        """
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+        self.close()
+
 
 class Exchange:
     """A request to an upstream that another green thread may abort."""
