--- a/test/test_version_queries.py
+++ b/test/test_version_queries.py
@@ -1,11 +1,17 @@
 """Tests of version queries of a node, on real sockets in one process."""
 
+from collections import Counter
+from unittest.mock import patch
+
 import eventlet
 
 from test.distribution_fakes import Control, Node, control_hosts
+from waxwingsaddle import control_link
 from waxwingsaddle.util.clock import monotonic_s
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
+OPEN_LINK = control_link.ControlLink.open
+MAX_LINKS = 4
 
 
 def test_fresh_answer_ends_the_wait_for_silent_control_hosts():
@@ -75,3 +81,16 @@
     replies, took_s = _query_until_a_leader_is_elected(3, answer_wait_ms=4000)
     assert round(took_s) in {1, 2}, took_s
     assert len(replies) == len(ZONES)
+
+
+def test_queries_of_one_wait_share_a_connection():
+    """Guards against a fleet that connects anew for each query."""
+    with patch.object(
+        control_link.ControlLink, 'open', autospec=True
+    ) as opened:
+        opened.side_effect = OPEN_LINK
+        replies, _ = _query_until_a_leader_is_elected(3, answer_wait_ms=200)
+    assert len(replies) == len(ZONES)
+    links = Counter(call.args[0].control.host for call in opened.mock_calls)
+    # The node itself queries at its start and takes a lease, too.
+    assert max(links.values()) <= MAX_LINKS, links
--- a/waxwingsaddle/control_link.py
+++ b/waxwingsaddle/control_link.py
@@ -151,15 +151,64 @@
                 )
 
 
-class _ReplyCollector:
-    """Stores the first reply to a version query."""
+class VersionQuery:
+    """Queries the version of one control host, on one connection.
 
-    def __init__(self) -> None:
-        self.replied = Event()
+    A new connection for each query of each node would multiply the traffic
+    between availability zones while a fleet starts.
 
-    def receive(self, _link: ControlLink, message: Any, _raw: bytes) -> None:
-        if isinstance(message, FloorReply) and not self.replied.ready():
-            self.replied.send(message)
+    Args:
+        control: The control host.
+        controls: Updated with the control hosts that replies list.
+        site: Site of the node.
+        connect_timeout_ms: Longest wait for a connection before another
+            attempt.
+    """
+
+    def __init__(
+        self,
+        control: NodeControl,
+        controls: ControlList,
+        site: str,
+        connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
+    ) -> None:
+        self._control = control
+        self._controls = controls
+        self._site = site
+        self._replied = Event()
+        self._link = ControlLink(
+            control, b'', 1, self._receive, connect_timeout_ms
+        )
+
+    def open(self) -> None:
+        """Connects to the control host."""
+        self._link.open()
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._link.close()
+
+    def ask(self, timeout_ms: int) -> VersionReply | None:
+        """Returns the version and the majority age; none if not in time.
+
+        Args:
+            timeout_ms: Maximum wait in milliseconds.
+        """
+        self._replied = Event()
+        with Timeout(timeout_ms / MS_PER_S, exception=False):
+            self._link.send_connected(FloorQuery(self._site), timeout_ms)
+            reply = self._replied.wait()
+            self._controls.learn(reply.controls)
+            return VersionReply(
+                self._controls.latest(self._control),
+                reply.version,
+                reply.majority_age_ms,
+            )
+        return None
+
+    def _receive(self, _link: ControlLink, message: Any, _raw: bytes) -> None:
+        if isinstance(message, FloorReply) and not self._replied.ready():
+            self._replied.send(message)
 
 
 def query_version(
@@ -169,7 +218,7 @@
     timeout_ms: int,
     connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
 ) -> VersionReply | None:
-    """Queries the version and majority age of a control host.
+    """Queries the version and majority age of a control host once.
 
     Args:
         control: The control host.
@@ -182,22 +231,12 @@
     Returns:
         The reply; none if it did not arrive in time.
     """
-    collector = _ReplyCollector()
-    link = ControlLink(control, b'', 1, collector.receive, connect_timeout_ms)
-    link.open()
+    query = VersionQuery(control, controls, site, connect_timeout_ms)
+    query.open()
     try:
-        with Timeout(timeout_ms / MS_PER_S, exception=False):
-            link.send_connected(FloorQuery(site), timeout_ms)
-            reply = collector.replied.wait()
-            controls.learn(reply.controls)
-            return VersionReply(
-                controls.latest(control),
-                reply.version,
-                reply.majority_age_ms,
-            )
+        return query.ask(timeout_ms)
     finally:
-        link.close()
-    return None
+        query.close()
 
 
 def query_versions(
--- a/waxwingsaddle/version_queries.py
+++ b/waxwingsaddle/version_queries.py
@@ -8,7 +8,7 @@
 
 from waxwingsaddle.addresses import NodeControl
 from waxwingsaddle.control_host_selection import VersionReply, order_by_zone
-from waxwingsaddle.control_link import query_versions
+from waxwingsaddle.control_link import VersionQuery, query_versions
 from waxwingsaddle.known_controls import ControlList
 from waxwingsaddle.neighbours import Neighbours
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
@@ -124,6 +124,25 @@
         fresh_reply: WakeFlag,
     ) -> None:
         """Queries a control host until any of them has a fresh reply."""
+        query = VersionQuery(
+            control,
+            self.controls,
+            self.settings.site,
+            self.settings.connect_timeout_ms,
+        )
+        query.open()
+        try:
+            self._ask_until_fresh(query, control.host, replies, fresh_reply)
+        finally:
+            query.close()
+
+    def _ask_until_fresh(
+        self,
+        query: VersionQuery,
+        host: str,
+        replies: dict[str, VersionReply],
+        fresh_reply: WakeFlag,
+    ) -> None:
         deadline_s = monotonic_s() + self.settings.floor_wait_ms / MS_PER_S
         limit_ms = self.settings.majority_age_limit_ms
         pause_s = _FIRST_PAUSE_S
@@ -131,9 +150,11 @@
             remaining_s = deadline_s - monotonic_s()
             if remaining_s <= 0:
                 return
-            received = self._query((control,), round(remaining_s * MS_PER_S))
-            replies.update((control.host, reply) for reply in received)
-            if any(reply.is_fresh(limit_ms) for reply in received):
+            reply = query.ask(round(remaining_s * MS_PER_S))
+            if reply is None:
+                return
+            replies[host] = reply
+            if reply.is_fresh(limit_ms):
                 fresh_reply.set()
             fresh_reply.wait(min(pause_s, remaining_s))
             pause_s *= 2
