--- a/test/test_broken_answers.py
+++ b/test/test_broken_answers.py
@@ -1,13 +1,12 @@
 """Answers of upstreams that break off, seen by callers behind two hosts."""
 
-from contextlib import contextmanager
 from http.client import HTTPConnection, HTTPException
 from itertools import product
 
 from nose2.tools import params
 
-from test.nodes import node_environment
-from test.scripted_upstreams import ScriptedUpstream, reset
+from test.scripted_hosts import two_hosts
+from test.scripted_upstreams import reset
 
 WHOLE = (
     b'HTTP/1.1 200 OK\r\nX-Id: z1\r\nContent-Length: 300000\r\n'
@@ -22,22 +21,9 @@
 HALF_HEADS = tuple(WHOLE[:size] for size in (0, 7, 15, 17, 21, 27, 40, 50, 72))
 
 
-@contextmanager
-def _two_hosts(*scripts):
-    """Yields the addresses of a guarding node and of an entry node."""
-    upstream = ScriptedUpstream(*scripts)
-    upstream.name = 'up-1'
-    upstream.slots = 6
-    with node_environment() as started:
-        guard = started.new_node('guard')
-        entry = started.new_node('entry')
-        guard.start(nodes=(entry, guard))
-        guard.announce(upstream)
-        entry.start([guard.entry(upstream)], nodes=(entry, guard))
-        try:
-            yield guard.http_address, entry.http_address
-        finally:
-            upstream.close()
+def _addresses(hosts):
+    _, guard, entry = hosts
+    return guard.http_address, entry.http_address
 
 
 def _post(address):
@@ -61,10 +47,10 @@
     """
     ends = ([None], [None], [reset, None], [reset, None])
     scripts = [[half, *end] for half, end in product(HALF_HEADS, ends)]
-    with _two_hosts(*scripts) as addresses:
+    with two_hosts(*scripts) as hosts:
         for half in HALF_HEADS:
             for _ in range(2):
-                results = [_post(address)[0] for address in addresses]
+                results = [_post(address)[0] for address in _addresses(hosts)]
                 assert results == [502, 502], (half, results)
 
 
@@ -79,8 +65,8 @@
 )
 def test_short_body_never_looks_whole(name, script):
     """Guards against a body that breaks off and is framed as complete."""
-    with _two_hosts(script, script) as addresses:
-        for address in addresses:
+    with two_hosts(script, script) as hosts:
+        for address in _addresses(hosts):
             status, body = _post(address)
             assert status in {0, 502}, (name, status, len(body))
 
@@ -88,6 +74,6 @@
 def test_body_that_ends_with_its_connection_is_whole():
     """Guards against a complete answer without length taken for broken."""
     script = [UNSIZED + BODY, None]
-    with _two_hosts(script, script) as addresses:
-        for address in addresses:
+    with two_hosts(script, script) as hosts:
+        for address in _addresses(hosts):
             assert _post(address) == (200, BODY)
--- a/test/test_endless_answers_processes.py
+++ b/test/test_endless_answers_processes.py
@@ -1,14 +1,13 @@
 """Answers without end, seen by callers behind two real hosts."""
 
 import time
-from contextlib import contextmanager
 
 import eventlet
 from eventlet.green import socket
 from nose2.tools import params
 
-from test.nodes import node_environment
-from test.scripted_upstreams import ScriptedUpstream, flood
+from test.scripted_hosts import two_hosts
+from test.scripted_upstreams import flood
 from waxwingsaddle.util.process_usage import read_usage
 from waxwingsaddle.web import split_address
 
@@ -23,23 +22,6 @@
 CLOSE_S = 1.0
 
 
-@contextmanager
-def _two_hosts(script):
-    upstream = ScriptedUpstream(script)
-    upstream.name = 'up-1'
-    upstream.slots = 6
-    with node_environment() as started:
-        guard = started.new_node('guard')
-        entry = started.new_node('entry')
-        guard.start(nodes=(entry, guard))
-        guard.announce(upstream)
-        entry.start([guard.entry(upstream)], nodes=(entry, guard))
-        try:
-            yield upstream, guard, entry
-        finally:
-            upstream.close()
-
-
 def _memory(*nodes):
     return [read_usage(node.process.popen.pid).rss_bytes for node in nodes]
 
@@ -56,7 +38,7 @@
 
     The caller reads for a while and then closes its connection.
     """
-    with _two_hosts(script) as (upstream, guard, entry):
+    with two_hosts(script) as (upstream, guard, entry):
         before = _memory(guard, entry)
         sock = socket.create_connection(split_address(entry.http_address), 5)
         sock.sendall(REQUEST)
