--- a/test/test_unanswered_connects.py
+++ b/test/test_unanswered_connects.py
@@ -18,7 +18,7 @@
 # A first packet that is lost is repeated by TCP after a second.
 TCP_REPEAT_S = 1.0
 SILENCE_S = 0.2
-CONNECT_TIMEOUT_MS = 250
+CONNECT_TIMEOUT_MS = 100
 # Connections that a listener without backlog accepts in the kernel.
 FILLERS = 2
 
