Log the calls that a stop reads late or cuts off

A call that was cut had no line, and a call line had no time since SIGTERM. Change: lines of calls carry stopping_ms once a stop has begun; a call that the process leaves unanswered has a line 'call cut off' with deadline, run time and attempts, and counts in waxwing_calls_cut_off. Streamed answers count until their body is closed. No change of behaviour.

--- a/test/callers.py
+++ b/test/callers.py
@@ -16,6 +16,8 @@
 from waxwingsaddle.pipeline_server import PipelineServer
 from waxwingsaddle.request_reader import ConnectionLimits
 from waxwingsaddle.routing import RouteTableCache
+from waxwingsaddle.running_calls import RunningCalls
+from waxwingsaddle.stop_schedule import StopSchedule
 from waxwingsaddle.util.outcome import Outcome
 
 HEADER_NAMES = HeaderNames(
@@ -86,6 +88,7 @@
         RouteTableCache(Configuration(tree)),
         dispatcher,
         EntryBound(100, 1_000_000),
+        RunningCalls(StopSchedule(time.monotonic), time.monotonic),
         HEADER_NAMES,
         'gallery',
         time.monotonic,
--- a/test/test_entry.py
+++ b/test/test_entry.py
@@ -12,6 +12,8 @@
 from waxwingsaddle.entry import CallLimits, Entry
 from waxwingsaddle.entry_bound import EntryBound
 from waxwingsaddle.routing import Match
+from waxwingsaddle.running_calls import RunningCalls
+from waxwingsaddle.stop_schedule import StopSchedule
 from waxwingsaddle.util.clock import monotonic_s
 
 NO_ROUTE = SimpleNamespace(match=lambda _method, _path: None)
@@ -49,7 +51,8 @@
 def _entry(routing, wait_s=0):
     bound = EntryBound(10, 1000)
     limits = CallLimits(1000, 255, wait_s)
-    return Entry(routing, None, None, bound, limits, monotonic_s)
+    calls = RunningCalls(StopSchedule(monotonic_s), monotonic_s)
+    return Entry(routing, None, calls, None, bound, limits, monotonic_s)
 
 
 class _LateRouting:
--- a/test/test_request_log.py
+++ b/test/test_request_log.py
@@ -8,6 +8,7 @@
 from waxwingsaddle.calls import Answer, not_run
 from waxwingsaddle.http_heads import parse_request
 from waxwingsaddle.request_log import LINES_PER_S, RequestLog
+from waxwingsaddle.stop_schedule import StopSchedule
 from waxwingsaddle.util.outcome import Outcome
 
 HEAD = parse_request(request('/designs/1', Call_Id='c-1'))
@@ -30,7 +31,9 @@
     """Logs answers at a rate for two simulated seconds; returns the lines."""
     logger = RecordingLogger()
     now_s = [0.0]
-    log = RequestLog(lambda: now_s[0], 'call-id')
+    log = RequestLog(
+        lambda: now_s[0], 'call-id', StopSchedule(lambda: now_s[0])
+    )
     with patch.object(logs, 'logger', lambda: logger):
         for number in range(2 * per_s):
             now_s[0] = number / per_s
--- a/waxwingsaddle/entry.py
+++ b/waxwingsaddle/entry.py
@@ -3,8 +3,9 @@
 Headers of each answer state whether the call ran, did not run or may have run.
 """
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from functools import partial
 
 import eventlet
 
@@ -25,11 +26,13 @@
 from waxwingsaddle.config_models import MAX_TIMEOUT_MS
 from waxwingsaddle.disconnect_watch import DisconnectWatch
 from waxwingsaddle.dispatch import CallTask
-from waxwingsaddle.entry_bound import EntryBound, Reservation, ReservedStream
+from waxwingsaddle.entry_bound import EntryBound, Reservation
+from waxwingsaddle.finalized_stream import FinalizedStream
 from waxwingsaddle.http_heads import STATUS_LINES
 from waxwingsaddle.idempotent_calls import IdempotentCalls
 from waxwingsaddle.retry import RETRIED_HEADER
 from waxwingsaddle.routing import Match, RouteTable, RouteTableCache
+from waxwingsaddle.running_calls import RunningCalls
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.web import Environ, StartResponse
@@ -87,6 +90,7 @@
     Args:
         routing: Holds the current route table.
         calls: Runs calls, with or without an idempotency key.
+        running_calls: Keeps the calls that are not answered yet.
         disconnect_watch: Detects callers that close their connection.
         bound: Bounds on the calls in flight and on their bodies.
         limits: Limits of one call.
@@ -97,6 +101,7 @@
         self,
         routing: RouteTableCache,
         calls: IdempotentCalls,
+        running_calls: RunningCalls,
         disconnect_watch: DisconnectWatch,
         bound: EntryBound,
         limits: CallLimits,
@@ -104,6 +109,7 @@
     ) -> None:
         self._routing = routing
         self._calls = calls
+        self._running_calls = running_calls
         self._disconnect_watch = disconnect_watch
         self._bound = bound
         self._limits = limits
@@ -122,7 +128,7 @@
             _calls_by_outcome.labels(answer.outcome.value, answer.reason).inc()
         start_response(_status_line(answer), _headers(answer))
         if answer.stream is not None:
-            return _StreamedBody(answer)
+            return answer.stream
         return [answer.body]
 
     def _answer_call(self, environ: Environ) -> Answer:
@@ -150,19 +156,20 @@
         try:
             deadline_s = arrived_s + timeout_ms / MS_PER_S
             answer = self._answer_admitted(
-                environ, match, deadline_s, reservation
+                environ, match, arrived_s, deadline_s, reservation
             )
         finally:
             if answer is None or answer.stream is None:
                 reservation.release()
         if answer.stream is not None:
-            answer.stream = ReservedStream(answer.stream, reservation)
+            answer.stream = FinalizedStream(answer.stream, reservation.release)
         return answer
 
     def _answer_admitted(
         self,
         environ: Environ,
         match: Match,
+        arrived_s: float,
         deadline_s: float,
         reservation: Reservation,
     ) -> Answer:
@@ -173,7 +180,13 @@
         headers = end_to_end_headers(head.headers)
         method = environ['REQUEST_METHOD']
         request = Request(method, head.target, headers, body)
-        return self._run_call(environ, CallTask(match, request, deadline_s))
+        task = CallTask(match, request, deadline_s)
+        return self._running_calls.run(
+            task,
+            arrived_s,
+            '',
+            partial(self._run_call, environ, task),
+        )
 
     def _await_table(self) -> RouteTable | None:
         """Waits for the first configuration after the start of the node.
@@ -237,20 +250,6 @@
         return body
 
 
-class _StreamedBody:
-    """Body of a streamed answer; the server always calls `close`."""
-
-    def __init__(self, answer: Answer) -> None:
-        self._stream = answer.stream
-
-    def __iter__(self) -> Iterator[bytes]:
-        return iter(self._stream)
-
-    def close(self) -> None:
-        """Closes the stream, whether or not it was read to the end."""
-        self._stream.close()
-
-
 def _timeout_ms(environ: Environ, match: Match) -> float | None:
     text = environ['waxwing.head'].fields.get(_DEADLINE_KEY)
     if text is None:
--- a/waxwingsaddle/entry_bound.py
+++ b/waxwingsaddle/entry_bound.py
@@ -1,12 +1,10 @@
 """Bounds on the calls in flight of an entry node and on their bodies."""
 
 import random
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 from waxwingsaddle import metrics
 from waxwingsaddle.call_class import FULL_RANK
-from waxwingsaddle.calls import BodyStream
 
 # Share of the bounds that calls of the lowest rank may fill. It rises linearly
 # to 1 for the highest rank.
@@ -93,32 +91,6 @@
         return random.randint(_MIN_RETRY_MS, _MAX_RETRY_MS)
 
 
-class ReservedStream:
-    """Streamed body of an answer; its call counts as in flight until its end.
-
-    Args:
-        stream: The body.
-        reservation: Released when the stream is closed.
-    """
-
-    def __init__(self, stream: BodyStream, reservation: Reservation) -> None:
-        self._stream = stream
-        self._reservation: Reservation | None = reservation
-
-    def __iter__(self) -> Iterator[bytes]:
-        return iter(self._stream)
-
-    def close(self) -> None:
-        """Closes the stream and releases the reservation once."""
-        reservation = self._reservation
-        self._reservation = None
-        try:
-            self._stream.close()
-        finally:
-            if reservation is not None:
-                reservation.release()
-
-
 def _share_of_rank(rank: int) -> float:
     share = _MIN_SHARE + (1 - _MIN_SHARE) * rank / FULL_RANK
     return max(_MIN_SHARE, min(1, share))
--- a/waxwingsaddle/ingress.py
+++ b/waxwingsaddle/ingress.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import msgspec
 
@@ -28,6 +29,7 @@
 from waxwingsaddle.http_heads import RequestHead
 from waxwingsaddle.request_log import RequestLog
 from waxwingsaddle.routing import Match, RouteTable, RouteTableCache
+from waxwingsaddle.running_calls import RunningCalls
 from waxwingsaddle.traffic_split import TrafficSplitter
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
@@ -98,6 +100,7 @@
         routing: Holds the current route table.
         dispatcher: Runs calls.
         bound: Bounds on the calls in flight and on their bodies.
+        running_calls: Keeps the calls that are not answered yet.
         names: Names of the header fields.
         service: Service of this host, named to upstreams as the caller.
         clock: Returns monotonic seconds.
@@ -109,6 +112,7 @@
         routing: RouteTableCache,
         dispatcher: Dispatcher,
         bound: EntryBound,
+        running_calls: RunningCalls,
         names: HeaderNames,
         service: str,
         clock: Callable[[], float],
@@ -117,13 +121,16 @@
         self._routing = routing
         self._dispatcher = dispatcher
         self._bound = bound
+        self._running_calls = running_calls
         self._names = names
         self._service = service
         self._clock = clock
         self._rng = rng
         self._splitter = TrafficSplitter(rng)
         self._caller_timeouts = CallerTimeouts()
-        self._log = RequestLog(clock, names.request_id_key)
+        self._log = RequestLog(
+            clock, names.request_id_key, running_calls.stop_schedule
+        )
 
     @property
     def table(self) -> RouteTable | None:
@@ -187,7 +194,12 @@
         Returns:
             The answer; the caller must close its `stream`.
         """
-        answer = self._dispatcher.run(admitted.task)
+        answer = self._running_calls.run(
+            admitted.task,
+            admitted.arrived_s,
+            admitted.head.fields.get(self._names.request_id_key, ''),
+            partial(self._dispatcher.run, admitted.task),
+        )
         elapsed_s = self._clock() - admitted.arrived_s
         _duration_by_outcome[answer.outcome].observe(elapsed_s)
         self._log.log_call(
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -10,7 +10,9 @@
     entry_bound,
     metrics,
     retry_allowance,
+    running_calls,
     service_policies,
+    stop_schedule,
 )
 from waxwingsaddle.call_server import CallServer
 from waxwingsaddle.disconnect_watch import DisconnectWatch
@@ -83,9 +85,13 @@
         settings.entry_calls,
         settings.entry_body_bytes,
     )
+    calls = running_calls.RunningCalls(
+        stop_schedule.StopSchedule(monotonic_s), monotonic_s
+    )
     entry = Entry(
         routing,
         IdempotentCalls(dispatcher, kernel.find('keepers')),
+        calls,
         disconnect_watch,
         entry_limit,
         CallLimits(
@@ -105,13 +111,14 @@
             routing,
             dispatcher,
             entry_limit,
+            calls,
             names,
             settings.service,
             monotonic_s,
             random.Random(),
         )
         servers.append(ingress_server(settings, ingress))
-    _provide_shutdown(kernel, settings, tuple(servers))
+    _provide_shutdown(kernel, settings, tuple(servers), calls)
     return kernel
 
 
@@ -213,11 +220,13 @@
     kernel: Kernel,
     settings: NodeSettings,
     servers: tuple[CallerServer, ...],
+    calls: running_calls.RunningCalls,
 ) -> None:
     # Registered last, so that it is stopped first.
     shutdown = Shutdown(
         kernel.find('upstreams'),
         servers,
+        calls,
         kernel.find('serving'),
         kernel.find('guarding'),
         kernel.find('keepers'),
--- a/waxwingsaddle/request_log.py
+++ b/waxwingsaddle/request_log.py
@@ -11,6 +11,7 @@
 from waxwingsaddle import logs, metrics
 from waxwingsaddle.calls import Answer
 from waxwingsaddle.http_heads import RequestHead
+from waxwingsaddle.stop_schedule import StopSchedule
 from waxwingsaddle.tasks import CallTask
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
@@ -38,10 +39,12 @@
         clock: Returns monotonic seconds.
         request_id_key: Name of the header with the request identifier, in
             lower case.
+        stop_schedule: Knows when the stop of the node began.
     """
 
     clock: Callable[[], float]
     request_id_key: str
+    stop_schedule: StopSchedule
     _bucket: TokenBucket | None = None
     _left_out: int = 0
 
@@ -76,9 +79,14 @@
             took_ms=round((self.clock() - started_s) * MS_PER_S, 1),
             retry_after_ms=answer.retry_after_ms,
             lines_left_out=left_out,
+            **self._stop_fields(started_s),
             **({} if task is None else _task_fields(task, started_s)),
         )
 
+    def _stop_fields(self, started_s: float) -> dict[str, object]:
+        stopping_ms = self.stop_schedule.stopping_ms(started_s)
+        return {} if stopping_ms is None else {'stopping_ms': stopping_ms}
+
     def _is_within_limit(self, answer: Answer) -> bool:
         if self._bucket is None:
             self._bucket = TokenBucket(LINES_PER_S, _BURST, self.clock)
--- /dev/null
+++ b/waxwingsaddle/running_calls.py
@@ -0,0 +1,103 @@
+"""Calls of callers that run on this node, for the report of a stop."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from waxwingsaddle import logs, metrics
+from waxwingsaddle.calls import Answer
+from waxwingsaddle.finalized_stream import FinalizedStream
+from waxwingsaddle.stop_schedule import StopSchedule
+from waxwingsaddle.tasks import CallTask
+from waxwingsaddle.util.clock import MS_PER_S
+
+_cut_off = metrics.counter(
+    'waxwing_calls_cut_off',
+    'Calls of callers that were not answered when the node stopped.',
+)
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class _RunningCall:
+    """A call that is not answered yet.
+
+    Attributes:
+        task: The call.
+        arrived_s: Monotonic time at which its head was read, in seconds.
+        request_id: Identifier that its caller gave; empty without one.
+    """
+
+    task: CallTask
+    arrived_s: float
+    request_id: str
+
+
+class RunningCalls:
+    """Keeps the calls of callers from their head to the end of their answer.
+
+    Args:
+        stop_schedule: Knows when the stop of the node began.
+        clock: Returns the monotonic time, in seconds.
+
+    Attributes:
+        stop_schedule: Knows when the stop of the node began.
+    """
+
+    def __init__(
+        self, stop_schedule: StopSchedule, clock: Callable[[], float]
+    ) -> None:
+        self.stop_schedule = stop_schedule
+        self._clock = clock
+        self._calls: set[_RunningCall] = set()
+
+    def run(
+        self,
+        task: CallTask,
+        arrived_s: float,
+        request_id: str,
+        run: Callable[[], Answer],
+    ) -> Answer:
+        """Runs a call, which counts as running until its answer has ended.
+
+        Args:
+            task: The call.
+            arrived_s: Monotonic time at which its head was read, in seconds.
+            request_id: Identifier that its caller gave; empty without one.
+            run: Runs the call; blocks the current green thread.
+
+        Returns:
+            The answer; the caller must close its `stream`.
+        """
+        running = _RunningCall(task, arrived_s, request_id)
+        self._calls.add(running)
+        answer = None
+        try:
+            answer = run()
+        finally:
+            if answer is None or answer.stream is None:
+                self._calls.discard(running)
+        if answer.stream is not None:
+            answer.stream = FinalizedStream(
+                answer.stream, partial(self._calls.discard, running)
+            )
+        return answer
+
+    def log_cut_off(self) -> None:
+        """Logs each call that is cut off because the stop has ended."""
+        now_s = self._clock()
+        for running in tuple(self._calls):
+            _cut_off.inc()
+            task = running.task
+            logs.logger().warning(
+                'call cut off',
+                request_id=running.request_id,
+                target=task.request.target.partition('?')[0],
+                route=task.match.name,
+                deadline_ms=round(
+                    (task.deadline_s - running.arrived_s) * MS_PER_S
+                ),
+                took_ms=round((now_s - running.arrived_s) * MS_PER_S, 1),
+                stopping_ms=self.stop_schedule.stopping_ms(running.arrived_s),
+                attempts=task.attempt_trail,
+                in_flight=len(task.in_flight),
+            )
--- a/waxwingsaddle/shutdown.py
+++ b/waxwingsaddle/shutdown.py
@@ -12,6 +12,7 @@
 from waxwingsaddle import logs
 from waxwingsaddle.call_server import CallServer
 from waxwingsaddle.claim_service import ClaimService
+from waxwingsaddle.running_calls import RunningCalls
 from waxwingsaddle.upstream_calls import UpstreamCalls
 from waxwingsaddle.upstreams import Upstreams
 from waxwingsaddle.util.clock import MS_PER_S
@@ -51,6 +52,7 @@
     Args:
         upstreams: Announces the upstreams of this node as draining.
         servers: Servers of callers.
+        running_calls: Calls of callers that are not answered yet.
         call_server: Serves the calls of other nodes.
         upstream_calls: Runs calls at the upstreams of this node.
         claim_service: Stores claims of idempotency keys.
@@ -67,6 +69,7 @@
         self,
         upstreams: Upstreams,
         servers: tuple[CallerServer, ...],
+        running_calls: RunningCalls,
         call_server: CallServer,
         upstream_calls: UpstreamCalls,
         claim_service: ClaimService,
@@ -75,6 +78,7 @@
     ) -> None:
         self._upstreams = upstreams
         self._servers = servers
+        self._running_calls = running_calls
         self._call_server = call_server
         self._upstream_calls = upstream_calls
         self._claim_service = claim_service
@@ -90,6 +94,7 @@
     def stop(self) -> None:
         """Drains, finishes the calls in flight and logs calls cut off."""
         self.is_draining = True
+        self._running_calls.stop_schedule.begin()
         for server in self._servers:
             server.drain()
         self._upstreams.drain()
@@ -105,6 +110,7 @@
             logs.logger().warning(
                 'claims not handed over', claims=uncopied_claims
             )
+        self._running_calls.log_cut_off()
         cut_node_calls = self._call_server.pending
         if cut_caller_calls or cut_node_calls:
             logs.logger().warning(
