Refuse requests that a stopping node may not live to answer

What callers saw: a request that arrived late in a planned stop was passed on, ran, and its connection was closed or got 502 connection-lost at the end of the stop; requests that must not be repeated among them. Cause: the stop had a fixed end, but calls taken during it kept the deadline of their caller. Nothing compared the two. The class of fault: work is accepted without checking that the one who accepts it will be there to finish it. Change: StopSchedule compares them for both servers. Until other hosts can know of the stop, calls are taken with a deadline no later than its end, so that guards and upstreams know it too. After an early end all calls are refused. Calls that are still unanswered at the end are cancelled and answered, instead of left to the end of the process.

--- a/test/callers.py
+++ b/test/callers.py
@@ -82,13 +82,18 @@
         self.cancelled.append(task.request.target)
 
 
+def running_calls(cancel=None, clock=time.monotonic):
+    """Returns running calls of a node that stops within 2 + 3 s."""
+    return RunningCalls(StopSchedule(2, 3, clock), cancel, clock)
+
+
 def new_ingress(dispatcher, tree=CONFIGURATION):
     """Returns an ingress that uses a dispatcher."""
     return Ingress(
         RouteTableCache(Configuration(tree)),
         dispatcher,
         EntryBound(100, 1_000_000),
-        RunningCalls(StopSchedule(time.monotonic), time.monotonic),
+        running_calls(dispatcher.cancel),
         HEADER_NAMES,
         'gallery',
         time.monotonic,
--- a/test/test_entry.py
+++ b/test/test_entry.py
@@ -5,6 +5,7 @@
 
 from nose2.tools import params
 
+from test.callers import running_calls
 from test.nodes import node_environment
 from test.processes import wait_until
 from test.zoned_nodes import Caller
@@ -12,8 +13,6 @@
 from waxwingsaddle.entry import CallLimits, Entry
 from waxwingsaddle.entry_bound import EntryBound
 from waxwingsaddle.routing import Match
-from waxwingsaddle.running_calls import RunningCalls
-from waxwingsaddle.stop_schedule import StopSchedule
 from waxwingsaddle.util.clock import monotonic_s
 
 NO_ROUTE = SimpleNamespace(match=lambda _method, _path: None)
@@ -51,8 +50,9 @@
 def _entry(routing, wait_s=0):
     bound = EntryBound(10, 1000)
     limits = CallLimits(1000, 255, wait_s)
-    calls = RunningCalls(StopSchedule(monotonic_s), monotonic_s)
-    return Entry(routing, None, calls, None, bound, limits, monotonic_s)
+    return Entry(
+        routing, None, running_calls(), None, bound, limits, monotonic_s
+    )
 
 
 class _LateRouting:
--- a/test/test_request_log.py
+++ b/test/test_request_log.py
@@ -32,7 +32,7 @@
     logger = RecordingLogger()
     now_s = [0.0]
     log = RequestLog(
-        lambda: now_s[0], 'call-id', StopSchedule(lambda: now_s[0])
+        lambda: now_s[0], 'call-id', StopSchedule(2, 3, lambda: now_s[0])
     )
     with patch.object(logs, 'logger', lambda: logger):
         for number in range(2 * per_s):
--- a/test/test_running_calls.py
+++ b/test/test_running_calls.py
@@ -4,14 +4,12 @@
 from types import SimpleNamespace
 from unittest.mock import patch
 
-from test.callers import request
+from test.callers import request, running_calls
 from test.test_request_log import SERVED, RecordingLogger
 from waxwingsaddle import logs
 from waxwingsaddle.calls import Answer, Request
 from waxwingsaddle.http_heads import parse_request
 from waxwingsaddle.request_log import RequestLog
-from waxwingsaddle.running_calls import RunningCalls
-from waxwingsaddle.stop_schedule import StopSchedule
 from waxwingsaddle.tasks import CallTask
 from waxwingsaddle.util.outcome import Outcome
 
@@ -41,13 +39,13 @@
 
 def _new_calls():
     clock = Clock()
-    return clock, RunningCalls(StopSchedule(clock), clock)
+    return clock, running_calls(lambda task: None, clock)
 
 
 def _cut_off_lines(calls):
     logger = WarningLogger()
     with patch.object(logs, 'logger', lambda: logger):
-        calls.log_cut_off()
+        calls.cut_off()
     return logger.lines
 
 
--- a/waxwingsaddle/entry.py
+++ b/waxwingsaddle/entry.py
@@ -33,6 +33,7 @@
 from waxwingsaddle.retry import RETRIED_HEADER
 from waxwingsaddle.routing import Match, RouteTable, RouteTableCache
 from waxwingsaddle.running_calls import RunningCalls
+from waxwingsaddle.stop_schedule import stopping
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.web import Environ, StartResponse
@@ -146,6 +147,11 @@
             return _refuse_unclaimed('bad-deadline', key)
         if len(key) > self._limits.key_characters:
             return not_run('bad-key')
+        deadline_s = self._running_calls.stop_schedule.bound_deadline(
+            arrived_s + timeout_ms / MS_PER_S
+        )
+        if deadline_s is None:
+            return unknown('stopping') if key else stopping()
         route = match.route
         reservation = self._bound.reserve_call(
             rank_of(route.priority, route.idempotent)
@@ -154,7 +160,6 @@
             return self._refuse_full(key)
         answer = None
         try:
-            deadline_s = arrived_s + timeout_ms / MS_PER_S
             answer = self._answer_admitted(
                 environ, match, arrived_s, deadline_s, reservation
             )
@@ -178,8 +183,7 @@
             return body
         head = environ['waxwing.head']
         headers = end_to_end_headers(head.headers)
-        method = environ['REQUEST_METHOD']
-        request = Request(method, head.target, headers, body)
+        request = Request(head.method, head.target, headers, body)
         task = CallTask(match, request, deadline_s)
         return self._running_calls.run(
             task,
@@ -212,16 +216,15 @@
 
     def _run_call(self, environ: Environ, task: CallTask) -> Answer:
         sock = environ['wsgi.input'].get_socket()
-        watch = self._disconnect_watch.watch(sock, lambda: self._cancel(task))
+        watch = self._disconnect_watch.watch(
+            sock, partial(self._calls.cancel, task)
+        )
         try:
             key = environ['waxwing.head'].fields.get(_IDEMPOTENCY_KEY, '')
             return self._calls.run(task, key)
         finally:
             self._disconnect_watch.unwatch(watch)
 
-    def _cancel(self, task: CallTask) -> None:
-        self._calls.cancel(task)
-
     def _read_body(
         self, environ: Environ, reservation: Reservation
     ) -> bytes | Answer:
--- a/waxwingsaddle/ingress.py
+++ b/waxwingsaddle/ingress.py
@@ -30,6 +30,7 @@
 from waxwingsaddle.request_log import RequestLog
 from waxwingsaddle.routing import Match, RouteTable, RouteTableCache
 from waxwingsaddle.running_calls import RunningCalls
+from waxwingsaddle.stop_schedule import stopping
 from waxwingsaddle.traffic_split import TrafficSplitter
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
@@ -122,15 +123,14 @@
         self._dispatcher = dispatcher
         self._bound = bound
         self._running_calls = running_calls
+        self._stop_schedule = running_calls.stop_schedule
         self._names = names
         self._service = service
         self._clock = clock
         self._rng = rng
         self._splitter = TrafficSplitter(rng)
         self._caller_timeouts = CallerTimeouts()
-        self._log = RequestLog(
-            clock, names.request_id_key, running_calls.stop_schedule
-        )
+        self._log = RequestLog(clock, names.request_id_key, self._stop_schedule)
 
     @property
     def table(self) -> RouteTable | None:
@@ -161,17 +161,20 @@
             return not_run(NO_ROUTE)
         match = self._splitter.select_service(table, match)
         route = match.route
+        timeout_ms = self._timeout_ms(head, match)
+        caller_deadline_s = arrived_s + timeout_ms / MS_PER_S
+        deadline_s = self._stop_schedule.bound_deadline(caller_deadline_s)
+        if deadline_s is None:
+            return stopping()
         reservation = self._bound.reserve_call(
             rank_of(route.priority, route.idempotent)
         )
         if reservation is None:
             return not_run('entry-full', self._bound.retry_after_ms())
-        timeout_ms = self._timeout_ms(head, match)
         usual_timeout_ms = self._caller_timeouts.observe(match.name, timeout_ms)
         request = Request(
             head.method, head.target, self._forwarded_headers(head)
         )
-        deadline_s = arrived_s + timeout_ms / MS_PER_S
         task = CallTask(
             match,
             request,
@@ -184,7 +187,8 @@
             # shorter timeout than usual has spent the difference on an earlier
             # attempt, or serves a call that has already waited that long.
             task.due_s = (
-                deadline_s - (usual_timeout_ms - route.objective_ms) / MS_PER_S
+                caller_deadline_s
+                - (usual_timeout_ms - route.objective_ms) / MS_PER_S
             )
         return AdmittedCall(head, arrived_s, task, reservation)
 
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -86,7 +86,13 @@
         settings.entry_body_bytes,
     )
     calls = running_calls.RunningCalls(
-        stop_schedule.StopSchedule(monotonic_s), monotonic_s
+        stop_schedule.StopSchedule(
+            settings.drain_wait_ms / MS_PER_S,
+            settings.stop_limit_ms / MS_PER_S,
+            monotonic_s,
+        ),
+        dispatcher.cancel,
+        monotonic_s,
     )
     entry = Entry(
         routing,
@@ -118,7 +124,7 @@
             random.Random(),
         )
         servers.append(ingress_server(settings, ingress))
-    _provide_shutdown(kernel, settings, tuple(servers), calls)
+    _provide_shutdown(kernel, tuple(servers), calls)
     return kernel
 
 
@@ -218,7 +224,6 @@
 
 def _provide_shutdown(
     kernel: Kernel,
-    settings: NodeSettings,
     servers: tuple[CallerServer, ...],
     calls: running_calls.RunningCalls,
 ) -> None:
@@ -230,8 +235,6 @@
         kernel.find('serving'),
         kernel.find('guarding'),
         kernel.find('keepers'),
-        settings.drain_wait_ms,
-        settings.stop_limit_ms,
     )
     kernel.provide('shutdown', shutdown)
 
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -105,8 +105,9 @@
         idle_timeout_ms: Idle time after which a caller's connection is closed,
             unless the configuration sets one.
         drain_wait_ms: Time for other nodes to learn that this node stops.
-        stop_limit_ms: Maximum time for calls in flight when the node stops;
-            longer ones are cut off and logged.
+        stop_limit_ms: Maximum time for calls in flight after `drain_wait_ms`.
+            Calls that arrive in it are refused if their deadline is later;
+            calls cut off at its end are logged.
         call_ids_kept_s: Time for which call identifiers are remembered.
         hop_heartbeat_ms: Interval of heartbeats between nodes; a peer that
             misses three is considered lost.
--- a/waxwingsaddle/running_calls.py
+++ b/waxwingsaddle/running_calls.py
@@ -36,17 +36,22 @@
     """Keeps the calls of callers from their head to the end of their answer.
 
     Args:
-        stop_schedule: Knows when the stop of the node began.
+        stop_schedule: Times of the stop of the node.
+        cancel: Cancels all attempts of a call.
         clock: Returns the monotonic time, in seconds.
 
     Attributes:
-        stop_schedule: Knows when the stop of the node began.
+        stop_schedule: Times of the stop of the node.
     """
 
     def __init__(
-        self, stop_schedule: StopSchedule, clock: Callable[[], float]
+        self,
+        stop_schedule: StopSchedule,
+        cancel: Callable[[CallTask], None],
+        clock: Callable[[], float],
     ) -> None:
         self.stop_schedule = stop_schedule
+        self._cancel = cancel
         self._clock = clock
         self._calls: set[_RunningCall] = set()
 
@@ -82,10 +87,23 @@
             )
         return answer
 
-    def log_cut_off(self) -> None:
-        """Logs each call that is cut off because the stop has ended."""
+    @property
+    def count(self) -> int:
+        """Number of calls that are not answered yet."""
+        return len(self._calls)
+
+    def cut_off(self) -> int:
+        """Cancels and logs all calls, because the stop has ended.
+
+        Their callers get an answer that says what is known: that the call has
+        not run, or that it may have.
+
+        Returns:
+            The number of these calls.
+        """
         now_s = self._clock()
-        for running in tuple(self._calls):
+        cut = tuple(self._calls)
+        for running in cut:
             _cut_off.inc()
             task = running.task
             logs.logger().warning(
@@ -101,3 +119,5 @@
                 attempts=task.attempt_trail,
                 in_flight=len(task.in_flight),
             )
+            self._cancel(task)
+        return len(cut)
--- a/waxwingsaddle/shutdown.py
+++ b/waxwingsaddle/shutdown.py
@@ -5,6 +5,7 @@
 """
 
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 import eventlet
@@ -15,9 +16,10 @@
 from waxwingsaddle.running_calls import RunningCalls
 from waxwingsaddle.upstream_calls import UpstreamCalls
 from waxwingsaddle.upstreams import Upstreams
-from waxwingsaddle.util.clock import MS_PER_S
 
 _POLL_S = 0.02
+# Time to write the answers of calls that end with the stop.
+_ANSWER_WAIT_S = 0.2
 # Time to copy the claims that this node keeps to other nodes. Claims that are
 # not copied in time are still stored by their two other keepers.
 _CLAIM_HAND_OVER_TIMEOUT_S = 1
@@ -52,14 +54,11 @@
     Args:
         upstreams: Announces the upstreams of this node as draining.
         servers: Servers of callers.
-        running_calls: Calls of callers that are not answered yet.
+        running_calls: Calls of callers that are not answered yet, with the
+            times of the stop.
         call_server: Serves the calls of other nodes.
         upstream_calls: Runs calls at the upstreams of this node.
         claim_service: Stores claims of idempotency keys.
-        drain_wait_ms: Time in which other nodes learn of the drain, in
-            milliseconds.
-        stop_limit_ms: Longest time for the calls in flight after that, in
-            milliseconds.
 
     Attributes:
         is_draining: Whether the stop has begun.
@@ -73,8 +72,6 @@
         call_server: CallServer,
         upstream_calls: UpstreamCalls,
         claim_service: ClaimService,
-        drain_wait_ms: int,
-        stop_limit_ms: int,
     ) -> None:
         self._upstreams = upstreams
         self._servers = servers
@@ -82,8 +79,6 @@
         self._call_server = call_server
         self._upstream_calls = upstream_calls
         self._claim_service = claim_service
-        self._drain_wait_s = drain_wait_ms / MS_PER_S
-        self._stop_limit_s = stop_limit_ms / MS_PER_S
         self.is_draining = False
 
     def start(self) -> None:
@@ -94,15 +89,19 @@
     def stop(self) -> None:
         """Drains, finishes the calls in flight and logs calls cut off."""
         self.is_draining = True
-        self._running_calls.stop_schedule.begin()
+        schedule = self._running_calls.stop_schedule
+        schedule.begin()
         for server in self._servers:
             server.drain()
         self._upstreams.drain()
-        eventlet.sleep(self._drain_wait_s)
-        deadline_s = time.monotonic() + self._stop_limit_s
-        cut_caller_calls = self._close_servers(deadline_s)
-        while time.monotonic() < deadline_s and self._is_busy():
-            eventlet.sleep(_POLL_S)
+        eventlet.sleep(schedule.drain_wait_s)
+        self._close_servers(schedule.remaining_s())
+        schedule.end()
+        _wait_while(self._is_busy, schedule.remaining_s())
+        # Calls whose deadline is the end of the stop are answered just then.
+        _wait_while(self._has_running_calls, _ANSWER_WAIT_S)
+        cut_caller_calls = self._running_calls.cut_off()
+        _wait_while(self._has_running_calls, _ANSWER_WAIT_S)
         uncopied_claims = self._claim_service.hand_over(
             _CLAIM_HAND_OVER_TIMEOUT_S
         )
@@ -110,7 +109,6 @@
             logs.logger().warning(
                 'claims not handed over', claims=uncopied_claims
             )
-        self._running_calls.log_cut_off()
         cut_node_calls = self._call_server.pending
         if cut_caller_calls or cut_node_calls:
             logs.logger().warning(
@@ -120,14 +118,22 @@
                 at_upstreams=self._upstream_calls.pending,
             )
 
-    def _close_servers(self, deadline_s: float) -> int:
+    def _close_servers(self, timeout_s: float) -> None:
         closing_threads = [
-            eventlet.spawn(
-                server.close_gracefully, max(0, deadline_s - time.monotonic())
-            )
+            eventlet.spawn(server.close_gracefully, timeout_s)
             for server in self._servers
         ]
-        return sum(thread.wait() for thread in closing_threads)
+        for thread in closing_threads:
+            thread.wait()
 
     def _is_busy(self) -> bool:
         return bool(self._call_server.pending or self._upstream_calls.pending)
+
+    def _has_running_calls(self) -> bool:
+        return bool(self._running_calls.count)
+
+
+def _wait_while(is_busy: Callable[[], bool], timeout_s: float) -> None:
+    deadline_s = time.monotonic() + timeout_s
+    while is_busy() and time.monotonic() < deadline_s:
+        eventlet.sleep(_POLL_S)
