Answer all calls in flight on a connection before a stop closes it

What callers saw: of several requests in flight on one connection, only the first was answered after SIGTERM; the connection closed, and the others, which upstreams had at work, were given up. Cause: each answer during a stop asked to close, also one with calls behind it. The class of fault: a close that looks at one call and acts on all of a connection. Change: only the last pending answer asks to close. From the moment it is written, no request that arrives behind it is started; before, one whose body came in between was started and given up. Result: test_pipelined_stop (2 tests) failed before: one of three answers, and a call cancelled at work.

--- a/waxwingsaddle/pipeline.py
+++ b/waxwingsaddle/pipeline.py
@@ -46,8 +46,8 @@
         sock: Socket of the connection.
         ingress: Admits and runs the calls.
         limits: Returns the current limits.
-        is_draining: Returns whether each connection is to be closed after its
-            next answer.
+        is_draining: Returns whether each connection is to be closed as soon
+            as all calls in flight on it are answered.
     """
 
     def __init__(
@@ -66,6 +66,7 @@
         self._queue_changed = WakeFlag()
         self._is_input_ended = False
         self._is_closing = False
+        self._is_close_announced = False
         self._is_ended = False
         self._should_linger = False
         self._reader: Any = None
@@ -128,12 +129,11 @@
         """Reads and starts a call; returns whether another one may follow."""
         limits = self._limits()
         try:
-            head = self._requests.next_head(limits, self._has_no_calls)
+            head = self._requests.next_head(limits, lambda: not self._calls)
         except UnreadableError as error:
             self._queue_refusal(None, not_run(error.reason), is_last=True)
             return False
-        # A call that arrives while the connection closes is dropped: its caller
-        # sees the close without an answer and sends the call again.
+        # The caller sees the close without an answer and sends the call again.
         if head is None or self._is_closing:
             return False
         decision = self._ingress.admit(head)
@@ -161,6 +161,10 @@
         except BaseException:
             call.admitted.reservation.release()
             raise
+        if self._is_close_announced:
+            # The caller counts this request as not read and sends it again.
+            call.admitted.reservation.release()
+            return False
         call.admitted.set_body(body)
         self._calls.append(call)
         greenthread.spawn_n(self._run_call, call)
@@ -175,9 +179,6 @@
         self._calls.append(PipelinedCall(head, is_last=is_last, answer=answer))
         self._write_due()
 
-    def _has_no_calls(self) -> bool:
-        return not self._calls
-
     def _wait_for_room(self) -> None:
         while len(self._calls) >= _MAX_PENDING_CALLS:
             self._wait_for_change()
@@ -215,9 +216,8 @@
     def _wait_for_earlier_calls(self, call: PipelinedCall) -> bool:
         """Waits for all earlier answers; returns whether the call may start.
 
-        This is for calls that must not run twice: if an earlier answer closes
-        the connection, the caller sends all later calls again, and one that
-        had started by then would run twice.
+        If an earlier answer closes the connection, the caller sends all later
+        calls again, and one that had started by then would run twice.
         """
         while self._calls and self._calls[0] is not call:
             self._wait_for_change()
@@ -261,7 +261,13 @@
 
     def _write_answer(self, call: PipelinedCall, answer: Answer) -> bool:
         status, headers = self._ingress.reply(answer, call.head)
-        is_last = call.is_last or self._is_draining()
+        # Its caller gives up all calls behind an answer that asks to close.
+        is_last = call.is_last or (
+            self._is_draining() and len(self._calls) == 1
+        )
+        if is_last:
+            self._is_closing = True
+            self._is_close_announced = True
         self._sock.settimeout(_WRITE_TIMEOUT_S)
         try:
             return write_reply(
--- a/waxwingsaddle/pipeline_server.py
+++ b/waxwingsaddle/pipeline_server.py
@@ -56,7 +56,7 @@
         self._acceptor.start()
 
     def drain(self) -> None:
-        """Adds `Connection: close` to the next answer on each connection."""
+        """Adds `Connection: close` to the last pending answer."""
         self._is_draining = True
 
     def close_gracefully(self, timeout_s: float) -> int:
