Wait for a call that starts while a stop closes connections

Found by reading. Cause: a stop that finds its servers quiet closes their connections one by one; a request that arrives on another one meanwhile was started, and then nothing waited for it: the wait after that looked at calls of other nodes only. An inline answer counted as done before it was written. Change: the stop waits for the pending calls of its servers, which count until their answer is written. Result: test_shutdown fails before (the call is pending at the end of the stop) and passes now.

--- a/waxwingsaddle/running_calls.py
+++ b/waxwingsaddle/running_calls.py
@@ -87,11 +87,6 @@
             )
         return answer
 
-    @property
-    def count(self) -> int:
-        """Number of calls that are not answered yet."""
-        return len(self._calls)
-
     def cut_off(self) -> int:
         """Cancels and logs all calls, because the stop has ended.
 
--- a/waxwingsaddle/shutdown.py
+++ b/waxwingsaddle/shutdown.py
@@ -28,6 +28,10 @@
 class CallerServer(Protocol):
     """Server for callers that can stop without losing a call."""
 
+    @property
+    def pending(self) -> int:
+        """Number of calls whose answer is not written yet."""
+
     def start(self) -> None:
         """Starts to listen and serves connections."""
 
@@ -99,9 +103,9 @@
         schedule.end()
         _wait_while(self._is_busy, schedule.remaining_s())
         # Calls whose deadline is the end of the stop are answered just then.
-        _wait_while(self._has_running_calls, _ANSWER_WAIT_S)
+        _wait_while(self._has_unanswered_callers, _ANSWER_WAIT_S)
         cut_caller_calls = self._running_calls.cut_off()
-        _wait_while(self._has_running_calls, _ANSWER_WAIT_S)
+        _wait_while(self._has_unanswered_callers, _ANSWER_WAIT_S)
         uncopied_claims = self._claim_service.hand_over(
             _CLAIM_HAND_OVER_TIMEOUT_S
         )
@@ -127,10 +131,15 @@
             thread.wait()
 
     def _is_busy(self) -> bool:
-        return bool(self._call_server.pending or self._upstream_calls.pending)
+        # A call can start while the servers close their connections.
+        return bool(
+            self._has_unanswered_callers()
+            or self._call_server.pending
+            or self._upstream_calls.pending
+        )
 
-    def _has_running_calls(self) -> bool:
-        return bool(self._running_calls.count)
+    def _has_unanswered_callers(self) -> bool:
+        return any(server.pending for server in self._servers)
 
 
 def _wait_while(is_busy: Callable[[], bool], timeout_s: float) -> None:
