Answer requests whose bodies are arriving when a node stops

What callers saw: on the ingress, a request whose body arrived during a planned stop lost its connection without an answer as soon as the node seemed quiet, even if the rest of the body came in time. On the node API, the connection ended with the process. Cause: a call of the ingress counted as pending from the end of its body on, and the end of reading killed the green thread that read the body. The node API waited for it, but nobody answered it at the end. Change: calls and refused requests count as pending from the end of their head on. RunningCalls knows the bodies being read, and ends their reading with the stop: each is answered as not run, with the reason stopping.

--- a/waxwingsaddle/entry.py
+++ b/waxwingsaddle/entry.py
@@ -14,9 +14,6 @@
 from waxwingsaddle.calls import (
     DEADLINE_HEADER,
     IDEMPOTENCY_KEY_HEADER,
-    OUTCOME_HEADER,
-    REASON_HEADER,
-    RETRY_AFTER_HEADER,
     Answer,
     Request,
     end_to_end_headers,
@@ -26,14 +23,14 @@
 from waxwingsaddle.config_models import MAX_TIMEOUT_MS
 from waxwingsaddle.disconnect_watch import DisconnectWatch
 from waxwingsaddle.dispatch import CallTask
+from waxwingsaddle.entry_answers import header_fields, status_line
 from waxwingsaddle.entry_bound import EntryBound, Reservation
 from waxwingsaddle.finalized_stream import FinalizedStream
-from waxwingsaddle.http_heads import STATUS_LINES
+from waxwingsaddle.http_bodies import Body
 from waxwingsaddle.idempotent_calls import IdempotentCalls
-from waxwingsaddle.retry import RETRIED_HEADER
 from waxwingsaddle.routing import Match, RouteTable, RouteTableCache
 from waxwingsaddle.running_calls import RunningCalls
-from waxwingsaddle.stop_schedule import stopping
+from waxwingsaddle.stop_schedule import StoppingError, stopping
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
 from waxwingsaddle.web import Environ, StartResponse
@@ -42,25 +39,6 @@
 _BLOCK_BYTES = 65_536
 _CONFIGURATION_POLL_S = 0.02
 _DEADLINE_KEY = DEADLINE_HEADER.lower()
-_STATUS_BY_REASON = {
-    'no-route': 404,
-    'bad-deadline': 400,
-    'bad-body': 400,
-    'bad-key': 400,
-    'body-too-large': 413,
-    'deadline': 504,
-}
-_NOT_RUN_STATUS = 503
-_UNKNOWN_STATUS = 502
-_OUTCOME_HEADERS = frozenset(
-    name.lower()
-    for name in (
-        OUTCOME_HEADER,
-        REASON_HEADER,
-        RETRY_AFTER_HEADER,
-        RETRIED_HEADER,
-    )
-)
 
 _calls_by_outcome = metrics.counter(
     'waxwing_calls',
@@ -127,7 +105,7 @@
             _calls_ran.inc()
         else:
             _calls_by_outcome.labels(answer.outcome.value, answer.reason).inc()
-        start_response(_status_line(answer), _headers(answer))
+        start_response(status_line(answer), header_fields(answer))
         if answer.stream is not None:
             return answer.stream
         return [answer.body]
@@ -151,7 +129,7 @@
             arrived_s + timeout_ms / MS_PER_S
         )
         if deadline_s is None:
-            return unknown('stopping') if key else stopping()
+            return _refuse_stopping(key)
         route = match.route
         reservation = self._bound.reserve_call(
             rank_of(route.priority, route.idempotent)
@@ -231,27 +209,42 @@
         stream = environ['wsgi.input']
         if stream.is_complete:
             return b''
-        key = environ['waxwing.head'].fields.get(_IDEMPOTENCY_KEY, '')
+        head = environ['waxwing.head']
+        key = head.fields.get(_IDEMPOTENCY_KEY, '')
         max_bytes = self._limits.body_bytes
         if stream.length is not None and stream.length > max_bytes:
             return _refuse_unclaimed('body-too-large', key)
-        # A body of unknown length is reserved and read block by block.
-        block_bytes = min(max_bytes + 1, stream.length or _BLOCK_BYTES)
-        blocks = []
         try:
-            while (
-                not stream.is_complete and reservation.body_bytes <= max_bytes
-            ):
-                if not reservation.reserve_body(block_bytes):
-                    return self._refuse_full(key)
-                blocks.append(stream.read(block_bytes))
+            with self._running_calls.reading(head):
+                body = self._read_blocks(stream, reservation)
+        except StoppingError:
+            return _refuse_stopping(key)
         except (OSError, ValueError):
             return _refuse_unclaimed('bad-body', key)
-        body = b''.join(blocks)
+        if body is None:
+            return self._refuse_full(key)
         if len(body) > max_bytes:
             return _refuse_unclaimed('body-too-large', key)
         return body
 
+    def _read_blocks(
+        self, stream: Body, reservation: Reservation
+    ) -> bytes | None:
+        """Returns a body, or its beginning if it is too large.
+
+        Returns:
+            The bytes; None if they can't be reserved.
+        """
+        # A body of unknown length is reserved and read block by block.
+        max_bytes = self._limits.body_bytes
+        block_bytes = min(max_bytes + 1, stream.length or _BLOCK_BYTES)
+        blocks = []
+        while not stream.is_complete and reservation.body_bytes <= max_bytes:
+            if not reservation.reserve_body(block_bytes):
+                return None
+            blocks.append(stream.read(block_bytes))
+        return b''.join(blocks)
+
 
 def _timeout_ms(environ: Environ, match: Match) -> float | None:
     text = environ['waxwing.head'].fields.get(_DEADLINE_KEY)
@@ -264,15 +257,6 @@
     return min(timeout_ms, MAX_TIMEOUT_MS) or None
 
 
-def _status_line(answer: Answer) -> str:
-    status = answer.status
-    if answer.outcome is Outcome.NOT_RUN:
-        status = _STATUS_BY_REASON.get(answer.reason, _NOT_RUN_STATUS)
-    elif answer.outcome is not Outcome.RAN:
-        status = _UNKNOWN_STATUS
-    return STATUS_LINES.get(status) or f'{status} Status'
-
-
 def _refuse_unclaimed(reason: str, key: str) -> Answer:
     """Refuses a call before the claim of its idempotency key is checked.
 
@@ -282,19 +266,5 @@
     return unknown(reason) if key else not_run(reason)
 
 
-def _headers(answer: Answer) -> list[tuple[str, str]]:
-    headers = [
-        pair
-        for pair in answer.headers
-        if pair[0].lower() not in _OUTCOME_HEADERS
-    ]
-    headers.append((OUTCOME_HEADER, answer.outcome.value))
-    if answer.reason:
-        headers.append((REASON_HEADER, answer.reason))
-    if answer.retry_after_ms:
-        headers.append((RETRY_AFTER_HEADER, str(answer.retry_after_ms)))
-    if answer.was_retried:
-        headers.append((RETRIED_HEADER, '1'))
-    if answer.length is not None:
-        headers.append(('Content-Length', str(answer.length)))
-    return headers
+def _refuse_stopping(key: str) -> Answer:
+    return unknown('stopping') if key else stopping()
--- /dev/null
+++ b/waxwingsaddle/entry_answers.py
@@ -0,0 +1,60 @@
+"""Status lines and header fields of the answers to callers of the node API."""
+
+from waxwingsaddle.calls import (
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    RETRY_AFTER_HEADER,
+    Answer,
+)
+from waxwingsaddle.http_heads import STATUS_LINES
+from waxwingsaddle.retry import RETRIED_HEADER
+from waxwingsaddle.util.outcome import Outcome
+
+_STATUS_BY_REASON = {
+    'no-route': 404,
+    'bad-deadline': 400,
+    'bad-body': 400,
+    'bad-key': 400,
+    'body-too-large': 413,
+    'deadline': 504,
+}
+_NOT_RUN_STATUS = 503
+_UNKNOWN_STATUS = 502
+_OUTCOME_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        OUTCOME_HEADER,
+        REASON_HEADER,
+        RETRY_AFTER_HEADER,
+        RETRIED_HEADER,
+    )
+)
+
+
+def status_line(answer: Answer) -> str:
+    """Returns the status line of an answer."""
+    status = answer.status
+    if answer.outcome is Outcome.NOT_RUN:
+        status = _STATUS_BY_REASON.get(answer.reason, _NOT_RUN_STATUS)
+    elif answer.outcome is not Outcome.RAN:
+        status = _UNKNOWN_STATUS
+    return STATUS_LINES.get(status) or f'{status} Status'
+
+
+def header_fields(answer: Answer) -> list[tuple[str, str]]:
+    """Returns the header fields of an answer, with those of its outcome."""
+    headers = [
+        pair
+        for pair in answer.headers
+        if pair[0].lower() not in _OUTCOME_HEADERS
+    ]
+    headers.append((OUTCOME_HEADER, answer.outcome.value))
+    if answer.reason:
+        headers.append((REASON_HEADER, answer.reason))
+    if answer.retry_after_ms:
+        headers.append((RETRY_AFTER_HEADER, str(answer.retry_after_ms)))
+    if answer.was_retried:
+        headers.append((RETRIED_HEADER, '1'))
+    if answer.length is not None:
+        headers.append(('Content-Length', str(answer.length)))
+    return headers
--- a/waxwingsaddle/http_heads.py
+++ b/waxwingsaddle/http_heads.py
@@ -82,6 +82,11 @@
     is_chunked: bool
     is_persistent: bool
 
+    @property
+    def has_body(self) -> bool:
+        """Whether a request with this framing has a body that is not empty."""
+        return self.is_chunked or bool(self.length)
+
 
 @dataclass(slots=True)
 class RequestHead:
--- a/waxwingsaddle/ingress.py
+++ b/waxwingsaddle/ingress.py
@@ -7,6 +7,7 @@
 
 import random
 from collections.abc import Callable
+from contextlib import AbstractContextManager
 from dataclasses import dataclass
 from functools import partial
 
@@ -192,6 +193,13 @@
             )
         return AdmittedCall(head, arrived_s, task, reservation)
 
+    def reading(self, head: RequestHead) -> AbstractContextManager[None]:
+        """Returns a context in which the body of a request is read.
+
+        It raises `StoppingError` if the stop of the node ends before that.
+        """
+        return self._running_calls.reading(head)
+
     def run(self, admitted: AdmittedCall) -> Answer:
         """Runs a call; blocks the current green thread.
 
--- a/waxwingsaddle/pipeline.py
+++ b/waxwingsaddle/pipeline.py
@@ -8,15 +8,15 @@
 
 import socket
 import time
-from collections import deque
-from collections.abc import Callable
-from contextlib import suppress
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
 from typing import Any
 
 from eventlet import greenthread
 from greenlet import GreenletExit, getcurrent
 
 from waxwingsaddle import logs
+from waxwingsaddle.call_queue import CallQueue
 from waxwingsaddle.calls import Answer, BrokenBodyError, not_run, unknown
 from waxwingsaddle.http_heads import RequestHead
 from waxwingsaddle.ingress import Ingress
@@ -27,11 +27,8 @@
     RequestReader,
     UnreadableError,
 )
-from waxwingsaddle.util.wake_flag import WakeFlag
+from waxwingsaddle.stop_schedule import StoppingError, stopping
 
-# Reading pauses while this many calls of a connection are unanswered. Callers
-# usually have far fewer in flight.
-_MAX_PENDING_CALLS = 32
 # Timeout for writing to a caller that does not read.
 _WRITE_TIMEOUT_S = 10
 # Time to read and drop incoming bytes after the last answer: closing a socket
@@ -62,11 +59,10 @@
         self._limits = limits
         self._is_draining = is_draining
         self._requests = RequestReader(sock)
-        self._calls: deque[PipelinedCall] = deque()
-        self._queue_changed = WakeFlag()
+        self._calls = CallQueue()
+        self._is_reading_body = False
         self._is_input_ended = False
         self._is_closing = False
-        self._is_close_announced = False
         self._is_ended = False
         self._should_linger = False
         self._reader: Any = None
@@ -74,13 +70,13 @@
 
     @property
     def pending(self) -> int:
-        """Number of calls that were read and are not answered yet."""
-        return len(self._calls)
+        """Number of calls with a complete head that are not answered yet."""
+        return len(self._calls) + self._is_reading_body
 
     def stop_reading(self) -> None:
-        """Closes the connection as soon as all calls read are answered."""
+        """Closes the connection as soon as all pending calls are answered."""
         self._is_closing = True
-        if not self._calls:
+        if not self.pending:
             self._end_reading(should_linger=True)
 
     def serve(self) -> None:
@@ -114,7 +110,7 @@
 
     def _read_all(self) -> None:
         while self._read_call():
-            self._wait_for_room()
+            self._calls.wait_for_room()
         self._is_input_ended = True
         if self._calls:
             # Detects that the caller closes the connection; the thread that
@@ -139,7 +135,7 @@
         decision = self._ingress.admit(head)
         is_last = not head.framing.is_persistent
         if isinstance(decision, Answer):
-            is_body_read = self._requests.skip_body(head, limits)
+            is_body_read = self._skip_body(head, limits)
             self._queue_refusal(head, decision, is_last or not is_body_read)
             return is_body_read and not is_last
         return self._start_call(PipelinedCall(head, decision, is_last), limits)
@@ -147,29 +143,54 @@
     def _start_call(
         self, call: PipelinedCall, limits: ConnectionLimits
     ) -> bool:
+        refusal = None
         try:
-            body = self._requests.read_body(
-                call.head,
-                limits,
-                call.admitted.reservation,
-                self._wait_for_earlier_answers,
-            )
+            self._read_body(call, limits)
         except UnreadableError as error:
-            call.admitted.reservation.release()
-            self._queue_refusal(call.head, not_run(error.reason), is_last=True)
-            return False
+            refusal = not_run(error.reason)
+        except StoppingError:
+            refusal = stopping()
         except BaseException:
             call.admitted.reservation.release()
             raise
-        if self._is_close_announced:
-            # The caller counts this request as not read and sends it again.
+        if refusal is not None:
             call.admitted.reservation.release()
+            self._queue_refusal(call.head, refusal, is_last=True)
             return False
-        call.admitted.set_body(body)
         self._calls.append(call)
         greenthread.spawn_n(self._run_call, call)
         return not call.is_last
 
+    def _read_body(self, call: PipelinedCall, limits: ConnectionLimits) -> None:
+        if not call.head.framing.has_body:
+            return
+        with self._reading(call.head):
+            body = self._requests.read_body(
+                call.head,
+                limits,
+                call.admitted.reservation,
+                self._calls.wait_until_empty,
+            )
+        call.admitted.set_body(body)
+
+    def _skip_body(self, head: RequestHead, limits: ConnectionLimits) -> bool:
+        if not head.framing.has_body:
+            return True
+        try:
+            with self._reading(head):
+                return self._requests.skip_body(head, limits)
+        except StoppingError:
+            return False
+
+    @contextmanager
+    def _reading(self, head: RequestHead) -> Iterator[None]:
+        self._is_reading_body = True
+        try:
+            with self._ingress.reading(head):
+                yield
+        finally:
+            self._is_reading_body = False
+
     def _queue_refusal(
         self,
         head: RequestHead | None,
@@ -179,19 +200,6 @@
         self._calls.append(PipelinedCall(head, is_last=is_last, answer=answer))
         self._write_due()
 
-    def _wait_for_room(self) -> None:
-        while len(self._calls) >= _MAX_PENDING_CALLS:
-            self._wait_for_change()
-
-    def _wait_for_earlier_answers(self) -> None:
-        """Waits until all calls read before this one are answered."""
-        while self._calls:
-            self._wait_for_change()
-
-    def _wait_for_change(self) -> None:
-        self._queue_changed.clear()
-        self._queue_changed.wait(_WRITE_TIMEOUT_S)
-
     def _run_call(self, call: PipelinedCall) -> None:
         answer = not_run('cancelled')
         try:
@@ -219,8 +227,7 @@
         If an earlier answer closes the connection, the caller sends all later
         calls again, and one that had started by then would run twice.
         """
-        while self._calls and self._calls[0] is not call:
-            self._wait_for_change()
+        self._calls.wait_until_first(call)
         return not self._is_closing and call in self._calls
 
     def _write_due(self) -> None:
@@ -247,27 +254,21 @@
 
     def _write_answers(self) -> bool:
         """Writes answers in order; returns whether the connection ends."""
-        while self._calls and self._calls[0].answer is not None:
-            call = self._calls[0]
+        while call := self._calls.due():
             stays_open = self._write_answer(call, call.answer)
-            if self._calls:
-                self._calls.popleft()
+            self._calls.pop()
             if not stays_open:
                 self._is_closing = True
                 return True
-            self._queue_changed.set()
         is_last = self._is_closing or self._is_input_ended
-        return is_last and not self._calls
+        return is_last and not self.pending
 
     def _write_answer(self, call: PipelinedCall, answer: Answer) -> bool:
         status, headers = self._ingress.reply(answer, call.head)
         # Its caller gives up all calls behind an answer that asks to close.
-        is_last = call.is_last or (
-            self._is_draining() and len(self._calls) == 1
-        )
+        is_last = call.is_last or (self._is_draining() and self.pending == 1)
         if is_last:
             self._is_closing = True
-            self._is_close_announced = True
         self._sock.settimeout(_WRITE_TIMEOUT_S)
         try:
             return write_reply(
@@ -282,14 +283,11 @@
 
     def _cancel_all(self) -> None:
         """Cancels running calls and closes answers that were not written."""
-        calls = tuple(self._calls)
-        self._calls.clear()
-        for call in calls:
+        for call in self._calls.clear():
             if call.answer is None:
                 self._ingress.cancel(call.admitted)
             elif call.answer.stream is not None:
                 call.answer.stream.close()
-        self._queue_changed.set()
 
     def _linger(self) -> None:
         try:
--- a/waxwingsaddle/running_calls.py
+++ b/waxwingsaddle/running_calls.py
@@ -1,13 +1,18 @@
 """Calls of callers that run on this node, for the report of a stop."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from functools import partial
 
+from eventlet import greenthread
+from greenlet import getcurrent, greenlet
+
 from waxwingsaddle import logs, metrics
 from waxwingsaddle.calls import Answer
 from waxwingsaddle.finalized_stream import FinalizedStream
-from waxwingsaddle.stop_schedule import StopSchedule
+from waxwingsaddle.http_heads import RequestHead
+from waxwingsaddle.stop_schedule import StoppingError, StopSchedule
 from waxwingsaddle.tasks import CallTask
 from waxwingsaddle.util.clock import MS_PER_S
 
@@ -54,6 +59,24 @@
         self._cancel = cancel
         self._clock = clock
         self._calls: set[_RunningCall] = set()
+        self._readers: dict[greenlet, RequestHead] = {}
+
+    @contextmanager
+    def reading(self, head: RequestHead) -> Iterator[None]:
+        """Counts a call as running while the current green thread reads it.
+
+        Args:
+            head: Head of its request.
+
+        Raises:
+            StoppingError: The stop ended before that.
+        """
+        reader = getcurrent()
+        self._readers[reader] = head
+        try:
+            yield
+        finally:
+            del self._readers[reader]
 
     def run(
         self,
@@ -115,4 +138,16 @@
                 in_flight=len(task.in_flight),
             )
             self._cancel(task)
-        return len(cut)
+        return len(cut) + self._end_reading()
+
+    def _end_reading(self) -> int:
+        readers = tuple(self._readers)
+        for reader in readers:
+            head = self._readers.get(reader)
+            if head is not None:
+                _cut_off.inc()
+                logs.logger().warning(
+                    'body cut off', target=head.target.partition('?')[0]
+                )
+                greenthread.kill(reader, StoppingError())
+        return len(readers)
--- a/waxwingsaddle/stop_schedule.py
+++ b/waxwingsaddle/stop_schedule.py
@@ -10,6 +10,10 @@
 _RETRY_AFTER_MS = 1
 
 
+class StoppingError(Exception):
+    """The stop of the node has ended before the request was read."""
+
+
 class StopSchedule:
     """Decides until when a stopping node takes calls, and until when they run.
 
