Refuse calls that still wait when their upstream has left

What was seen: a call that waited at a guard for a slot reached its upstream 3.3 s after the drain, or the deregistration, was acknowledged. At a node that stopped, such a call was never sent, and its caller was told that it may have run (502 connection-lost). Cause: a drain refused new calls only; queued ones could wait until their deadline. Change: two drain waits after new calls, the queued ones are refused as not run, also after a deregistration; their node can send them elsewhere.

--- a/waxwingsaddle/upstream_calls.py
+++ b/waxwingsaddle/upstream_calls.py
@@ -31,6 +31,9 @@
 
 _CANCELLED = 'cancelled'
 _DRAINING = 'draining'
+# Time for which queued calls are still sent after that, in drain waits. All of
+# it lies within the bound on drains.
+_QUEUE_DRAIN_FACTOR = 2
 
 
 @dataclass(slots=True)
@@ -113,7 +116,9 @@
             entry.name: entry for entry in self._upstreams.announcements()
         }
         for removed in self._guarded.keys() - latest.keys():
-            self._guarded.pop(removed).client.close()
+            left = self._guarded.pop(removed)
+            left.client.close()
+            eventlet.spawn_n(self._drain, left)
         for name, announcement in latest.items():
             self._update_upstream(name, announcement)
 
@@ -264,13 +269,21 @@
             # This node has restarted; the other nodes know of the drain.
             guarded.guard.drain()
         elif is_draining and guarded.announcement.state != _DRAINING:
-            eventlet.spawn_after(self._drain_wait_s, guarded.guard.drain)
+            eventlet.spawn_n(self._drain, guarded)
         guarded.announcement = announcement
         guarded.client.pool.max_connections = (
             service.connections or self._policy.connections
         )
         self._wake_admitted(guarded.guard.configure(announcement.slots, policy))
 
+    def _drain(self, guarded: _GuardedUpstream) -> None:
+        eventlet.sleep(self._drain_wait_s)
+        guarded.guard.drain()
+        eventlet.sleep(self._drain_wait_s * _QUEUE_DRAIN_FACTOR)
+        for call_id, job in tuple(self._jobs.items()):
+            if job.guarded is guarded and guarded.guard.cancel(call_id):
+                job.decision.send(Refused(job.call, _DRAINING, 0))
+
     def _service_of(self, name: str) -> Service:
         current = self._configuration.current
         services = {} if current is None else current.document.services
