--- a/test/callers.py
+++ b/test/callers.py
@@ -87,13 +87,13 @@
     return RunningCalls(StopSchedule(2, 3, clock), cancel, clock)
 
 
-def new_ingress(dispatcher, tree=CONFIGURATION):
+def new_ingress(dispatcher, tree=CONFIGURATION, calls=None):
     """Returns an ingress that uses a dispatcher."""
     return Ingress(
         RouteTableCache(Configuration(tree)),
         dispatcher,
         EntryBound(100, 1_000_000),
-        running_calls(dispatcher.cancel),
+        calls or running_calls(dispatcher.cancel),
         HEADER_NAMES,
         'gallery',
         time.monotonic,
--- a/test/test_entry.py
+++ b/test/test_entry.py
@@ -47,12 +47,11 @@
     }
 
 
-def _entry(routing, wait_s=0):
+def _entry(routing, wait_s=0, calls=None):
     bound = EntryBound(10, 1000)
     limits = CallLimits(1000, 255, wait_s)
-    return Entry(
-        routing, None, running_calls(), None, bound, limits, monotonic_s
-    )
+    calls = calls or running_calls()
+    return Entry(routing, None, calls, None, bound, limits, monotonic_s)
 
 
 class _LateRouting:
@@ -95,11 +94,20 @@
     assert _refuse(environ) == (outcome, status)
 
 
-def _refuse(environ):
+@params(('', 'not-run', '503'), ('k', 'unknown', '502'))
+def test_refusal_of_a_node_that_stops(key, outcome, status):
+    """Guards against `not-run` for a resend that a stopping node refuses."""
+    calls = running_calls()
+    calls.stop_schedule.begin()
+    calls.stop_schedule.end()
+    assert _refuse(_environ(key), calls) == (outcome, status)
+
+
+def _refuse(environ, calls=None):
     match = Match('r', Route(path_prefix='/', service='s'), Service())
     table = SimpleNamespace(match=lambda _method, _path: match)
     responses = []
-    entry = _entry(SimpleNamespace(table=table))
+    entry = _entry(SimpleNamespace(table=table), calls=calls)
     list(entry(environ, lambda *arguments: responses.append(arguments)))
     line, headers = responses[0]
     return dict(headers)['Waxwing-Outcome'], line[:3]
--- a/test/test_ingress.py
+++ b/test/test_ingress.py
@@ -2,7 +2,13 @@
 
 import time
 
-from test.callers import CONFIGURATION, FakeDispatcher, new_ingress, request
+from test.callers import (
+    CONFIGURATION,
+    FakeDispatcher,
+    new_ingress,
+    request,
+    running_calls,
+)
 from waxwingsaddle.calls import Answer, not_run, unknown
 from waxwingsaddle.http_heads import parse_request
 from waxwingsaddle.util.outcome import Outcome
@@ -100,3 +106,29 @@
     ingress = new_ingress(FakeDispatcher())
     answer = Answer(Outcome.RAN, 500, (('Seal', 's'),), b'sorry')
     assert ingress.reply(answer, None) == (500, (('Seal', 's'),))
+
+
+def _admit_while_stopping():
+    routes = CONFIGURATION['routes']
+    browse = {**routes['browse'], 'timeout_ms': 9000, 'objective_ms': 7000}
+    tree = {**CONFIGURATION, 'routes': {**routes, 'browse': browse}}
+    begun_s = time.monotonic()
+    calls = running_calls()
+    ingress = new_ingress(FakeDispatcher(), tree, calls)
+    calls.stop_schedule.begin()
+    return ingress, begun_s, calls, ingress.admit(_head('/designs/1'))
+
+
+def test_stop_ends_a_call_but_leaves_its_objective():
+    """Guards against calls that a guard takes for late because of a stop."""
+    _, begun_s, _, admitted = _admit_while_stopping()
+    assert round(admitted.task.deadline_s - begun_s) == 5
+    assert round(admitted.task.due_s - begun_s) == 7
+
+
+def test_refusal_of_a_stop_may_be_sent_again_at_once():
+    """Guards against callers that wait although other hosts have room."""
+    ingress, _, calls, _ = _admit_while_stopping()
+    calls.stop_schedule.end()
+    status, fields = ingress.reply(ingress.admit(_head('/designs/1')), None)
+    assert (status, dict(fields)['Retry-After']) == (503, '0.001')
--- a/test/test_late_requests.py
+++ b/test/test_late_requests.py
@@ -3,11 +3,13 @@
 import signal
 import threading
 import time
+from functools import partial
 from http.client import HTTPConnection, HTTPException
 
 from nose2.tools import params
 
-from test.nodes import node_environment
+from test.nodes import call, node_environment
+from test.processes import wait_until
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.ports import free_address
 
@@ -116,3 +118,59 @@
         assert {caller.result for caller in told} == {'200'}
         assert '503' in {caller.result for caller in callers}
         assert 'cut off' not in entry.process.log_text()
+
+
+def _send(address, target, responses):
+    headers = {'Waxwing-Deadline-Ms': str(DEADLINE_MS)}
+    send = partial(call, address, 'POST', target, None, headers)
+    thread = threading.Thread(
+        target=lambda: responses.update({target: send()}), daemon=True
+    )
+    thread.start()
+    return thread
+
+
+def _cut_calls(entry, upstream, address):
+    """Returns the answers of calls sent before and after SIGTERM."""
+    responses = {}
+    # Ends after the stop does.
+    long_ms = DEADLINE_MS - 100
+    targets = (
+        f'/orders?id=before&wait_ms={long_ms}',
+        f'/orders?id=after&wait_ms={long_ms}',
+        '/orders?id=short',
+    )
+    threads = [_send(address, targets[0], responses)]
+    wait_until(partial(upstream.count, 'begin', 'before'), 'before')
+    entry.process.signal(signal.SIGTERM)
+    time.sleep(DRAIN_WAIT_MS / MS_PER_S / 4)
+    threads.extend(_send(address, target, responses) for target in targets[1:])
+    for thread in threads:
+        thread.join(20)
+    assert entry.process.popen.wait(20) == 0
+    return [responses.get(target) for target in targets]
+
+
+@params(('http_address', 502, 502), ('ingress_address', 502, 504))
+def test_call_that_outlives_the_stop_is_answered(server, *statuses):
+    """Guards against a connection that ends with the process, unanswered.
+
+    Also guards against a call that tells its upstream a deadline at which its
+    node no longer runs.
+    """
+    with node_environment() as started:
+        ingress_address = free_address()
+        entry, upstream = _new_pair(started, ingress_address)
+        addresses = {
+            'http_address': entry.http_address,
+            'ingress_address': ingress_address,
+        }
+        before, after, short = _cut_calls(entry, upstream, addresses[server])
+        assert (before[0], after[0]) == statuses, (before, after)
+        remaining_ms = int(short[1]['X-Deadline'])
+        assert remaining_ms < DRAIN_WAIT_MS + STOP_LIMIT_MS
+        # The call that was taken during the stop ended with its deadline.
+        log_text = entry.process.log_text()
+        assert log_text.count("event='call cut off'") == 1, log_text
+        for identifier in ('before', 'after'):
+            assert upstream.count('cut', identifier) == 1
