Refuse deeply nested values like all other malformed bytes

Seen: one message with a value nested 5,000 levels, also in a field that the model does not have, ended the green thread that receives: a control host heard no node or no other control host from then on, a node heard no other node, and a link between nodes stayed open but was never read again. The process lived on and followed nothing. A heartbeat or configuration with such a value was answered 500 instead of 400.

Cause: msgspec raises RecursionError for such values, which is neither a DecodeError nor a ValueError. Of the receivers, only the link of a node to its control host and the body of an API request expected it.

Change: `msgpack_decoder` and `json_decoder` of `util/codec` turn it into DecodeError; every decoder of waxwingsaddle and of the adapter is made by them, and a test refuses others.

--- a/test/test_meshport.py
+++ b/test/test_meshport.py
@@ -42,6 +42,9 @@
 from waxwingsaddle.upstreams import Upstreams
 from waxwingsaddle.versions import StoredVersion
 
+# Nested far deeper than the recursion limit.
+_DEEP = b''.join((b'[' * 3000, b']' * 3000))
+
 
 def _replace_once(raw, old, new):
     assert old in raw, old
@@ -127,6 +130,8 @@
         (b'"born":17', b'"born":"17"'),
         (b'"1.5s"', b'"1.5"'),
         (b'{"address"', b'\xff{"address"'),
+        (b'{"address"', b''.join((b'{"x":', _DEEP, b',"address"'))),
+        (b'"slots":6', b''.join((b'"slots":', _DEEP))),
     )
     upstreams = Upstreams(Kernel(), 10_000, lambda: 1.0)
     pages = InstancePages(upstreams)
@@ -136,6 +141,8 @@
         assert _post(pages, 'i-2/heartbeat', raw).startswith('400'), new
         assert _post(pages, 'i-1/heartbeat', raw).startswith('400'), new
     assert [upstream.name for upstream in upstreams.announcements()] == ['i-1']
+    odd = b''.join((b'{"x":', _DEEP, b'}'))
+    assert _post(pages, 'i-1/deregister', odd).startswith('400')
     assert _post(pages, 'i-1/deregister', b'{"born":17}') == '200 OK'
     assert not upstreams.announcements()
 
--- /dev/null
+++ b/test/test_odd_messages.py
@@ -0,0 +1,102 @@
+"""Odd messages and entries of other processes, which stop no receiver."""
+
+import re
+from pathlib import Path
+
+import eventlet
+import msgspec
+from eventlet.green import zmq
+
+from test.distribution_fleet import fleet, until
+from test.test_node_transport import Echo, EchoRequest, _echo, _transports
+from test.test_peers import Greeting, _collect, _connected
+from waxwingsaddle import node_messages
+from waxwingsaddle.envelope import Envelope, encode
+from waxwingsaddle.util.codec import pack, unpack_json
+
+ROOT = Path(__file__).parents[1]
+# A value nested far deeper than the recursion limit.
+DEEP = msgspec.Raw(b''.join((b'\x91' * 5000, b'\xc0')))
+OWN_DECODERS = re.compile(r'msgspec\.(msgpack|json)\.(Decoder|decode)\(')
+
+
+def _send_raw(address, frame):
+    dealer = zmq.Context.instance().socket(zmq.DEALER)
+    dealer.connect(f'tcp://{address}')
+    dealer.send(frame)
+    # Long enough for the receiver to read it.
+    eventlet.sleep(0.3)
+    dealer.close(0)
+
+
+def test_deep_value_is_refused_like_other_malformed_bytes():
+    """Guards against `RecursionError`, which no receiver expects."""
+    for decode, raw in (
+        (node_messages.decode_from_node, pack(('leave', 1, DEEP))),
+        (node_messages.decode_from_control, pack(('busy', 1, DEEP))),
+        (unpack_json, b'[' * 5000),
+    ):
+        try:
+            decode(raw)
+        except msgspec.DecodeError as error:
+            assert 'deep' in str(error), error
+        else:
+            raise AssertionError(decode)
+
+
+def test_all_foreign_bytes_are_decoded_in_one_place():
+    """Guards against a decoder whose `RecursionError` no caller expects."""
+    for folder in ('waxwingsaddle', 'platform'):
+        for module in (ROOT / folder).rglob('*.py'):
+            if module.name != 'codec.py':
+                text = module.read_text(encoding='utf-8')
+                assert not OWN_DECODERS.search(text), module
+
+
+def test_deep_message_of_a_node_does_not_end_the_control_host():
+    """Guards against a control host that no longer hears any node."""
+    with fleet() as (controls, nodes):
+        link = nodes[0].service.session.link
+        link.send(msgspec.Raw(pack(('leave', 1, DEEP))))
+        controls[0].accept(2)
+        until(
+            lambda: controls[0].versions() == {'node-0': 2},
+            'version 2 acknowledged',
+        )
+
+
+def test_deep_message_of_a_peer_does_not_end_the_receiver():
+    """Guards against a control host that no longer hears any other."""
+    with _connected(2) as (first, second):
+        received = _collect(second)
+        _send_raw(second._bind_address, pack(('c0', 'Greeting', DEEP)))
+        until(lambda: first.send('c1', Greeting('next')), 'connection')
+        until(lambda: received, 'greeting')
+
+
+def test_deep_message_of_a_node_does_not_end_the_transport():
+    """Guards against a node that no longer hears any other node."""
+    with _transports(None, _echo) as ((transport, _), (_, peer)):
+        _send_raw(peer, pack(('EchoRequest', 1, False, DEEP)))
+        reply = transport.request(peer, EchoRequest(3), 5, Echo)
+        assert reply == Echo(3)
+
+
+def test_deep_answer_does_not_end_the_link():
+    """Guards against a link that stays open and never reads again."""
+    with _transports(None) as transports:
+        transport, _ = transports[0]
+        router = zmq.Context.instance().socket(zmq.ROUTER)
+        port = router.bind_to_random_port('tcp://127.0.0.1')
+        replies = eventlet.spawn(_reply_oddly, router)
+        address = f'127.0.0.1:{port}'
+        assert transport.request(address, EchoRequest(1), 5, Echo) == Echo(4)
+        replies.wait()
+        router.close(0)
+
+
+def _reply_oddly(router):
+    sender, request = router.recv_multipart()
+    request_id = msgspec.msgpack.decode(request, type=Envelope).request_id
+    router.send_multipart([sender, pack(('Echo', 1, True, DEEP))])
+    router.send_multipart([sender, encode(Echo(4), request_id, is_reply=True)])
--- a/waxwingsaddle/api_endpoints.py
+++ b/waxwingsaddle/api_endpoints.py
@@ -10,6 +10,7 @@
 
 from waxwingsaddle.access import Caller
 from waxwingsaddle.api_models import Failure
+from waxwingsaddle.util.codec import json_decoder
 from waxwingsaddle.util.numbers import MAX_DIGITS, parse_number
 
 Need = Literal['nothing', 'read', 'write', 'manage']
@@ -148,10 +149,10 @@
 def decode_body(raw: bytes, model: type[_Body]) -> _Body | Failure:
     """Decodes and checks the body of a request."""
     try:
-        return msgspec.json.decode(raw, type=model)
+        return json_decoder(model)(raw)
     except msgspec.ValidationError as error:
         return Failure(kind='bad-request', message=f'body: {error}')
-    except (msgspec.DecodeError, RecursionError) as error:
+    except msgspec.DecodeError as error:
         return Failure(
             kind='bad-request',
             message=f'body: not valid JSON: {error}',
--- a/waxwingsaddle/call_server.py
+++ b/waxwingsaddle/call_server.py
@@ -24,14 +24,15 @@
 from waxwingsaddle.upload_receiver import UploadReceiver
 from waxwingsaddle.upstream_calls import UpstreamCalls
 from waxwingsaddle.util.clock import MS_PER_S
+from waxwingsaddle.util.codec import msgpack_decoder
 
 # Interval of checks whether the nodes that sent calls are still reachable.
 _CALLER_CHECK_INTERVAL_S = 0.2
 
-_decode_upload = msgspec.msgpack.Decoder(CallUpload).decode
-_decode_request = msgspec.msgpack.Decoder(CallRequest).decode
-_decode_cancel = msgspec.msgpack.Decoder(CallCancel).decode
-_decode_credit = msgspec.msgpack.Decoder(CallCredit).decode
+_decode_upload = msgpack_decoder(CallUpload)
+_decode_request = msgpack_decoder(CallRequest)
+_decode_cancel = msgpack_decoder(CallCancel)
+_decode_credit = msgpack_decoder(CallCredit)
 
 
 class CallServer:
--- a/waxwingsaddle/client.py
+++ b/waxwingsaddle/client.py
@@ -24,7 +24,7 @@
 )
 from waxwingsaddle.config import SourceSet
 from waxwingsaddle.events import Events
-from waxwingsaddle.util.codec import pack_json
+from waxwingsaddle.util.codec import json_decoder, pack_json
 
 MS_PER_S = 1000
 SUCCESS_LIMIT = 400
@@ -258,7 +258,7 @@
 ) -> _Answer | Failure:
     expected = model if status < SUCCESS_LIMIT else Failure
     try:
-        return msgspec.json.decode(raw, type=expected)
+        return json_decoder(expected)(raw)
     except msgspec.DecodeError as error:
         return Failure(
             kind='unavailable' if status in RETRY_STATUSES else 'internal',
--- a/waxwingsaddle/configuration_state.py
+++ b/waxwingsaddle/configuration_state.py
@@ -11,7 +11,9 @@
     SHORT_DIGEST,
     ConfigDelta,
 )
-from waxwingsaddle.util.codec import Tree, decompress
+from waxwingsaddle.util.codec import Tree, decompress, msgpack_decoder
+
+_decode_tree = msgpack_decoder(Tree)
 
 
 class ApplyOutcome(Enum):
@@ -81,10 +83,7 @@
         if version <= self.version:
             return ApplyOutcome.OLD
         try:
-            tree = msgspec.msgpack.decode(
-                decompress(raw, MAX_WHOLE_BYTES),
-                type=Tree,
-            )
+            tree = _decode_tree(decompress(raw, MAX_WHOLE_BYTES))
         except (ValueError, msgspec.DecodeError):
             return ApplyOutcome.MISFIT
         return self._replace(version, digest, tree)
--- a/waxwingsaddle/documents.py
+++ b/waxwingsaddle/documents.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from waxwingsaddle.config_models import MAX_RATIO
-from waxwingsaddle.util.codec import Tree
+from waxwingsaddle.util.codec import Tree, json_decoder
 
 # Site of all nodes that are configured by documents.
 DOCUMENT_SITE = 'all'
@@ -91,8 +91,8 @@
     }
 
 
-_headers = msgspec.json.Decoder(_Header)
-_entries = msgspec.json.Decoder(tuple[str, str, Any])
+_decode_header = json_decoder(_Header)
+_decode_entry = json_decoder(tuple[str, str, Any])
 
 
 def is_document(text: str) -> bool:
@@ -128,8 +128,8 @@
         )
     first, *entry_lines = text.splitlines()
     try:
-        header = _headers.decode(first)
-        entries = [_entries.decode(line) for line in entry_lines]
+        header = _decode_header(first)
+        entries = [_decode_entry(line) for line in entry_lines]
     except msgspec.DecodeError as error:
         raise DocumentError(f'document: {error}') from None
     tree: Tree = {}
--- a/waxwingsaddle/edits.py
+++ b/waxwingsaddle/edits.py
@@ -14,7 +14,14 @@
 from waxwingsaddle.config import CheckedSources, SourceSet
 from waxwingsaddle.edit_history import EditHistory, HistoryEntry
 from waxwingsaddle.outcomes import Accepted, Conflict, Edit, Outcome, Refused
-from waxwingsaddle.util.codec import Tree, compress, decompress, digest, pack
+from waxwingsaddle.util.codec import (
+    Tree,
+    compress,
+    decompress,
+    digest,
+    msgpack_decoder,
+    pack,
+)
 from waxwingsaddle.versions import (
     EMPTY_VERSION,
     EditEntry,
@@ -38,8 +45,8 @@
     entries: tuple[EditEntry, ...]
 
 
-_entries = msgspec.msgpack.Decoder(EditEntry)
-_images = msgspec.msgpack.Decoder(_Image)
+_decode_entry = msgpack_decoder(EditEntry)
+_decode_image = msgpack_decoder(_Image)
 
 
 class EditState:
@@ -179,7 +186,7 @@
 
     def apply(self, command: bytes) -> Outcome:
         """Applies a log entry and returns the outcome of its edit."""
-        entry = _entries.decode(decompress(command, MAX_ENTRY_BYTES))
+        entry = _decode_entry(decompress(command, MAX_ENTRY_BYTES))
         outcome = self.decide_version(
             entry.version, entry.digest, entry.is_restore
         )
@@ -208,7 +215,7 @@
         if not body:
             self._versions.append(EMPTY_VERSION)
             return
-        image = _images.decode(decompress(body, MAX_ENTRY_BYTES))
+        image = _decode_image(decompress(body, MAX_ENTRY_BYTES))
         self._versions.append(
             StoredVersion(
                 image.version,
--- a/waxwingsaddle/envelope.py
+++ b/waxwingsaddle/envelope.py
@@ -8,7 +8,7 @@
 
 from waxwingsaddle import logs
 from waxwingsaddle.message_socket import Frames
-from waxwingsaddle.util.codec import pack
+from waxwingsaddle.util.codec import msgpack_decoder, pack
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -65,11 +65,11 @@
     """Handler of the messages of one kind.
 
     Attributes:
-        message_type: Type of the messages.
+        decode: Decodes the body of a message.
         handler: Called with a message; returns the reply or None.
     """
 
-    message_type: type[msgspec.Struct]
+    decode: Callable[[bytes], msgspec.Struct]
     handler: Callable[[Any], msgspec.Struct | None]
 
 
@@ -77,7 +77,7 @@
 # still open.
 PROBE = pack(Envelope('Probe', 0, False, msgspec.Raw(pack(None))))
 
-decode = msgspec.msgpack.Decoder(Envelope).decode
+decode = msgpack_decoder(Envelope)
 
 
 def encode(
--- a/waxwingsaddle/fault_proxy.py
+++ b/waxwingsaddle/fault_proxy.py
@@ -22,6 +22,7 @@
 )
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
+from waxwingsaddle.util.codec import json_decoder
 
 READ_BYTES = 65_536
 SEGMENT_BYTES = 1448
@@ -161,7 +162,7 @@
                 )
             body = environ['wsgi.input'].read()
             try:
-                condition = msgspec.json.decode(body, type=Condition)
+                condition = json_decoder(Condition)(body)
             except msgspec.MsgspecError as error:
                 return web.reply_json(
                     start_response,
--- a/waxwingsaddle/follower.py
+++ b/waxwingsaddle/follower.py
@@ -2,8 +2,6 @@
 
 from dataclasses import dataclass
 
-import msgspec
-
 from waxwingsaddle.raft_messages import (
     Append,
     AppendReply,
@@ -12,8 +10,9 @@
     SnapshotReply,
 )
 from waxwingsaddle.raft_state import RaftState
+from waxwingsaddle.util.codec import msgpack_decoder
 
-_snapshot_decoder = msgspec.msgpack.Decoder(Snapshot)
+_decode_snapshot = msgpack_decoder(Snapshot)
 
 
 @dataclass(slots=True)
@@ -108,7 +107,7 @@
         return partial
 
     def _install(self, partial: _PartialSnapshot) -> None:
-        snapshot = _snapshot_decoder.decode(bytes(partial.received))
+        snapshot = _decode_snapshot(bytes(partial.received))
         self._partial = None
         self._state.log.restore(snapshot)
         self._state.received_snapshot = snapshot
--- a/waxwingsaddle/idempotent_calls.py
+++ b/waxwingsaddle/idempotent_calls.py
@@ -6,7 +6,7 @@
 from waxwingsaddle.claim_service import ClaimService
 from waxwingsaddle.claims import Absent, Granted, Stored
 from waxwingsaddle.dispatch import CallTask, Dispatcher
-from waxwingsaddle.util.codec import pack
+from waxwingsaddle.util.codec import msgpack_decoder, pack
 from waxwingsaddle.util.outcome import Outcome
 
 _ANSWER_LOST_STATUS = 502
@@ -26,6 +26,10 @@
     body: bytes
 
 
+_decode_granted = msgpack_decoder(Granted)
+_decode_stored = msgpack_decoder(StoredAnswer)
+
+
 class IdempotentCalls:
     """Runs calls; a call with an idempotency key runs at most once.
 
@@ -88,7 +92,7 @@
         answer: Answer of the call; only a complete, not a streamed one is
             stored.
     """
-    granted = msgspec.msgpack.decode(claim, type=Granted)
+    granted = _decode_granted(claim)
     stored = None
     if answer.stream is None:
         stored = pack(StoredAnswer(answer.status, answer.headers, answer.body))
@@ -102,5 +106,5 @@
             _ANSWER_LOST_STATUS,
             reason='answer-lost',
         )
-    stored = msgspec.msgpack.decode(claim_result.answer, type=StoredAnswer)
+    stored = _decode_stored(claim_result.answer)
     return Answer(Outcome.RAN, stored.status, stored.headers, stored.body)
--- a/waxwingsaddle/node_messages.py
+++ b/waxwingsaddle/node_messages.py
@@ -9,7 +9,7 @@
 from waxwingsaddle.directory import NodeRecord, UpstreamRecord
 from waxwingsaddle.event_batches import EventBatch
 from waxwingsaddle.patch import Operation
-from waxwingsaddle.util.codec import decompress
+from waxwingsaddle.util.codec import decompress, msgpack_decoder
 
 # Largest full configuration or directory, also after decompression.
 MAX_WHOLE_BYTES = 16_777_216
@@ -295,6 +295,6 @@
 # match is detected by the full digest of the resulting tree.
 SHORT_DIGEST = 16
 
-decode_from_node = msgspec.msgpack.Decoder(FromNode).decode
-decode_from_control = msgspec.msgpack.Decoder(FromControl).decode
-_decode_records = msgspec.msgpack.Decoder(tuple[NodeRecord, ...]).decode
+decode_from_node = msgpack_decoder(FromNode)
+decode_from_control = msgpack_decoder(FromControl)
+_decode_records = msgpack_decoder(tuple[NodeRecord, ...])
--- a/waxwingsaddle/node_transport.py
+++ b/waxwingsaddle/node_transport.py
@@ -27,6 +27,7 @@
 from waxwingsaddle.link import Link, LinkPolicy
 from waxwingsaddle.listen_errors import wrap_listen_errors
 from waxwingsaddle.message_socket import Frames, MessageSocket
+from waxwingsaddle.util.codec import msgpack_decoder
 
 _Reply = TypeVar('_Reply', bound=msgspec.Struct)
 
@@ -106,7 +107,7 @@
                 a request, or None for no reply.
         """
         self._subscriptions[message_type.__name__] = Subscription(
-            message_type, handler
+            msgpack_decoder(message_type), handler
         )
 
     def request(
@@ -148,7 +149,7 @@
             reason = 'lost' if pending.reply_event.ready() else 'timeout'
             return NoReply(call_address, True, reason)
         try:
-            return msgspec.msgpack.decode(reply, type=reply_type)
+            return msgpack_decoder(reply_type)(reply)
         except msgspec.DecodeError:
             return NoReply(call_address, True, 'malformed')
 
@@ -260,9 +261,7 @@
     def _handle_message(self, sender: bytes, envelope: Envelope) -> None:
         subscription = self._subscriptions[envelope.kind]
         try:
-            message = msgspec.msgpack.decode(
-                envelope.body, type=subscription.message_type
-            )
+            message = subscription.decode(envelope.body)
         except msgspec.DecodeError:
             _dropped.labels('malformed').inc()
             return
--- a/waxwingsaddle/packed_edits.py
+++ b/waxwingsaddle/packed_edits.py
@@ -19,6 +19,7 @@
     compress,
     decompress,
     encode_canonical,
+    msgpack_decoder,
     pack,
 )
 from waxwingsaddle.versions import (
@@ -50,7 +51,7 @@
     is_restore: bool
 
 
-_edits = msgspec.msgpack.Decoder(PackedEdit)
+_decode_edit = msgpack_decoder(PackedEdit)
 
 
 def pack_edit(edit: Edit, base: StoredVersion = EMPTY_VERSION) -> bytes:
@@ -90,7 +91,7 @@
         edit in full.
     """
     try:
-        packed = _edits.decode(decompress(body, limit_bytes))
+        packed = _decode_edit(decompress(body, limit_bytes))
     except (ValueError, msgspec.DecodeError):
         return None
     base = (
--- a/waxwingsaddle/peers.py
+++ b/waxwingsaddle/peers.py
@@ -19,7 +19,7 @@
 from waxwingsaddle.curve_keys import protect_client, protect_server
 from waxwingsaddle.listen_errors import wrap_listen_errors
 from waxwingsaddle.util.clock import HybridClock, Stamp
-from waxwingsaddle.util.codec import pack
+from waxwingsaddle.util.codec import msgpack_decoder, pack
 
 # A ZMTP frame header takes 2 bytes for a short frame and 9 for a long one.
 SHORT_FRAME_BYTES = 255
@@ -127,8 +127,8 @@
         self._addresses.pop(self.host, None)
         self._senders: dict[str, Any] = {}
         self._handlers: dict[str, PeerHandler] = {}
-        self._decoders: dict[str, msgspec.msgpack.Decoder] = {}
-        self._envelope_decoder = msgspec.msgpack.Decoder(Envelope)
+        self._decoders: dict[str, Callable[[bytes], Any]] = {}
+        self._decode_envelope = msgpack_decoder(Envelope)
         self._receiver: Any = None
         self._thread: greenthread.GreenThread | None = None
 
@@ -158,7 +158,7 @@
         if kind in self._handlers:
             raise ValueError(f'duplicate handler for messages of kind {kind}')
         self._handlers[kind] = handler
-        self._decoders[kind] = msgspec.msgpack.Decoder(message_type)
+        self._decoders[kind] = msgpack_decoder(message_type)
 
     def send(self, host: str, message: msgspec.Struct) -> bool:
         """Sends a message to a control host without waiting.
@@ -267,10 +267,10 @@
     def _dispatch(self, frame: bytes) -> None:
         kind = 'unknown'
         try:
-            envelope = self._envelope_decoder.decode(frame)
-            decoder = self._decoders[envelope.kind]
+            envelope = self._decode_envelope(frame)
+            decode = self._decoders[envelope.kind]
             kind = envelope.kind
-            message = decoder.decode(envelope.body)
+            message = decode(envelope.body)
         except (msgspec.DecodeError, KeyError):
             BAD_MESSAGES.labels(kind).inc()
             return
--- a/waxwingsaddle/remote_upstreams.py
+++ b/waxwingsaddle/remote_upstreams.py
@@ -5,7 +5,6 @@
 from math import inf
 
 import eventlet
-import msgspec
 from eventlet.event import Event
 
 from waxwingsaddle import metrics
@@ -26,6 +25,7 @@
 from waxwingsaddle.remote_stream import RemoteCallPolicy, RemoteStream
 from waxwingsaddle.upload_sender import UploadSender
 from waxwingsaddle.util.clock import MS_PER_S
+from waxwingsaddle.util.codec import msgpack_decoder
 from waxwingsaddle.util.outcome import Outcome
 
 # Reasons of calls that have not run because their body was not sent whole.
@@ -36,8 +36,8 @@
     'Answers dropped because nobody waited for them any more.',
 )
 
-_decode_answer = msgspec.msgpack.Decoder(CallAnswer).decode
-_decode_chunk = msgspec.msgpack.Decoder(CallChunk).decode
+_decode_answer = msgpack_decoder(CallAnswer)
+_decode_chunk = msgpack_decoder(CallChunk)
 
 
 @dataclass(slots=True)
--- a/waxwingsaddle/segments.py
+++ b/waxwingsaddle/segments.py
@@ -20,7 +20,7 @@
     read_frames,
 )
 from waxwingsaddle.raft_messages import Entry
-from waxwingsaddle.util.codec import pack
+from waxwingsaddle.util.codec import msgpack_decoder, pack
 from waxwingsaddle.util.files import sync_folder
 
 PATTERN = 'log-*.seg'
@@ -69,8 +69,8 @@
     max_index: int
 
 
-_start_decoder = msgspec.msgpack.Decoder(SegmentStart)
-_batch_decoder = msgspec.msgpack.Decoder(tuple[Entry, ...])
+_decode_start = msgpack_decoder(SegmentStart)
+_decode_batch = msgpack_decoder(tuple[Entry, ...])
 
 
 class SegmentLog:
@@ -217,7 +217,7 @@
         self._replay(path, number, frames)
 
     def _replay(self, path: Path, number: int, frames: FrameScan) -> None:
-        start = _start_decoder.decode(frames.bodies[0])
+        start = _decode_start(frames.bodies[0])
         if self._segments:
             if number != self._segments[-1].number + 1:
                 raise DamagedError(f'log segment {number - 1} is missing')
@@ -225,7 +225,7 @@
             self.base = start
         segment = _Segment(number, path, frames.good_bytes, start.prev_index)
         for body in frames.bodies[1:]:
-            batch = _batch_decoder.decode(body)
+            batch = _decode_batch(body)
             self._merge_batch(batch, path)
             segment.max_index = max(segment.max_index, batch[-1].index)
         self._segments.append(segment)
--- a/waxwingsaddle/standin.py
+++ b/waxwingsaddle/standin.py
@@ -23,6 +23,7 @@
 from waxwingsaddle.standin_settings import StandinSettings
 from waxwingsaddle.standin_state import Journal, SimulatedCall, Slowdown, Speed
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
+from waxwingsaddle.util.codec import json_decoder
 
 CALL_ID_HEADER = 'X-Call-Id'
 POLL_INTERVAL_S = 0.02
@@ -135,7 +136,7 @@
         body = environ['wsgi.input'].read()
         if action == 'slow':
             try:
-                slowdown = msgspec.json.decode(body, type=Slowdown)
+                slowdown = json_decoder(Slowdown)(body)
             except msgspec.MsgspecError as error:
                 return web.reply_json(
                     start_response,
--- a/waxwingsaddle/storage.py
+++ b/waxwingsaddle/storage.py
@@ -21,7 +21,7 @@
 from waxwingsaddle.raft import Stored
 from waxwingsaddle.raft_messages import Entry, Snapshot, Vote
 from waxwingsaddle.segments import PATTERN, SegmentLog, Synced
-from waxwingsaddle.util.codec import pack
+from waxwingsaddle.util.codec import msgpack_decoder, pack
 from waxwingsaddle.util.files import replace_file, sync_folder
 
 FULL_DISK = frozenset((errno.ENOSPC, errno.EDQUOT, errno.EFBIG))
@@ -213,9 +213,7 @@
             raw = (self._folder / name).read_bytes()
         except FileNotFoundError:
             raise DamagedError(f'the {name} file is missing') from None
-        return msgspec.msgpack.decode(
-            read_first_body(raw, name), type=struct_type
-        )
+        return msgpack_decoder(struct_type)(read_first_body(raw, name))
 
     def _read_sync_record(self) -> Synced:
         try:
--- a/waxwingsaddle/ui/ctl_backup.py
+++ b/waxwingsaddle/ui/ctl_backup.py
@@ -8,7 +8,7 @@
 from waxwingsaddle.api_models import Backup
 from waxwingsaddle.ui.ctl_base import CommandError, CtlCommand, ExitCode
 from waxwingsaddle.ui.ctl_keys import write_new
-from waxwingsaddle.util.codec import pack_json
+from waxwingsaddle.util.codec import json_decoder, pack_json
 
 
 class BackupCommand(CtlCommand):
@@ -44,7 +44,7 @@
         """Sends the backup to a control host."""
         file = Path(self.argument('file'))
         try:
-            backup = msgspec.json.decode(file.read_bytes(), type=Backup)
+            backup = json_decoder(Backup)(file.read_bytes())
         except OSError as error:
             raise CommandError(
                 f'{file}: {error.strerror}',
--- a/waxwingsaddle/upload_receiver.py
+++ b/waxwingsaddle/upload_receiver.py
@@ -12,17 +12,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import msgspec
-
 from waxwingsaddle.bulk_order import BulkTurn
 from waxwingsaddle.bulk_window import BulkWindow, Piece
 from waxwingsaddle.calls import CallRequest
 from waxwingsaddle.node_transport import NodeTransport, ReceivedMessage
 from waxwingsaddle.upload_messages import BodyGrant, BodyPiece
+from waxwingsaddle.util.codec import msgpack_decoder
 
 PIECE_BYTES = 8192
 
-_decode_piece = msgspec.msgpack.Decoder(BodyPiece).decode
+_decode_piece = msgpack_decoder(BodyPiece)
 
 # Runs a call: the connection of its node, the call, its body and its deadline.
 RunCall = Callable[[bytes, CallRequest, bytes, float], None]
--- a/waxwingsaddle/upload_sender.py
+++ b/waxwingsaddle/upload_sender.py
@@ -2,14 +2,13 @@
 
 from dataclasses import dataclass
 
-import msgspec
-
 from waxwingsaddle.calls import CallRequest
 from waxwingsaddle.link import Link
 from waxwingsaddle.node_transport import NodeTransport, ReceivedMessage
 from waxwingsaddle.upload_messages import BodyGrant, BodyPiece, CallUpload
+from waxwingsaddle.util.codec import msgpack_decoder
 
-_decode_grant = msgspec.msgpack.Decoder(BodyGrant).decode
+_decode_grant = msgpack_decoder(BodyGrant)
 
 
 @dataclass(slots=True)
--- a/waxwingsaddle/upstreams.py
+++ b/waxwingsaddle/upstreams.py
@@ -13,6 +13,7 @@
 from waxwingsaddle.config_models import Name
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
+from waxwingsaddle.util.codec import json_decoder
 from waxwingsaddle.web import Environ, StartResponse, reply_json
 
 PATH = '/v1/upstreams/'
@@ -53,6 +54,9 @@
     cold_ms: Annotated[int, msgspec.Meta(ge=0)] | None = None
 
 
+_decode_announcement = json_decoder(AnnouncementBody)
+
+
 @dataclass(frozen=True, slots=True)
 class Announcement:
     """An announced upstream of this node.
@@ -227,9 +231,7 @@
             name = msgspec.convert(environ['PATH_INFO'][len(PATH) :], Name)
             if environ['REQUEST_METHOD'] == 'PUT':
                 raw = environ['wsgi.input'].read(_BODY_LIMIT_BYTES)
-                self.record_announcement(
-                    name, msgspec.json.decode(raw, type=AnnouncementBody)
-                )
+                self.record_announcement(name, _decode_announcement(raw))
                 return reply_json(start_response, '200 OK', {'name': name})
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
             problem = {'problem': str(error)}
--- a/waxwingsaddle/util/codec.py
+++ b/waxwingsaddle/util/codec.py
@@ -2,11 +2,14 @@
 
 import hashlib
 import zlib
-from typing import Any
+from collections.abc import Callable
+from functools import partial
+from typing import Any, TypeVar
 
 import msgspec
 
 Tree = dict[str, Any]
+_Model = TypeVar('_Model')
 
 _canonical_encoder = msgspec.msgpack.Encoder(order='deterministic')
 
@@ -16,6 +19,39 @@
     return msgspec.msgpack.encode(message)
 
 
+def msgpack_decoder(model: type[_Model]) -> Callable[[bytes], _Model]:
+    """Returns a function that decodes msgpack from another process.
+
+    It raises `msgspec.DecodeError`, which is a `ValueError`, for all bytes that
+    are not a message of the type.
+
+    Args:
+        model: Type of the message.
+    """
+    decode = msgspec.msgpack.Decoder(model).decode
+    return partial(_decode_or_refuse, decode)
+
+
+def json_decoder(model: type[_Model]) -> Callable[[bytes | str], _Model]:
+    """Returns a function that decodes JSON from another process.
+
+    It raises `msgspec.DecodeError`, which is a `ValueError`, for all text that
+    is not a document of the type.
+
+    Args:
+        model: Type of the document.
+    """
+    return partial(_decode_or_refuse, msgspec.json.Decoder(model).decode)
+
+
+def _decode_or_refuse(decode: Callable[[Any], _Model], raw: Any) -> _Model:
+    try:
+        return decode(raw)
+    except RecursionError:
+        # msgspec raises it even for fields that the model does not have.
+        raise msgspec.DecodeError('nested too deeply') from None
+
+
 def encode_canonical(tree: Any) -> bytes:
     """Encodes a tree as msgpack, equal trees as equal bytes (keys sorted)."""
     return _canonical_encoder.encode(tree)
@@ -64,4 +100,7 @@
     Raises:
         ValueError: The bytes are not a JSON document.
     """
-    return msgspec.json.decode(raw)
+    return _decode_json(raw)
+
+
+_decode_json = json_decoder(Any)
