Pass over odd directory entries and keep the others

Seen: one odd entry in a message of a peer took all others with it. An upstream in an unknown state made control hosts, nodes and lease renewals refuse the whole message. Numbers beyond what can be sent again did more: after an upstream with an age of 2^64-1 ms, the control host failed to encode the directory on every push and every renewal (OverflowError), so that its nodes got no entry and no answer; after an entry with incarnation 2^64-1 in the name of a node, that node could not say Hello and followed nothing any more. Slots of 0, below 0 and 2^64-1 were listed.

Cause: the models of entries had no bounds, and one malformed part made the decoder refuse the message as a whole.

Change: slots, ages, incarnations, sequences and versions in messages are bounded (slots as in announcements, the others to 15 digits). Messages that are malformed otherwise are refused as before.

Not covered: an entry with a value nested deeper than the recursion limit still costs the whole message, since msgspec can not split around it. Only a foreign program could send one; hosts of this project list the fields that they decoded.

--- a/test/distribution_fakes.py
+++ b/test/distribution_fakes.py
@@ -14,6 +14,7 @@
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.node_settings import NodeSettings
 from waxwingsaddle.raft_messages import Members
+from waxwingsaddle.util.codec import msgpack_decoder, pack
 from waxwingsaddle.util.ports import free_address
 
 
@@ -38,10 +39,12 @@
         self.host = host
         self.network = network
         self.handlers = {}
+        self.decoders = {}
         network[host] = self
 
-    def subscribe(self, message_type, handler):
+    def subscribe(self, message_type, handler, decode=None):
         self.handlers[message_type] = handler
+        self.decoders[message_type] = decode or msgpack_decoder(message_type)
 
     def send(self, host, message):
         peer = self.network.get(host)
@@ -49,10 +52,12 @@
             return False
         handler = peer.handlers.get(type(message))
         if handler:
-            raw = msgspec.msgpack.encode(message)
-            handler(self.host, msgspec.msgpack.decode(raw, type=type(message)))
+            peer.receive(self.host, type(message), pack(message))
         return True
 
+    def receive(self, sender, message_type, raw):
+        self.handlers[message_type](sender, self.decoders[message_type](raw))
+
     def broadcast(self, message):
         for host in tuple(self.network):
             if host != self.host:
--- a/test/test_odd_messages.py
+++ b/test/test_odd_messages.py
@@ -7,10 +7,12 @@
 import msgspec
 from eventlet.green import zmq
 
+from test.distribution_fakes import Node
 from test.distribution_fleet import fleet, until
 from test.test_node_transport import Echo, EchoRequest, _echo, _transports
 from test.test_peers import Greeting, _collect, _connected
 from waxwingsaddle import node_messages
+from waxwingsaddle.directory_exchange import DirectoryChanges
 from waxwingsaddle.envelope import Envelope, encode
 from waxwingsaddle.util.codec import pack, unpack_json
 
@@ -100,3 +102,119 @@
     request_id = msgspec.msgpack.decode(request, type=Envelope).request_id
     router.send_multipart([sender, pack(('Echo', 1, True, DEEP))])
     router.send_multipart([sender, encode(Echo(4), request_id, is_reply=True)])
+
+
+def _node(host, *upstreams, incarnation=5):
+    """Returns a node in the form in which control hosts send it."""
+    return [
+        host,
+        'zone-b',
+        '10.0.0.1:99',
+        incarnation,
+        1,
+        'control-1',
+        False,
+        upstreams,
+    ]
+
+
+GOOD_UPSTREAM = ('good', 's0', 3, 'ready', 1000)
+ODD_UPSTREAMS = (
+    ('odd', 's0', 3, 'unheard-of', 1),
+    ('odd', 's0', 0, 'ready', 1),
+    ('odd', 's0', 2**64 - 1, 'ready', 1),
+    ('odd', 's0', 3, 'ready', 2**64 - 1),
+    ('odd', 's0', 3, 'ready', -(2**63)),
+    ('odd', 's0', '3'),
+    ('odd', b'\xff', 3),
+    (),
+    None,
+)
+ODD_NODES = (
+    _node('node-0', GOOD_UPSTREAM, incarnation=2**64 - 1),
+    _node('odd', GOOD_UPSTREAM, incarnation=-1),
+    _node(7),
+    _node('odd', 7, incarnation=None),
+    ('odd',),
+    None,
+)
+
+
+def test_odd_entries_leave_the_others():
+    """Guards against an odd entry of a peer that hides all other entries.
+
+    One with a large age could be received but no longer be sent, so nodes got
+    no directory; one with a large incarnation locked the node of its host out.
+    """
+    nodes = (
+        *ODD_NODES,
+        *(_node(f'n{index}', odd) for index, odd in enumerate(ODD_UPSTREAMS)),
+        _node('mixed', ODD_UPSTREAMS[0], GOOD_UPSTREAM),
+    )
+    with fleet(('zone-a', 'zone-b')) as (controls, (node,)):
+        peers = controls[0].kernel.find('peers')
+        peers.receive('control-1', DirectoryChanges, pack((nodes, False)))
+        controls[0].accept(2)
+        until(lambda: node.version == 2, 'version 2')
+        until(lambda: _listed(node), 'entry of the other zone')
+        assert _listed(node) == [('mixed', 'good', 3)]
+        restarted = Node('node-0', node.hosts)
+        until(lambda: restarted.version == 2, 'restart of the named node')
+        restarted.kernel.stop()
+
+
+def _listed(node):
+    return [
+        (entry.host, entry.name, entry.slots)
+        for entry in node.service.directory.upstreams_of('s0')
+    ]
+
+
+def test_nodes_pass_over_odd_entries():
+    """Guards against a node without a directory because of one odd entry."""
+    update = node_messages.DirectoryUpdate(-1, 1, True, False)
+    for odd in ODD_UPSTREAMS:
+        raw = pack([_node('a', odd, GOOD_UPSTREAM), _node('b', GOOD_UPSTREAM)])
+        records = update.records(raw)
+        names = [
+            [upstream.name for upstream in record.upstreams]
+            for record in records
+        ]
+        assert names == [['good'], ['good']], odd
+    for odd in ODD_NODES:
+        records = update.records(pack([odd, _node('b', GOOD_UPSTREAM)]))
+        assert [record.host for record in records] == ['b'], odd
+    assert not update.records(pack([]))
+
+
+def test_odd_upstream_does_not_cost_the_lease():
+    """Guards against a renewal refused because of one of its upstreams."""
+    for odd in ODD_UPSTREAMS:
+        upstreams = (odd, GOOD_UPSTREAM)
+        renewal = node_messages.decode_from_node(
+            pack(('renew', 1, 1, '', 1, False, upstreams)),
+        )
+        hello = node_messages.decode_from_node(
+            pack(('hello', 'n', 'z', 's', '', 1, 1, 1, '', upstreams)),
+        )
+        for message in (renewal, hello):
+            names = [upstream.name for upstream in message.upstreams]
+            assert names == ['good'], odd
+
+
+def test_malformed_messages_are_still_refused():
+    """Guards against a message that is repaired beyond its entries."""
+    for malformed in (
+        (),
+        ('renew',),
+        ('renew', 1, 1, '', 1, False, 7),
+        ('hello', 7, 'z', 's', '', 1, 1, 1, '', [GOOD_UPSTREAM]),
+        ('hello', 'n', 'z', 's', '', 2**64 - 1, 1, 1, ''),
+        ('leave', 2**64 - 1),
+        7,
+    ):
+        try:
+            message = node_messages.decode_from_node(pack(malformed))
+        except msgspec.DecodeError:
+            continue
+        raise AssertionError(message)
--- a/waxwingsaddle/directory.py
+++ b/waxwingsaddle/directory.py
@@ -7,16 +7,19 @@
 import hashlib
 from collections import defaultdict
 from collections.abc import Iterable
-from typing import Any, Literal
+from typing import Annotated, Any, Literal
 
 import msgspec
 
 from waxwingsaddle.util.clock import monotonic_ms
 from waxwingsaddle.util.codec import encode_canonical
+from waxwingsaddle.util.numbers import Count, SpanMs
 
 DIGEST_BYTES = 8
+_MAX_SLOTS = 10_000
 
 State = Literal['ready', 'draining']
+Slots = Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
 
 
 class UpstreamRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -33,9 +36,9 @@
 
     name: str
     service: str
-    slots: int
+    slots: Slots
     state: State = 'ready'
-    started_ms: int = 0
+    started_ms: SpanMs = 0
 
 
 class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -57,8 +60,8 @@
     host: str
     availability_zone: str
     call_address: str
-    incarnation: int
-    sequence: int
+    incarnation: Count
+    sequence: Count
     holder: str
     is_gone: bool = False
     upstreams: tuple[UpstreamRecord, ...] = ()
--- a/waxwingsaddle/directory_exchange.py
+++ b/waxwingsaddle/directory_exchange.py
@@ -19,6 +19,7 @@
     convert_ages,
 )
 from waxwingsaddle.directory_feed import DirectoryFeed
+from waxwingsaddle.odd_entries import nodes_decoder
 
 REPAIRS = metrics.counter(
     'waxwing_directory_repairs',
@@ -39,6 +40,9 @@
     is_whole: bool = False
 
 
+_decode_changes = nodes_decoder(DirectoryChanges, index=0)
+
+
 class DirectoryDigest(msgspec.Struct, frozen=True, array_like=True):
     """Digest of the entries whose leases the sender holds.
 
@@ -97,7 +101,9 @@
     def start(self) -> None:
         """Subscribes to the messages of other control hosts."""
         self._started_ms = self.clock_ms()
-        self.peers.subscribe(DirectoryChanges, self._on_changes)
+        self.peers.subscribe(
+            DirectoryChanges, self._on_changes, _decode_changes
+        )
         self.peers.subscribe(DirectoryDigest, self._on_digest)
         self.peers.subscribe(DirectoryPull, self._on_pull)
 
--- a/waxwingsaddle/node_messages.py
+++ b/waxwingsaddle/node_messages.py
@@ -8,8 +8,10 @@
 
 from waxwingsaddle.directory import NodeRecord, UpstreamRecord
 from waxwingsaddle.event_batches import EventBatch
+from waxwingsaddle.odd_entries import decode_nodes, upstreams_decoder
 from waxwingsaddle.patch import Operation
 from waxwingsaddle.util.codec import decompress, msgpack_decoder
+from waxwingsaddle.util.numbers import Count
 
 # Largest full configuration or directory, also after decompression.
 MAX_WHOLE_BYTES = 16_777_216
@@ -35,9 +37,9 @@
     availability_zone: str
     site: str
     call_address: str
-    incarnation: int
-    sequence: int
-    version: int
+    incarnation: Count
+    sequence: Count
+    version: Count
     digest: str
     upstreams: tuple[UpstreamRecord, ...] = ()
 
@@ -58,8 +60,8 @@
         events: Events that no control host has confirmed, if any.
     """
 
-    sequence: int
-    version: int
+    sequence: Count
+    version: Count
     digest: str
     revision: int
     is_full_requested: bool = False
@@ -84,7 +86,7 @@
         incarnation: Incarnation of the node.
     """
 
-    incarnation: int
+    incarnation: Count
 
 
 class FloorQuery(
@@ -222,7 +224,7 @@
         """
         if self.is_compressed:
             raw = decompress(raw, MAX_WHOLE_BYTES)
-        return _decode_records(raw)
+        return decode_nodes(raw)
 
 
 class Busy(msgspec.Struct, frozen=True, array_like=True, tag='busy'):
@@ -243,8 +245,7 @@
             force on a neighbour; 0 if a neighbour has none for the site.
         majority_age_ms: Milliseconds since confirmed contact with a majority;
             -1 from a neighbour.
-        controls: Control hosts that the sender knows, itself first; empty
-            from a neighbour.
+        controls: Known control hosts, sender first; empty from a neighbour.
     """
 
     version: int
@@ -295,6 +296,5 @@
 # match is detected by the full digest of the resulting tree.
 SHORT_DIGEST = 16
 
-decode_from_node = msgpack_decoder(FromNode)
+decode_from_node = upstreams_decoder(FromNode, (Hello, Renew))
 decode_from_control = msgpack_decoder(FromControl)
-_decode_records = msgpack_decoder(tuple[NodeRecord, ...])
--- a/waxwingsaddle/peers.py
+++ b/waxwingsaddle/peers.py
@@ -141,6 +141,7 @@
         self,
         message_type: type[_Message],
         handler: Callable[[str, _Message], None],
+        decode: Callable[[bytes], _Message] | None = None,
     ) -> None:
         """Calls a handler with the sender and each message of a type.
 
@@ -150,6 +151,8 @@
         Args:
             message_type: Type of the messages; its class name is the kind.
             handler: Called with the name of the sending host and the message.
+            decode: Decodes the messages; by default, those with any part
+                malformed are dropped.
 
         Raises:
             ValueError: The kind already has a handler.
@@ -158,7 +161,7 @@
         if kind in self._handlers:
             raise ValueError(f'duplicate handler for messages of kind {kind}')
         self._handlers[kind] = handler
-        self._decoders[kind] = msgpack_decoder(message_type)
+        self._decoders[kind] = decode or msgpack_decoder(message_type)
 
     def send(self, host: str, message: msgspec.Struct) -> bool:
         """Sends a message to a control host without waiting.
--- a/waxwingsaddle/upstreams.py
+++ b/waxwingsaddle/upstreams.py
@@ -11,6 +11,7 @@
 from waxwingsaddle.addresses import Address
 from waxwingsaddle.announcement_order import AnnouncementOrder
 from waxwingsaddle.config_models import Name
+from waxwingsaddle.directory import Slots
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
 from waxwingsaddle.util.codec import json_decoder
@@ -19,7 +20,6 @@
 PATH = '/v1/upstreams/'
 _EXPIRY_CHECK_INTERVAL_S = 0.5
 _BODY_LIMIT_BYTES = 4096
-_MAX_SLOTS = 10_000
 # Age assumed for an upstream that reports that it has warmed up; longer than
 # any slow start.
 _WARM_AGE_S = 3600
@@ -47,7 +47,7 @@
 
     service: Name
     address: Address
-    slots: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
+    slots: Slots
     state: Literal['ready', 'draining'] = 'ready'
     started_at_ms: Annotated[int, msgspec.Meta(ge=0)] = 0
     sequence: Annotated[int, msgspec.Meta(ge=0)] = 0
--- a/waxwingsaddle/util/numbers.py
+++ b/waxwingsaddle/util/numbers.py
@@ -1,7 +1,17 @@
-"""Parses numbers received from users or other programs."""
+"""Parses and bounds numbers received from users or other programs."""
+
+from typing import Annotated
+
+import msgspec
 
 # No version or size has more digits, and converting long numbers is slow.
 MAX_DIGITS = 15
+_MAX_NUMBER = 10**MAX_DIGITS - 1
+
+# msgpack holds 64 bits. A number near that limit could be received, but after a
+# sum or a difference no longer be sent.
+Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+SpanMs = Annotated[int, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
 
 
 def parse_number(text: str) -> int | None:
