Check addresses, numbers and names of announcements in full

Seen: a node took heartbeats with port 0, ports above 65,535, octets above 255, a port in Arabic digits, a line break after the address, `born` and `sequence` of any size and names of any length and characters. With a port above 65,535, calls went to the port modulo 65,536, which may be another process: a node whose upstream was announced at 127.0.0.1:91537 answered 200 from the process at 26001. The other odd addresses were upstreams that no call reaches (503 upstream-refused); calls beside a good upstream succeeded. A `deregister` with a `born` of 10^30 makes later announcements of that name outdated. A name goes into a header field for the upstream.

Cause: the pattern of addresses counted digits only, `\d` and `$` match more than they seem to, and numbers and names had no bound.

Change: addresses have four octets and a port of 1 to 65,535, in ASCII digits without leading zeros, also in all settings and API bodies. Others get 400.

--- a/test/test_meshport.py
+++ b/test/test_meshport.py
@@ -42,6 +42,18 @@
 from waxwingsaddle.upstreams import Upstreams
 from waxwingsaddle.versions import StoredVersion
 
+_ODD_ADDRESSES = (
+    b'10.1.0.8:0',
+    b'10.1.0.8:65536',
+    b'10.1.0.8:73837',
+    b'10.1.0.8:08301',
+    b'256.1.0.8:8301',
+    b'10.1.0.08:8301',
+    b'10.1.0:8301',
+    b'host:8301',
+    rb'10.1.0.8:8301\n',
+    '10.1.0.8:\u0668\u0663'.encode(),
+)
 # Nested far deeper than the recursion limit.
 _DEEP = b''.join((b'[' * 3000, b']' * 3000))
 
@@ -129,6 +141,10 @@
         (b'"sequence":4', b'"sequence":-1'),
         (b'"born":17', b'"born":"17"'),
         (b'"1.5s"', b'"1.5"'),
+        (b'"sequence":4', b'"sequence":%d' % 10**30),
+        (b'"born":17', b'"born":%d' % 2**63),
+        (b'"born":17', b'"born":-1'),
+        *((b'10.1.0.8:8301', odd) for odd in _ODD_ADDRESSES),
         (b'{"address"', b'\xff{"address"'),
         (b'{"address"', b''.join((b'{"x":', _DEEP, b',"address"'))),
         (b'"slots":6', b''.join((b'"slots":', _DEEP))),
@@ -136,13 +152,16 @@
     upstreams = Upstreams(Kernel(), 10_000, lambda: 1.0)
     pages = InstancePages(upstreams)
     assert _post(pages, 'i-1/heartbeat', HEARTBEAT) == '200 OK'
+    for odd in ('i' * 129, 'i-1\r\nHost: x', 'i-\xe9'):
+        status = _post(pages, f'{odd}/heartbeat', HEARTBEAT)
+        assert status.startswith('400'), odd
     for old, new in variants:
         raw = _replace_once(HEARTBEAT, old, new)
         assert _post(pages, 'i-2/heartbeat', raw).startswith('400'), new
         assert _post(pages, 'i-1/heartbeat', raw).startswith('400'), new
     assert [upstream.name for upstream in upstreams.announcements()] == ['i-1']
-    odd = b''.join((b'{"x":', _DEEP, b'}'))
-    assert _post(pages, 'i-1/deregister', odd).startswith('400')
+    for odd in (b''.join((b'{"x":', _DEEP, b'}')), b'{"born":%d}' % 10**30):
+        assert _post(pages, 'i-1/deregister', odd).startswith('400')
     assert _post(pages, 'i-1/deregister', b'{"born":17}') == '200 OK'
     assert not upstreams.announcements()
 
--- a/waxwingsaddle/addresses.py
+++ b/waxwingsaddle/addresses.py
@@ -4,13 +4,19 @@
 
 import msgspec
 
+_OCTET = '(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])'
+# A larger port would be taken modulo 65536, which is the port of another
+# process.
+_PORT = (
+    '(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}'
+    '|[1-5][0-9]{4}|[1-9][0-9]{0,3})'
+)
+# `\Z` because `$` also matches before a line break at the end.
 Address = Annotated[
-    str,
-    msgspec.Meta(pattern=r'^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$'),
+    str, msgspec.Meta(pattern=rf'^({_OCTET}\.){{3}}{_OCTET}:{_PORT}\Z')
 ]
 OptionalAddress = Annotated[
-    str,
-    msgspec.Meta(pattern=r'^((\d{1,3}\.){3}\d{1,3}:\d{1,5})?$'),
+    str, msgspec.Meta(pattern=rf'^(({_OCTET}\.){{3}}{_OCTET}:{_PORT})?\Z')
 ]
 HostName = Annotated[str, msgspec.Meta(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$')]
 
--- a/waxwingsaddle/upstreams.py
+++ b/waxwingsaddle/upstreams.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from typing import Annotated, Literal
+from typing import Literal
 
 import eventlet
 import msgspec
@@ -15,6 +15,7 @@
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
 from waxwingsaddle.util.codec import json_decoder
+from waxwingsaddle.util.numbers import Count
 from waxwingsaddle.web import Environ, StartResponse, reply_json
 
 PATH = '/v1/upstreams/'
@@ -49,9 +50,9 @@
     address: Address
     slots: Slots
     state: Literal['ready', 'draining'] = 'ready'
-    started_at_ms: Annotated[int, msgspec.Meta(ge=0)] = 0
-    sequence: Annotated[int, msgspec.Meta(ge=0)] = 0
-    cold_ms: Annotated[int, msgspec.Meta(ge=0)] | None = None
+    started_at_ms: Count = 0
+    sequence: Count = 0
+    cold_ms: Count | None = None
 
 
 _decode_announcement = json_decoder(AnnouncementBody)
