Cancel a call that waits for a connection to another host

What callers saw: at the end of a planned stop, a call of the node API that waited for an unreachable host got no answer; others were answered only while the process ended, 0.2 s late. Cause: RemoteCalls knew a call from its message on, so that cancelling it while it waited for the connection had no effect. The wait ended when the transport closed, and then the answer, or the release of an idempotency key, raced with the exit. Change: cancelling ends the wait, and the call is answered as not run. Calls at work at an upstream of this host or another one were answered 502 with Connection: close before and after.

--- a/waxwingsaddle/remote_upstreams.py
+++ b/waxwingsaddle/remote_upstreams.py
@@ -6,6 +6,7 @@
 
 import eventlet
 from eventlet.event import Event
+from greenlet import getcurrent, greenlet
 
 from waxwingsaddle import metrics
 from waxwingsaddle.call_class import Call
@@ -46,6 +47,10 @@
     done: Event = field(default_factory=Event)
 
 
+class _CancelledError(Exception):
+    """The call was cancelled while it waited for a connection."""
+
+
 class RemoteCalls:
     """Sends calls to guarding nodes and matches their answers to the calls.
 
@@ -65,6 +70,7 @@
         self._policy = policy
         self._clock = clock
         self._pending: dict[str, _PendingCall] = {}
+        self._connecting: dict[str, greenlet] = {}
         self._streams: dict[str, RemoteStream] = {}
         self._uploads = UploadSender(transport)
         transport.subscribe_answers(CallAnswer, self._on_answer)
@@ -92,8 +98,11 @@
             The answer of the call; the caller must close its `stream`.
         """
         link = self._transport.link(address)
-        if not link.wait_connected(call.deadline_s - self._clock()):
-            return not_run('unreachable')
+        try:
+            if not self._wait_connected(link, call):
+                return not_run('unreachable')
+        except _CancelledError:
+            return not_run('cancelled')
         remaining_s = call.deadline_s - self._clock()
         if remaining_s <= 0:
             return not_run('deadline')
@@ -113,11 +122,23 @@
 
     def cancel(self, call_id: str) -> None:
         """Cancels a call in flight and notifies the guarding node."""
+        connecting = self._connecting.get(call_id)
+        if connecting is not None:
+            eventlet.kill(connecting, _CancelledError())
         pending = self._pending.get(call_id)
         if pending is not None and not pending.done.ready():
             self._transport.send(pending.link, CallCancel(call_id))
             pending.done.send(unknown('cancelled'))
 
+    def _wait_connected(self, link: Link, call: Call) -> bool:
+        if link.is_connected:
+            return True
+        self._connecting[call.call_id] = getcurrent()
+        try:
+            return link.wait_connected(call.deadline_s - self._clock())
+        finally:
+            del self._connecting[call.call_id]
+
     def _upload(
         self,
         call: Call,
