Tell callers whether a call cancelled at another host has run

What callers saw: a call that was still in the queue of another host at the end of a planned stop was answered 502, as if it might have run. Cause: RemoteCalls answered a cancelled call itself and dropped the answer of the guarding node, which knows whether the call left the queue. Change: that answer is waited for, for at most 0.1 s.

--- a/test/test_cut_off_calls.py
+++ b/test/test_cut_off_calls.py
@@ -17,6 +17,7 @@
 # What callers are told at each stage.
 EXPECTED = {
     'connecting': (503, 'not-run', 'cancelled'),
+    'queued': (503, 'not-run', 'cancelled'),
     'at work here': (502, 'unknown', 'cancelled'),
     'at work there': (502, 'unknown', 'cancelled'),
 }
--- a/waxwingsaddle/remote_upstreams.py
+++ b/waxwingsaddle/remote_upstreams.py
@@ -32,6 +32,9 @@
 # Reasons of calls that have not run because their body was not sent whole.
 _REASON_UNSENT = {'connection-lost': 'unreachable'}
 
+# Longest wait for the answer to a call that was cancelled.
+_CANCEL_TIMEOUT_S = 0.1
+
 _stray_answers = metrics.counter(
     'waxwing_hop_stray_answers',
     'Answers dropped because nobody waited for them any more.',
@@ -46,6 +49,11 @@
     link: Link
     done: Event = field(default_factory=Event)
 
+    def end(self, answer: Answer) -> None:
+        """Ends the call with an answer, unless it has one."""
+        if not self.done.ready():
+            self.done.send(answer)
+
 
 class _CancelledError(Exception):
     """The call was cancelled while it waited for a connection."""
@@ -121,14 +129,19 @@
             self._pending.pop(call.call_id, None)
 
     def cancel(self, call_id: str) -> None:
-        """Cancels a call in flight and notifies the guarding node."""
+        """Cancels a call in flight and notifies the guarding node.
+
+        That node answers at once whether the call has run.
+        """
         connecting = self._connecting.get(call_id)
         if connecting is not None:
             eventlet.kill(connecting, _CancelledError())
         pending = self._pending.get(call_id)
         if pending is not None and not pending.done.ready():
             self._transport.send(pending.link, CallCancel(call_id))
-            pending.done.send(unknown('cancelled'))
+            eventlet.spawn_after(
+                _CANCEL_TIMEOUT_S, pending.end, unknown('cancelled')
+            )
 
     def _wait_connected(self, link: Link, call: Call) -> bool:
         if link.is_connected:
@@ -210,8 +223,8 @@
 
     def _on_link_lost(self, link: Link) -> None:
         for pending in self._pending.values():
-            if pending.link is link and not pending.done.ready():
-                pending.done.send(unknown('connection-lost'))
+            if pending.link is link:
+                pending.end(unknown('connection-lost'))
         for stream in list(self._streams.values()):
             if stream.link is link:
                 stream.abort()
