Let callers of the node API read the answer to a request with an unread body

What callers saw: a caller that sends a large body got a reset instead of the refusal of its request (no room, body too large, stopping), because it was still sending. Cause: the node API closed the connection with unread bytes, which resets it. The ingress already reads and drops them for up to a second. Change: both servers use the same lingering close. Result: test_unread_bodies failed before with BrokenPipeError while sending 20 MB, and passes now; a caller that does not close is closed after a second, as before on the ingress.

--- a/waxwingsaddle/lean_http.py
+++ b/waxwingsaddle/lean_http.py
@@ -23,6 +23,7 @@
     parse_request,
     read_head,
 )
+from waxwingsaddle.lingering_close import linger
 from waxwingsaddle.web import Environ
 
 _CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -68,9 +69,18 @@
 
     Attributes:
         limits: Largest accepted head.
+        is_lingering: Whether the connection is closed only after its caller
+            had time to read the last answer.
     """
 
     limits = HeadLimits()
+    is_lingering = False
+
+    def finish(self) -> None:
+        """Closes the connection."""
+        if self.is_lingering:
+            linger(self.connection)
+        super().finish()
 
     def handle_one_request(self) -> None:
         """Reads and answers one request."""
@@ -134,11 +144,12 @@
 
 
 def protocol_with_limits(limits: HeadLimits) -> type[LeanProtocol]:
-    """Returns a protocol class with these limits.
+    """Returns a protocol class with these limits, for callers of a node.
 
     The server creates one instance per connection and passes no limits.
     """
-    return type('LimitedProtocol', (LeanProtocol,), {'limits': limits})
+    attributes = {'limits': limits, 'is_lingering': True}
+    return type('LimitedProtocol', (LeanProtocol,), attributes)
 
 
 def _environ(head: RequestHead, body: RequestBody) -> Environ:
--- a/waxwingsaddle/pipeline.py
+++ b/waxwingsaddle/pipeline.py
@@ -6,8 +6,6 @@
 ends, that thread writes all answers that are due, in the order of the calls.
 """
 
-import socket
-import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from typing import Any
@@ -20,6 +18,7 @@
 from waxwingsaddle.calls import Answer, BrokenBodyError, not_run, unknown
 from waxwingsaddle.http_heads import RequestHead
 from waxwingsaddle.ingress import Ingress
+from waxwingsaddle.lingering_close import linger
 from waxwingsaddle.pipelined_call import PipelinedCall
 from waxwingsaddle.reply_writer import Reply, write_reply
 from waxwingsaddle.request_reader import (
@@ -31,9 +30,6 @@
 
 # Timeout for writing to a caller that does not read.
 _WRITE_TIMEOUT_S = 10
-# Time to read and drop incoming bytes after the last answer: closing a socket
-# with unread bytes resets the connection, and the caller may lose the answer.
-_LINGER_S = 1.0
 
 
 class CallerConnection:
@@ -95,7 +91,7 @@
             greenthread.kill(self._writer)
         self._cancel_all()
         if self._should_linger:
-            self._linger()
+            linger(self._sock)
         self._sock.close()
 
     def _end_reading(self, *, should_linger: bool) -> None:
@@ -288,11 +284,3 @@
                 self._ingress.cancel(call.admitted)
             elif call.answer.stream is not None:
                 call.answer.stream.close()
-
-    def _linger(self) -> None:
-        try:
-            self._sock.shutdown(socket.SHUT_WR)
-            self._requests.wait_for_close(time.monotonic() + _LINGER_S)
-        except OSError:
-            # The caller closed first, or did not close within the time.
-            return
--- a/waxwingsaddle/request_reader.py
+++ b/waxwingsaddle/request_reader.py
@@ -185,20 +185,14 @@
             return False
         return body.is_complete
 
-    def wait_for_close(self, deadline_s: float | None = None) -> None:
+    def wait_for_close(self) -> None:
         """Reads and drops all bytes until the caller closes the connection.
 
-        Args:
-            deadline_s: Monotonic time at which to stop; None waits without
-                limit.
-
         Raises:
-            OSError: The caller broke the connection off, or the deadline
-                passed.
+            OSError: The caller broke the connection off.
         """
-        self._reader.deadline_s = deadline_s
-        if deadline_s is None:
-            self._sock.settimeout(None)
+        self._reader.deadline_s = None
+        self._sock.settimeout(None)
         while self._reader.peek():
             self._reader.discard()
 
