Take long calls for the first 2.8 s of a stop only

What callers saw: nothing yet, no deployment in force has both a long grace and long deadlines. With 10 s to stop, calls with a deadline beyond the stop were taken for 4 s, and one of those taken last could be cut off at 8.5 s. Cause: the first phase of a stop was a share of its length, but callers learn of it by two probes, a second apart, however long it is. Change: the first phase is at most 2.8 s; the rest goes to the second one, so that the end of the stop stays where it was.

--- a/waxwingsaddle/derived_timeouts.py
+++ b/waxwingsaddle/derived_timeouts.py
@@ -61,11 +61,12 @@
 _ANNOUNCEMENTS_PER_TTL = 4
 # Leaves more than half of the drain bound for calls that a guard has queued.
 _UPSTREAM_DRAIN_SHARE = 0.25
-# Fractions of the time to stop. Callers need two probes, a second apart, to
-# learn that a host stops. The time after the stop limit is for the exit of the
-# process.
+# Fractions of the time to stop. The rest is for the exit of the process.
 _DRAIN_WAIT_SHARE = 0.4
-_STOP_LIMIT_SHARE = 0.45
+_STOP_SHARE = 0.85
+# Callers learn by two probes, a second apart, that a host stops. A longer time
+# to stop does not make that longer.
+_MAX_DRAIN_WAIT_MS = 2800
 _HAND_OVER_SHARE = 0.25
 # Two elections of maximum length, with two rounds each, fit into the time after
 # which a host counts as healthy.
@@ -81,6 +82,9 @@
 def node_timeouts(bounds: DeploymentBounds) -> dict[str, Any]:
     """Returns the settings of a node that follow from the bounds."""
     propagation_ms = bounds.propagation_ms
+    drain_wait_ms = min(
+        round(bounds.stop_ms * _DRAIN_WAIT_SHARE), _MAX_DRAIN_WAIT_MS
+    )
     return {
         'fleet_retries': bounds.fleet_retries,
         'upstream_ttl_ms': bounds.announce_ms * _ANNOUNCEMENTS_PER_TTL,
@@ -94,8 +98,8 @@
         'connect_timeout_ms': round(propagation_ms * _CONNECT_SHARE),
         'home_check_ms': bounds.contact_ms * _HOME_CHECK_FACTOR,
         'upstream_drain_ms': round(bounds.drain_ms * _UPSTREAM_DRAIN_SHARE),
-        'drain_wait_ms': round(bounds.stop_ms * _DRAIN_WAIT_SHARE),
-        'stop_limit_ms': round(bounds.stop_ms * _STOP_LIMIT_SHARE),
+        'drain_wait_ms': drain_wait_ms,
+        'stop_limit_ms': round(bounds.stop_ms * _STOP_SHARE) - drain_wait_ms,
     }
 
 
