Listen while upstreams run calls that may make calls of their own

What callers saw: a call that was still at work at the upstream of a stopping node 2.4 s after SIGTERM failed with 500 if the upstream then made a call: it calls through the node beside it, whose listener was closed. Cause: the listener closed at a fixed time, without regard to the calls that the node still guards. Change: it closes when the upstreams of the node run nothing any more, at the end of the stop at the latest.

--- a/test/test_shutdown.py
+++ b/test/test_shutdown.py
@@ -37,6 +37,7 @@
         self.is_refusing = False
         self.pending = 0
         self.handed_over_s = 0
+        self.closed_s = 0
         self.call_server = SimpleNamespace(pending=0)
         self.shutdown = Shutdown(
             SimpleNamespace(drain=lambda: None),
@@ -65,6 +66,7 @@
 
     def close_gracefully(self, timeout_s):
         """Waits for the call."""
+        self.closed_s = time.monotonic()
         deadline_s = time.monotonic() + timeout_s
         while self.pending and time.monotonic() < deadline_s:
             eventlet.sleep(0.01)
@@ -141,3 +143,17 @@
     eventlet.spawn_after(0.1, node.end_call_of_other_node)
     node.shutdown.stop()
     assert node.handed_over_s - ended_s > ANSWER_S
+
+
+def test_servers_listen_while_upstreams_run_calls_of_other_nodes():
+    """Guards against calls that fail because their upstream can't make its own.
+
+    The node beside it closed its listener 2.4 s after SIGTERM, while the
+    upstream still ran calls for callers of other nodes.
+    """
+    node = StoppingNode(limit_s=5)
+    node.call_server.pending = 1
+    ended_s = time.monotonic() + 0.3
+    eventlet.spawn_after(0.3, node.end_call_of_other_node)
+    node.shutdown.stop()
+    assert node.closed_s >= ended_s
--- a/waxwingsaddle/shutdown.py
+++ b/waxwingsaddle/shutdown.py
@@ -99,6 +99,8 @@
             server.drain()
         self._upstreams.drain()
         eventlet.sleep(schedule.drain_wait_s)
+        # Upstreams call through this node for the calls that they still run.
+        _wait_while(self._has_calls_at_upstreams, schedule.remaining_s())
         self._close_servers(schedule.remaining_s())
         schedule.end()
         _wait_while(self._is_busy, schedule.remaining_s())
@@ -133,11 +135,10 @@
 
     def _is_busy(self) -> bool:
         # A call can start while the servers close their connections.
-        return bool(
-            self._has_unanswered_callers()
-            or self._call_server.pending
-            or self._upstream_calls.pending
-        )
+        return self._has_unanswered_callers() or self._has_calls_at_upstreams()
+
+    def _has_calls_at_upstreams(self) -> bool:
+        return bool(self._call_server.pending or self._upstream_calls.pending)
 
     def _has_unanswered_callers(self) -> bool:
         return any(server.pending for server in self._servers)
