Serve a request that arrived before its connection's idle timeout

What callers saw: a request on a kept connection was dropped, and the connection closed without an answer, if the process was held up until the idle timeout had passed as well. Cause: the event loop runs expired timers before it looks for bytes, and SocketReader gave up on the timer alone. Change: it looks for bytes once more when its time is up. This is the same for the time limits of heads, bodies and answers. Result: the new case in test_pipeline failed before (no answer) and passes now.

--- a/test/test_pipeline.py
+++ b/test/test_pipeline.py
@@ -118,6 +118,22 @@
         assert b'/designs/300' in read_until(sock, b'/designs/300')
 
 
+def test_request_that_came_in_time_is_served_after_the_idle_timeout():
+    """Guards against a request dropped because its process was held up.
+
+    The idle timeout expired before the event loop looked for bytes again.
+    """
+    with serve_callers(idle_timeout_s=0.1) as (_, connect, dispatcher):
+        sock = connect()
+        sock.sendall(request('/designs/1'))
+        read_until(sock, b'/designs/1')
+        sock.sendall(request('/designs/2'))
+        # Holds the event loop up for longer than the timeout.
+        time.sleep(0.15)
+        assert read_until(sock, b'/designs/2').startswith(b'HTTP/1.1 200')
+        assert dispatcher.started == ['/designs/1', '/designs/2']
+
+
 def test_refused_call_leaves_the_connection_usable():
     """Guards against callers that have to reconnect after each refusal."""
     with serve_callers() as (_, connect, _):
--- a/waxwingsaddle/socket_reader.py
+++ b/waxwingsaddle/socket_reader.py
@@ -122,17 +122,25 @@
         # the connection is reset: an answer that broke off would look complete.
         raw_socket = self._sock.fd
         self._check_turn()
+        expired = None
         while True:
             try:
                 return raw_socket.recv(_RECEIVE_BYTES)
             except BlockingIOError:
-                self._receives = 0
+                if expired is not None:
+                    raise expired from None
+            self._receives = 0
+            try:
                 hubs.trampoline(
                     raw_socket,
                     read=True,
                     timeout=self._timeout_s(),
                     timeout_exc=TimeoutError('no bytes received in time'),
                 )
+            except TimeoutError as error:
+                # Timers come first when the event loop was held up: bytes may
+                # have arrived in time.
+                expired = error
 
     def _check_turn(self) -> None:
         """Applies the deadline and yields while bytes arrive without a wait."""
