Hold the event loop up in the test of the idle timeout in whole runs too

In a run together with modules that patch time, time.sleep gives way to other green threads, and the test would pass on any code.

--- a/test/callers.py
+++ b/test/callers.py
@@ -6,6 +6,7 @@
 from functools import partial
 
 import eventlet
+from eventlet.patcher import original
 
 from waxwingsaddle.calls import Answer, not_run
 from waxwingsaddle.config import snapshot
@@ -151,6 +152,11 @@
     return f'{head}{length}{lines}\r\n'.encode() + body
 
 
+def hold_up(duration_s):
+    """Holds the event loop up, also where `time` is patched."""
+    original('time').sleep(duration_s)
+
+
 def read_until(sock, suffix):
     """Reads until the bytes end with a suffix or the connection closes."""
     received = b''
--- a/test/test_pipeline.py
+++ b/test/test_pipeline.py
@@ -4,7 +4,13 @@
 
 import eventlet
 
-from test.callers import FakeDispatcher, read_until, request, serve_callers
+from test.callers import (
+    FakeDispatcher,
+    hold_up,
+    read_until,
+    request,
+    serve_callers,
+)
 from waxwingsaddle.calls import Answer, BrokenBodyError
 from waxwingsaddle.util.outcome import Outcome
 
@@ -129,7 +135,7 @@
         read_until(sock, b'/designs/1')
         sock.sendall(request('/designs/2'))
         # Holds the event loop up for longer than the timeout.
-        time.sleep(0.15)
+        hold_up(0.15)
         assert read_until(sock, b'/designs/2').startswith(b'HTTP/1.1 200')
         assert dispatcher.started == ['/designs/1', '/designs/2']
 
