End a stop only after the node has looked for requests

What callers saw: in a planned stop, a request on a kept connection was dropped and the connection closed without an answer, if the process was held up while the request arrived. Cause: the stop ended after 0.1 s without a pending call, also if the event loop read nothing in that time. Change: it ends after as many polls, between which sockets are read. Result: the new case in test_stop_amid_bodies failed before (no answer) and passes now.

--- a/test/test_stop_amid_bodies.py
+++ b/test/test_stop_amid_bodies.py
@@ -1,4 +1,4 @@
-"""Requests whose bodies are still arriving when their node stops."""
+"""Requests that are still arriving when their node stops."""
 
 import signal
 import socket
@@ -7,7 +7,7 @@
 import eventlet
 from nose2.tools import params
 
-from test.callers import read_until, request, serve_callers
+from test.callers import hold_up, read_until, request, serve_callers
 from test.nodes import node_environment
 from waxwingsaddle.util.ports import free_address
 from waxwingsaddle.web import split_address
@@ -98,3 +98,23 @@
         assert cut.startswith(b'HTTP/1.1 503'), cut
         assert b'Connection: close' in cut
         assert not upstream.count('begin', 'cut')
+
+
+def test_request_that_came_before_the_end_of_a_stop_is_served():
+    """Guards against a request dropped because its process was held up.
+
+    The stop took the time in which nothing was read for a quiet period.
+    """
+    with serve_callers() as (server, connect, _):
+        other, late = connect(), connect()
+        # So long that the stop does not wait for first requests.
+        eventlet.sleep(1.1)
+        server.drain()
+        finishing = eventlet.spawn(server.close_gracefully, 3)
+        other.sendall(request('/designs/40'))
+        read_until(other, b'/designs/40')
+        late.sendall(request('/designs/1'))
+        # Holds the event loop up for longer than the quiet period.
+        hold_up(0.15)
+        assert b'/designs/1' in read_until(late, b'never')
+        assert finishing.wait() == 0
--- a/waxwingsaddle/connection_acceptor.py
+++ b/waxwingsaddle/connection_acceptor.py
@@ -12,9 +12,10 @@
 _POLL_S = 0.02
 # Pause before the next attempt when the process has no free descriptor.
 _ACCEPT_RETRY_S = 0.05
-# After this time without a pending request, it is unlikely that a caller has
-# one on the way.
-_QUIET_PERIOD_S = 0.1
+# After so many polls without a pending request, it is unlikely that a caller
+# has one on the way. While the process is held up, nothing is read, and time
+# alone says nothing.
+_QUIET_POLLS = 5
 # Time in which a caller sends its first request on a new connection. Clients
 # give a new connection up after about one second, and busy ones send late.
 _FIRST_REQUEST_TIMEOUT_S = 1.0
@@ -66,16 +67,11 @@
         """
         self._close_listener()
         deadline_s = time.monotonic() + timeout_s
-        quiet_since_s = time.monotonic()
+        quiet_polls = 0
         while time.monotonic() < deadline_s:
-            now_s = time.monotonic()
-            if pending():
-                quiet_since_s = now_s
-            is_quiet = now_s - quiet_since_s > _QUIET_PERIOD_S
-            if (
-                is_quiet
-                and now_s - newest_accepted_s() > _FIRST_REQUEST_TIMEOUT_S
-            ):
+            quiet_polls = 0 if pending() else quiet_polls + 1
+            age_s = time.monotonic() - newest_accepted_s()
+            if quiet_polls > _QUIET_POLLS and age_s > _FIRST_REQUEST_TIMEOUT_S:
                 break
             greenthread.sleep(_POLL_S)
         return pending()
