Answer calls that wait for the claim of their key when a node stops

What callers saw: at the end of a planned stop, a call with an idempotency key that waited for the keepers of its key lost its connection without an answer. Cause: cancelling a call had an effect on its attempts only, and before the claim there are none. Change: cancelling ends the wait. The outcome is unknown, since a keeper may have the claim; nothing has been sent to an upstream. Result: the new case in test_cut_off_calls failed before with RemoteDisconnected and passes now.

--- a/test/test_cut_off_calls.py
+++ b/test/test_cut_off_calls.py
@@ -3,6 +3,7 @@
 import signal
 import socket
 import threading
+import time
 from http.client import HTTPConnection, HTTPException
 
 from nose2.tools import params
@@ -123,3 +124,20 @@
             (status, 'close', outcome, reason),
             (status, 'close', None, None),
         ], results
+
+
+def test_call_that_waits_for_its_claim_is_answered():
+    """Guards against calls with a key whose connection ends with the process.
+
+    A call that waited for the keepers of its key was not cancelled.
+    """
+    with node_environment() as started:
+        entry, guard, _ = _start(started, 'at work there')
+        guard.process.signal(signal.SIGSTOP)
+        caller = Caller(entry.http_address, 'claimed', 'key-1')
+        # Time for the call to arrive before the stop begins.
+        time.sleep(0.3)
+        entry.process.signal(signal.SIGTERM)
+        caller.join(20)
+        assert entry.process.popen.wait(20) == 0
+        assert caller.result[:3] == (502, 'close', 'unknown'), caller.result
--- a/waxwingsaddle/idempotent_calls.py
+++ b/waxwingsaddle/idempotent_calls.py
@@ -1,10 +1,12 @@
 """Calls with an idempotency key, which run at most once."""
 
+import eventlet
 import msgspec
+from greenlet import getcurrent, greenlet
 
 from waxwingsaddle.calls import Answer, HeaderPairs, not_run, unknown
 from waxwingsaddle.claim_service import ClaimService
-from waxwingsaddle.claims import Absent, Granted, Stored
+from waxwingsaddle.claims import Absent, ClaimResult, Granted, Stored
 from waxwingsaddle.dispatch import CallTask, Dispatcher
 from waxwingsaddle.util.codec import msgpack_decoder, pack
 from waxwingsaddle.util.outcome import Outcome
@@ -12,6 +14,10 @@
 _ANSWER_LOST_STATUS = 502
 
 
+class _CancelledError(Exception):
+    """The call was cancelled while it waited for its claim."""
+
+
 class StoredAnswer(msgspec.Struct, frozen=True, array_like=True):
     """Answer as keepers store it.
 
@@ -43,6 +49,8 @@
     ) -> None:
         self._dispatch = dispatch
         self._claim_service = claim_service
+        # Green threads that wait for a claim, by the identity of their calls.
+        self._claiming: dict[int, greenlet] = {}
 
     def run(self, task: CallTask, key: str) -> Answer:
         """Runs a call; blocks its green thread.
@@ -53,11 +61,10 @@
         """
         if not key or task.match.route.idempotent:
             return self._dispatch.run(task)
-        claim_result = self._claim_service.claim(
-            task.match.route.service,
-            key,
-            task.deadline_s,
-        )
+        try:
+            claim_result = self._claim(task, key)
+        except _CancelledError:
+            return unknown('cancelled')
         if isinstance(claim_result, Granted):
             task.claim = pack(claim_result)
             return self._run_claimed(task, claim_result)
@@ -68,8 +75,20 @@
         return unknown(claim_result.reason)
 
     def cancel(self, task: CallTask) -> None:
-        """Cancels a call whose caller has disconnected."""
+        """Cancels a call, because its caller has left or the node stops."""
         self._dispatch.cancel(task)
+        claiming = self._claiming.get(id(task))
+        if claiming is not None:
+            eventlet.kill(claiming, _CancelledError())
+
+    def _claim(self, task: CallTask, key: str) -> ClaimResult:
+        self._claiming[id(task)] = getcurrent()
+        try:
+            return self._claim_service.claim(
+                task.match.route.service, key, task.deadline_s
+            )
+        finally:
+            del self._claiming[id(task)]
 
     def _run_claimed(self, task: CallTask, granted: Granted) -> Answer:
         answer = self._dispatch.run(task)
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -85,18 +85,19 @@
         settings.entry_calls,
         settings.entry_body_bytes,
     )
+    idempotent_calls = IdempotentCalls(dispatcher, kernel.find('keepers'))
     calls = running_calls.RunningCalls(
         stop_schedule.StopSchedule(
             settings.drain_wait_ms / MS_PER_S,
             settings.stop_limit_ms / MS_PER_S,
             monotonic_s,
         ),
-        dispatcher.cancel,
+        idempotent_calls.cancel,
         monotonic_s,
     )
     entry = Entry(
         routing,
-        IdempotentCalls(dispatcher, kernel.find('keepers')),
+        idempotent_calls,
         calls,
         disconnect_watch,
         entry_limit,
