Refuse nested values and long numbers in TOML with a clear problem

Seen: a settings file with a value nested 3,000 levels ended waxwing programs and those on the platform with RecursionError instead of one readable line. A number of 5,000 digits, decimal or hexadecimal, in a settings file, the base file or an overlay raised a plain ValueError, in the check of an edit as well (500 instead of a problem). A version of 10^30 and a document with such a number passed the check, although no message can carry them.

Cause: tomllib raises more than TOMLDecodeError, and each reader expected another part of it. Python's limit on digits also hits the error text that names such a value.

Change: `unpack_toml` of `util/codec` raises ValueError for text that is no TOML, nested too deeply or has a number of more than 15 digits; all readers use it. Numbers of documents are bounded likewise.

--- a/test/test_arbitrary_input.py
+++ b/test/test_arbitrary_input.py
@@ -84,6 +84,42 @@
         assert isinstance(actual, config.SourceSet | config.Refused)
 
 
+def test_odd_values_in_files_are_refused():
+    """Guards against a nested value or a long number that ends a program.
+
+    Such a number can not even be part of an error text.
+    """
+    deep = ''.join(('[' * 3000, ']' * 3000))
+    for odd in (
+        deep,
+        '1' * 5000,
+        f'0x{"f" * 5000}',
+        str(10**30),
+        str(-(2**63)),
+    ):
+        sources = config.SourceSet(
+            base=BASE.replace('timeout_ms = 1500', f'timeout_ms = {odd}'),
+            overlays={'north': ''},
+        )
+        assert sources.base != BASE
+        versions = config.SourceSet(
+            base=BASE.replace('version = 1', f'version = {odd}'),
+            overlays={'north': ''},
+        )
+        overlay = config.SourceSet(base=BASE, overlays={'north': f'x = {odd}'})
+        numbered = f'{{"document":1,"number":{odd},"base_number":0}}\n'
+        document = config.SourceSet(base=numbered, overlays={})
+        for refused in (sources, versions, overlay, document):
+            actual = config.check_sources(refused)
+            assert isinstance(actual, config.Refused), odd
+        with TemporaryDirectory() as name:
+            file = Path(name) / 'settings.toml'
+            file.write_text(f'[node]\nlease_renew_ms = {odd}', 'utf-8')
+            actual = settings.load(file, 'node', MODELS['node'])
+            assert isinstance(actual, settings.SettingsError), odd
+            assert str(actual).startswith(str(file))
+
+
 def test_folder_and_dangling_link_as_files():
     """Guards against a folder or a dangling link that crashes the reading."""
     with TemporaryDirectory() as name:
--- a/test/test_meshport.py
+++ b/test/test_meshport.py
@@ -107,6 +107,15 @@
         assert '\n' not in str(problem)
 
 
+def test_odd_values_in_settings_are_one_readable_line():
+    """Guards against a program that a nested value ends at every start."""
+    for odd in (_DEEP.decode(), '1' * 5000, str(10**30)):
+        text = f'odd = {odd}\n{SETTINGS}'
+        actual = parse_platform_settings('boot.toml', text)
+        assert isinstance(actual, SettingsError), odd[:9]
+        assert '\n' not in str(actual)
+
+
 def test_durations_have_a_unit():
     """Guards against a duration that is read in the wrong unit."""
     assert parse_duration_ms('1500ms') == 1500
--- a/waxwingsaddle/config.py
+++ b/waxwingsaddle/config.py
@@ -1,6 +1,5 @@
 """Configuration: parsing, merging and checking of files and snapshots."""
 
-import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from itertools import chain
@@ -20,7 +19,7 @@
     is_document,
     parse_document,
 )
-from waxwingsaddle.util.codec import Tree, digest
+from waxwingsaddle.util.codec import Tree, digest, unpack_toml
 from waxwingsaddle.util.lines import one_line
 
 MAX_FILE_BYTES = 1_048_576
@@ -228,8 +227,8 @@
             f'{file}: {size_bytes} bytes, at most {MAX_FILE_BYTES}',
         )
     try:
-        tree = tomllib.loads(text)
-    except (tomllib.TOMLDecodeError, RecursionError) as error:
+        tree = unpack_toml(text)
+    except ValueError as error:
         raise _ConfigError(f'{file}: not valid TOML: {error}') from None
     _check_depth(file, tree)
     return tree
--- a/waxwingsaddle/documents.py
+++ b/waxwingsaddle/documents.py
@@ -14,6 +14,7 @@
 
 from waxwingsaddle.config_models import MAX_RATIO
 from waxwingsaddle.util.codec import Tree, json_decoder
+from waxwingsaddle.util.numbers import Count
 
 # Site of all nodes that are configured by documents.
 DOCUMENT_SITE = 'all'
@@ -45,8 +46,8 @@
     """
 
     document: Literal[1]
-    number: int
-    base_number: int
+    number: Count
+    base_number: Count
 
 
 @dataclass(frozen=True, slots=True)
--- a/waxwingsaddle/experiment.py
+++ b/waxwingsaddle/experiment.py
@@ -1,6 +1,5 @@
 """Experiment files of the load tool."""
 
-import tomllib
 from pathlib import Path
 from typing import Annotated, Literal
 
@@ -8,6 +7,7 @@
 
 from waxwingsaddle.addresses import Address
 from waxwingsaddle.settings import SettingsError
+from waxwingsaddle.util.codec import unpack_toml
 
 NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
@@ -121,7 +121,7 @@
         The experiment, or the error where the file is missing or invalid.
     """
     try:
-        document = tomllib.loads(path.read_text(encoding='utf-8'))
+        document = unpack_toml(path.read_text(encoding='utf-8'))
         return msgspec.convert(document, Experiment)
     except OSError as error:
         return SettingsError(str(path), '', error.strerror or str(error))
--- a/waxwingsaddle/settings.py
+++ b/waxwingsaddle/settings.py
@@ -4,7 +4,6 @@
 reasons for them are in `default_settings.toml` of this package.
 """
 
-import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -12,6 +11,7 @@
 
 import msgspec
 
+from waxwingsaddle.util.codec import unpack_toml
 from waxwingsaddle.util.lines import one_line
 
 _Model = TypeVar('_Model', bound=msgspec.Struct)
@@ -65,10 +65,10 @@
         The validated settings, or the error found in them.
     """
     try:
-        document = tomllib.loads(path.read_text(encoding='utf-8'))
+        document = unpack_toml(path.read_text(encoding='utf-8'))
     except OSError as error:
         return SettingsError(str(path), '', error.strerror or str(error))
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except ValueError as error:
         return SettingsError(str(path), '', f'not valid TOML: {error}')
     options = document.get(table)
     if not isinstance(options, dict):
@@ -109,7 +109,7 @@
 def defaults(table: str) -> dict[str, Any]:
     """Returns the default settings of a table."""
     text = DEFAULTS_FILE.read_text(encoding='utf-8')
-    return tomllib.loads(text).get(table, {})
+    return unpack_toml(text).get(table, {})
 
 
 def _format_value(merged: Mapping[str, Any], location: str) -> str:
--- a/waxwingsaddle/util/codec.py
+++ b/waxwingsaddle/util/codec.py
@@ -1,13 +1,16 @@
-"""Encodings: msgpack between processes, JSON for people, and digests."""
+"""Encodings: msgpack between processes, JSON and TOML, and digests."""
 
 import hashlib
+import tomllib
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from functools import partial
 from typing import Any, TypeVar
 
 import msgspec
 
+from waxwingsaddle.util.numbers import MAX_DIGITS, MAX_NUMBER
+
 Tree = dict[str, Any]
 _Model = TypeVar('_Model')
 
@@ -94,6 +97,35 @@
     return msgspec.json.encode(document)
 
 
+def unpack_toml(text: str) -> Tree:
+    """Decodes TOML.
+
+    Raises:
+        ValueError: The text is not TOML, is nested too deeply, or has a number
+            of more digits than any option.
+    """
+    try:
+        tree = tomllib.loads(text)
+    except RecursionError:
+        raise ValueError('nested too deeply') from None
+    if any(abs(number) > MAX_NUMBER for number in _integers(tree)):
+        raise ValueError(f'a number of more than {MAX_DIGITS} digits')
+    return tree
+
+
+def _integers(tree: Tree) -> Iterator[int]:
+    # Without recursion, because headers and keys can nest tables deeply.
+    parts: list[Any] = [tree]
+    while parts:
+        part = parts.pop()
+        if isinstance(part, dict):
+            parts.extend(part.values())
+        elif isinstance(part, list):
+            parts.extend(part)
+        elif isinstance(part, int):
+            yield part
+
+
 def unpack_json(raw: bytes) -> Any:
     """Decodes JSON.
 
--- a/waxwingsaddle/util/numbers.py
+++ b/waxwingsaddle/util/numbers.py
@@ -6,12 +6,12 @@
 
 # No version or size has more digits, and converting long numbers is slow.
 MAX_DIGITS = 15
-_MAX_NUMBER = 10**MAX_DIGITS - 1
+MAX_NUMBER = 10**MAX_DIGITS - 1
 
 # msgpack holds 64 bits. A number near that limit could be received, but after a
 # sum or a difference no longer be sent.
-Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
-SpanMs = Annotated[int, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+SpanMs = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 
 
 def parse_number(text: str) -> int | None:
