Pass over odd addresses of control hosts and nodes

Seen: a member of the replicated log with an address that zmq does not take, such as an empty one, one without a port or one with a port in Arabic digits, made `Peers.connect` and `Peers.start` raise ZMQError; as members come from the log, a control host that knows one before it starts its sockets ends at that point. With an empty address, the answer to version queries of nodes raised ValueError. A node to which such an address of a control host is reported takes it into its list of control hosts.

Cause: addresses in the log and in messages between hosts are plain text, and only the API checked them.

Change: `Peers.connect` ignores odd addresses, control hosts do not report such members, nodes do not learn them, and an entry of a node with one is passed over like other odd entries.

No run with real control host processes and such a member was made.

--- a/test/test_odd_messages.py
+++ b/test/test_odd_messages.py
@@ -104,12 +104,12 @@
     router.send_multipart([sender, encode(Echo(4), request_id, is_reply=True)])
 
 
-def _node(host, *upstreams, incarnation=5):
+def _node(host, *upstreams, incarnation=5, call_address='10.0.0.1:99'):
     """Returns a node in the form in which control hosts send it."""
     return [
         host,
         'zone-b',
-        '10.0.0.1:99',
+        call_address,
         incarnation,
         1,
         'control-1',
@@ -134,6 +134,7 @@
     _node('node-0', GOOD_UPSTREAM, incarnation=2**64 - 1),
     _node('odd', GOOD_UPSTREAM, incarnation=-1),
     _node(7),
+    _node('odd', GOOD_UPSTREAM, call_address='10.0.0.1:٩'),
     _node('odd', 7, incarnation=None),
     ('odd',),
     None,
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -111,6 +111,28 @@
         assert not first.send('nobody', Greeting('lost'))
 
 
+def test_odd_address_of_a_member_stops_nothing():
+    """Guards against a control host that ends at every start.
+
+    Members of the log keep the address that they joined with.
+    """
+    odd_addresses = ('', '10.1.1.1', '10.1.1.1:\u0669', '10.1.1.1:0')
+    hosts = _hosts(2)
+    first, second = (peers.Peers(host, hosts, LIMITS) for host in hosts)
+    for number, odd in enumerate(odd_addresses):
+        first.connect(f'before-{number}', odd)
+    first.start()
+    second.start()
+    for number, odd in enumerate(odd_addresses):
+        first.connect(f'after-{number}', odd)
+    received = _collect(second)
+    _until(lambda: first.send('c1', Greeting('one')))
+    _until(lambda: received)
+    assert first.hosts == ('c1',)
+    first.stop()
+    second.stop()
+
+
 def test_failing_handler_does_not_end_the_receiver():
     """Guards against a failing message that stops the receiver."""
     with _connected(2) as (first, second):
--- a/waxwingsaddle/addresses.py
+++ b/waxwingsaddle/addresses.py
@@ -21,6 +21,15 @@
 HostName = Annotated[str, msgspec.Meta(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$')]
 
 
+def is_address(text: str) -> bool:
+    """Returns whether a text from another process is an address."""
+    try:
+        msgspec.convert(text, Address)
+    except msgspec.ValidationError:
+        return False
+    return True
+
+
 class ControlHost(
     msgspec.Struct,
     frozen=True,
--- a/waxwingsaddle/directory.py
+++ b/waxwingsaddle/directory.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from waxwingsaddle.addresses import OptionalAddress
 from waxwingsaddle.util.clock import monotonic_ms
 from waxwingsaddle.util.codec import encode_canonical
 from waxwingsaddle.util.numbers import Count, SpanMs
@@ -59,7 +60,7 @@
 
     host: str
     availability_zone: str
-    call_address: str
+    call_address: OptionalAddress
     incarnation: Count
     sequence: Count
     holder: str
--- a/waxwingsaddle/known_controls.py
+++ b/waxwingsaddle/known_controls.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from waxwingsaddle.addresses import NodeControl
+from waxwingsaddle.addresses import NodeControl, is_address
 from waxwingsaddle.node_messages import KnownControl
 from waxwingsaddle.raft_messages import Members, Replica
 from waxwingsaddle.web import split_address
@@ -35,6 +35,7 @@
         else _derived_control(member, own.node_address)
         for member in members()
         if member.host != own.host
+        and (member.host in configured or is_address(member.peer_address))
     )
     return (_known_control(own), *peers)
 
@@ -62,8 +63,14 @@
             self._controls.setdefault(control.host, control)
 
     def learn(self, reported: Iterable[KnownControl]) -> None:
-        """Adds or updates the control hosts that a control host reported."""
+        """Adds or updates the control hosts that a control host reported.
+
+        Hosts with an odd address are passed over, because a node could not
+        query the others along with them.
+        """
         for control in reported:
+            if not is_address(control.node_address):
+                continue
             existing = self._controls.get(control.host)
             zone = control.availability_zone
             if zone == UNKNOWN_ZONE and existing is not None:
--- a/waxwingsaddle/peers.py
+++ b/waxwingsaddle/peers.py
@@ -15,7 +15,7 @@
 from eventlet.green import zmq
 
 from waxwingsaddle import logs, metrics
-from waxwingsaddle.addresses import ControlHost
+from waxwingsaddle.addresses import ControlHost, is_address
 from waxwingsaddle.curve_keys import protect_client, protect_server
 from waxwingsaddle.listen_errors import wrap_listen_errors
 from waxwingsaddle.util.clock import HybridClock, Stamp
@@ -189,10 +189,12 @@
         """Adds a control host that is not in the settings.
 
         An address from the settings is kept, because it may be one that only
-        this host uses, such as that of a proxy.
+        this host uses, such as that of a proxy. An odd one is ignored.
         """
         if host == self.host or host in self._addresses:
             return
+        if not is_address(peer_address):
+            return
         self._addresses[host] = peer_address
         if self._receiver is not None:
             self._open_sender(host)
