Refuse terms, indexes and timestamps that can not be sent again

Seen: a replica that hears of the term 2^64-1 takes it over, and its next election, in term 2^64, raises OverflowError when it is sent. A clock that hears of the counter 2^64-1 within the next hour makes every later message with a timestamp raise it too. The driver of the replica ends the process on any such error.

Cause: terms, indexes and counters of peers had no bound below the 64 bits of msgpack, although the receiver adds to them.

--- a/test/test_odd_messages.py
+++ b/test/test_odd_messages.py
@@ -1,5 +1,6 @@
 """Odd messages and entries of other processes, which stop no receiver."""
 
+import random
 import re
 from pathlib import Path
 
@@ -14,7 +15,18 @@
 from waxwingsaddle import node_messages
 from waxwingsaddle.directory_exchange import DirectoryChanges
 from waxwingsaddle.envelope import Envelope, encode
-from waxwingsaddle.util.codec import pack, unpack_json
+from waxwingsaddle.raft import Raft, Stored
+from waxwingsaddle.raft_messages import (
+    Members,
+    Replica,
+    Snapshot,
+    TimeoutNow,
+    Vote,
+    VoteReply,
+)
+from waxwingsaddle.raft_state import Timing
+from waxwingsaddle.util.clock import HybridClock, Stamp, wall_ms
+from waxwingsaddle.util.codec import msgpack_decoder, pack, unpack_json
 
 ROOT = Path(__file__).parents[1]
 # A value nested far deeper than the recursion limit.
@@ -219,3 +231,39 @@
         except msgspec.DecodeError:
             continue
         raise AssertionError(message)
+
+
+def test_odd_term_does_not_end_the_replica():
+    """Guards against a term that is stored and then can not be sent.
+
+    The replica ends on such an error, and again after each restart.
+    """
+    hosts = tuple(Replica(f'c{number}.0', f'c{number}') for number in range(3))
+    members = Members(hosts)
+    stored = Stored(Vote(1), Snapshot(members=members), ())
+    raft = Raft('c0.0', stored, Timing(), random.Random(1), 0)
+    for message_type, fields in (
+        (VoteReply, {'is_pre': False, 'is_granted': False}),
+        (TimeoutNow, {}),
+    ):
+        odd = message_type(
+            source='c1.0', target='c0.0', term=2**64 - 1, **fields
+        )
+        try:
+            received = msgpack_decoder(message_type)(pack(odd))
+        except msgspec.DecodeError:
+            continue
+        raft.receive(received)
+    for now_s in range(1, 60):
+        raft.tick(now_s)
+        for message in raft.take_output().messages:
+            pack(message)
+    assert raft.term < 60
+
+
+def test_odd_timestamp_does_not_stop_the_sender():
+    """Guards against a clock whose next timestamp can not be sent."""
+    clock = HybridClock()
+    clock.observe(Stamp(wall_ms() + 1000, 2**64 - 1))
+    timestamp = clock.tick()
+    assert pack((timestamp.wall_ms, timestamp.counter))
--- a/waxwingsaddle/raft_messages.py
+++ b/waxwingsaddle/raft_messages.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from waxwingsaddle.util.numbers import Count
+
 
 class Replica(msgspec.Struct, frozen=True, array_like=True):
     """A replica of the log.
@@ -75,8 +77,8 @@
 class Entry(msgspec.Struct, frozen=True, array_like=True):
     """A log entry; its index and term identify it and all entries before."""
 
-    index: int
-    term: int
+    index: Count
+    term: Count
     payload: Payload
 
     @property
@@ -96,8 +98,8 @@
         body: The encoded state.
     """
 
-    index: int = 0
-    term: int = 0
+    index: Count = 0
+    term: Count = 0
     members: Members = Members()
     body: bytes = b''
 
@@ -110,7 +112,7 @@
         voted_for: Identity it voted for in that term, None for no vote.
     """
 
-    term: int = 0
+    term: Count = 0
     voted_for: str | None = None
 
 
@@ -144,7 +146,7 @@
 
     source: str
     target: str
-    term: int
+    term: Count
 
 
 class VoteRequest(Message, frozen=True, array_like=True, kw_only=True):
@@ -158,8 +160,8 @@
         is_forced: Whether the old leader asked for the election.
     """
 
-    last_index: int
-    last_term: int
+    last_index: Count
+    last_term: Count
     is_pre: bool
     is_forced: bool
 
--- a/waxwingsaddle/util/clock.py
+++ b/waxwingsaddle/util/clock.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from waxwingsaddle.util.numbers import MAX_NUMBER
+
 MS_PER_S = 1000
 
 # A stamp further ahead comes from a wall clock that is set wrong. Following it
@@ -66,8 +68,11 @@
     def observe(self, remote: Stamp) -> None:
         """Advances the clock to a stamp received from another process.
 
-        A stamp more than an hour ahead of the local wall clock is ignored.
+        A stamp more than an hour ahead of the local wall clock is ignored, and
+        so is a counter that could no longer be sent after some ticks.
         """
         if remote.wall_ms - self._wall() > MAX_AHEAD_MS:
             return
+        if remote.counter > MAX_NUMBER:
+            return
         self._last = max(self._last, remote)
