--- a/test/fake_upstream.py
+++ b/test/fake_upstream.py
@@ -71,14 +71,14 @@
         yield pattern[: min(BLOCK_BYTES, size_bytes - start)]
 
 
-def main():
+def main(application=Upstream):
     """Serves on the address of the first argument."""
     green.patch()
     ip, _, port = sys.argv[1].rpartition(':')
     with open(sys.argv[2], 'a', encoding='utf-8') as journal:
         wsgi.server(
             listen((ip, int(port)), backlog=1024),
-            Upstream(journal),
+            application(journal),
             log_output=False,
         )
 
