--- a/waxwingsaddle/util/codec.py
+++ b/waxwingsaddle/util/codec.py
@@ -97,17 +97,26 @@
     return msgspec.json.encode(document)
 
 
-def unpack_toml(text: str) -> Tree:
-    """Decodes TOML.
+def parse_toml(text: str) -> Tree:
+    """Decodes TOML with any numbers.
 
     Raises:
-        ValueError: The text is not TOML, is nested too deeply, or has a number
-            of more digits than any option.
+        ValueError: The text is not TOML or is nested too deeply.
     """
     try:
-        tree = tomllib.loads(text)
+        return tomllib.loads(text)
     except RecursionError:
         raise ValueError('nested too deeply') from None
+
+
+def unpack_toml(text: str) -> Tree:
+    """Decodes TOML that has only options of this project.
+
+    Raises:
+        ValueError: The text is not TOML, is nested too deeply, or has a number
+            of more digits than any option.
+    """
+    tree = parse_toml(text)
     if any(abs(number) > MAX_NUMBER for number in _integers(tree)):
         raise ValueError(f'a number of more than {MAX_DIGITS} digits')
     return tree
