Count as told in doubt only calls without an exact outcome

The soak of stops also counted calls that the node API answered with 504 and the outcome not-run. The figure is informative; no check uses it.

--- a/test/stop_soak.py
+++ b/test/stop_soak.py
@@ -151,7 +151,9 @@
             Counter(rule for rule, _ in found),
             sum(map(verdict.was_cut_at_the_end, requests)),
             sum(
-                request.status in UNKNOWN and not journal.of(request.identifier)
+                request.status in UNKNOWN
+                and request.outcome != 'not-run'
+                and not journal.of(request.identifier)
                 for request in requests
             ),
             len(verdict.stops),
