--- a/test/soak_callers.py
+++ b/test/soak_callers.py
@@ -16,8 +16,8 @@
 ANSWER_BYTES = (50_000, 400_001, 2_000_000)
 PAUSE_S = (0, 0.01, 0.1, 0.3, 0.6, 0.9, 1.3)
 BODY_PAUSE_S = (0.05, 0.3, 0.8)
-KINDS = ('post', 'post', 'get', 'slow', 'chunked', 'stream')
 PIPELINE = 'pipeline'
+KINDS = ('post', 'post', 'get', 'slow', 'chunked', 'stream', PIPELINE)
 
 
 class SoakCaller(threading.Thread):
@@ -40,7 +40,6 @@
         self._hosts = [node.host for node in soak.nodes]
         self._rng.shuffle(self._hosts)
         self._numbers = count()
-        self._kinds = (*KINDS, PIPELINE) if soak.has_pipelines else KINDS
 
     def run(self):
         """Connects to the next node whenever one does not listen."""
@@ -67,7 +66,7 @@
             connection.close()
 
     def _draw(self, host):
-        kind = self._rng.choice(self._kinds)
+        kind = self._rng.choice(KINDS)
         if kind == PIPELINE and self._server == 'ingress':
             methods = self._rng.choices(
                 ('GET', 'GET', 'POST'), k=self._rng.randint(2, 6)
--- a/test/stop_soak.py
+++ b/test/stop_soak.py
@@ -43,13 +43,10 @@
     Args:
         seed: Seed of all draws.
         started: Environment that owns the processes.
-        has_pipelines: Whether callers of plain HTTP also send requests before
-            earlier ones are answered.
     """
 
-    def __init__(self, seed, started, has_pipelines):
+    def __init__(self, seed, started):
         self.seed = seed
-        self.has_pipelines = has_pipelines
         self.is_ending = threading.Event()
         rng = random.Random(seed)
         self.gap_s = rng.choice(((0.2, 0.8), (0.3, 2), (1, 4)))
@@ -220,10 +217,10 @@
     return '\n  '.join((f'{rule}: {sent}', f'journal {entries}', *own))
 
 
-def run_soak(seed, has_pipelines):
+def run_soak(seed):
     """Runs one seed with processes of its own."""
     with node_environment() as started:
-        return StopSoak(seed, started, has_pipelines).run()
+        return StopSoak(seed, started).run()
 
 
 def main():
@@ -231,11 +228,10 @@
     parser = argparse.ArgumentParser()
     parser.add_argument('--seeds', type=int, default=50)
     parser.add_argument('--first', type=int, default=1)
-    parser.add_argument('--pipelines', action='store_true')
     arguments = parser.parse_args()
     failed = []
     for seed in range(arguments.first, arguments.first + arguments.seeds):
-        result = run_soak(seed, arguments.pipelines)
+        result = run_soak(seed)
         print(f'seed {seed}: {result.summary()}', flush=True)
         if result.problems:
             failed.append(seed)
--- a/test/test_stop_soak.py
+++ b/test/test_stop_soak.py
@@ -15,7 +15,7 @@
     Callers of both servers use kept connections while four nodes stop and start
     again, in series that overlap.
     """
-    result = run_soak(seed, has_pipelines=False)
+    result = run_soak(seed)
     assert not result.problems, '\n'.join((result.summary(), *result.problems))
     served = sum(request.status == 200 for request in result.requests)
     assert served > MIN_SERVED, result.summary()
