Bound the wait of a stop for requests that never end

What was seen: with half a body sent to it, the HTTP server of a program still waited for the rest 8 s after SIGTERM (trial of the reviewer). A control host would be killed before it has handed its leadership over. Cause: eventlet's server waits for all its green threads without a limit. Result: test_server_stop fails before (still waiting after 4 s) and passes now.

--- a/waxwingsaddle/web.py
+++ b/waxwingsaddle/web.py
@@ -5,7 +5,7 @@
 from contextlib import suppress
 from typing import Any
 
-from eventlet import convenience, greenthread, wsgi
+from eventlet import Timeout, convenience, greenthread, wsgi
 from greenlet import GreenletExit
 
 from waxwingsaddle import metrics
@@ -21,6 +21,8 @@
 LISTEN_BACKLOG = 1024
 JSON_TYPE = 'application/json'
 EVENTS_PATH = '/v1/events'
+# Leaves time for what a program does after its servers have stopped.
+_STOP_LIMIT_S = 3
 
 
 class StopServing(GreenletExit):
@@ -175,6 +177,8 @@
         address: IP number and port to listen on.
         application: WSGI application.
         protocol: Class that serves the requests of a connection.
+        stop_limit_s: Longest wait for requests in progress at a stop, in
+            seconds.
     """
 
     def __init__(
@@ -182,10 +186,12 @@
         address: str,
         application: Application,
         protocol: type[wsgi.HttpProtocol] = wsgi.HttpProtocol,
+        stop_limit_s: float = _STOP_LIMIT_S,
     ) -> None:
         self._address = address
         self._application = application
         self._protocol = protocol
+        self._stop_limit_s = stop_limit_s
         self._thread: greenthread.GreenThread | None = None
 
     def start(self) -> None:
@@ -202,12 +208,12 @@
         )
 
     def stop(self) -> None:
-        """Closes the listener and idle connections, waits for open requests."""
+        """Closes listener and idle connections, waits for open requests."""
         if self._thread is None:
             return
         # A thread that has not started yet needs all three parts of the
         # exception: eventlet passes them to `throw`.
         self._thread.kill(StopServing, StopServing(), None)
-        with suppress(StopServing):
+        with suppress(StopServing), Timeout(self._stop_limit_s, False):
             self._thread.wait()
         self._thread = None
