Ignore stop signals once a program has stopped

Cause: the interpreter restores the default actions of signals before it exits. Change: stop signals are ignored after the last line of the log.

--- a/waxwingsaddle/program.py
+++ b/waxwingsaddle/program.py
@@ -110,6 +110,7 @@
     logs.logger().info('stopping')
     kernel.stop()
     logs.logger().info('stopped')
+    _ignore_signals()
     return 0
 
 
@@ -132,5 +133,12 @@
     return readable, writable
 
 
+def _ignore_signals() -> None:
+    # The interpreter restores the default actions of other handlers before it
+    # exits, and a signal would then end a program that has stopped in order.
+    for number in STOP_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+
+
 def _ignore(_number: int, _frame: object) -> None:
     """Does nothing: the wake-up descriptor reports the signal."""
