--- a/waxwingsaddle/running_calls.py
+++ b/waxwingsaddle/running_calls.py
@@ -1,4 +1,4 @@
-"""Calls of callers that run on this node, for the report of a stop."""
+"""Calls of callers that run on this node, which a stop cuts off at its end."""
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
