--- a/test/meshports.py
+++ b/test/meshports.py
@@ -80,3 +80,6 @@
     b'"maxHeaderBytes":16384,"maxBodyBytes":67108864,'
     b'"headerTimeout":"3000ms","idleTimeout":"15000ms"}}]}'
 )
+
+# Nested far deeper than the recursion limit.
+DEEP = b''.join((b'[' * 3000, b']' * 3000))
