--- a/review/standins/upstream.py
+++ b/review/standins/upstream.py
@@ -42,8 +42,11 @@
         self._slots = slots
         self._sequence = 0
         self._is_open = True
+        self._is_leaving = False
         self.state = 'ready'
         self.runs: list[tuple[str, str, str]] = []
+        # Monotonic time at which each run began, in seconds.
+        self.run_times_s: list[float] = []
         self.connections = 0
         self._lock = threading.Lock()
         self._listener = socket.create_server(
@@ -54,6 +57,10 @@
 
     def heartbeat(self) -> int | None:
         """Sends one heartbeat to the node beside it; returns the status."""
+        return self.send_heartbeat(self.next_heartbeat())
+
+    def next_heartbeat(self) -> bytes:
+        """Returns the next heartbeat."""
         ip, port = self._deployment.address(self._machine, 'app')
         with self._lock:
             self._sequence += 1
@@ -73,11 +80,25 @@
                 'warmupLeft': '0ms',
             },
         }
+        return json.dumps(body).encode()
+
+    def send_heartbeat(self, body: bytes) -> int | None:
+        """Sends a heartbeat that was made before; returns the status."""
+        return self._tell('heartbeat', body)
+
+    def deregister(self) -> int | None:
+        """Says that it leaves, after which it sends no more heartbeats."""
+        self._is_leaving = True
+        return self._tell(
+            'deregister', json.dumps({'born': self._born_ms}).encode()
+        )
+
+    def _tell(self, what: str, body: bytes) -> int | None:
         reply = http(
             self._deployment.address(self._machine, 'control'),
             'POST',
-            f'/v1/instances/{self.name}/heartbeat',
-            json.dumps(body).encode(),
+            f'/v1/instances/{self.name}/{what}',
+            body,
         )
         return reply and reply[0]
 
@@ -87,7 +108,7 @@
         self._listener.close()
 
     def _beat(self) -> None:
-        while self._is_open:
+        while self._is_open and not self._is_leaving:
             status = self.heartbeat()
             time.sleep(_BEAT_S if status == 200 else 0.3)
 
@@ -152,6 +173,7 @@
         """Records that it has begun to work on a request."""
         request_id = request['fields'].get('x-waxwingsaddle-request-id', '')
         with self._lock:
+            self.run_times_s.append(time.monotonic())
             self.runs.append((request_id, request['method'], request['target']))
         self.record(
             f'runs {request_id} {request["method"]} {request["target"]}'
