Give the log the voters that the tolerated losses need

Cause: the first voters are the three seeds, and no voter was ever added. The fault tolerance in the settings of the platform was not read.

Change: `tolerated_hosts` and `tolerated_zones` set the number of voters and their spread over zones. The leader promotes learners until there are enough, and an edit waits until then. Replicas carry their zone.

--- a/test/test_cluster_join.py
+++ b/test/test_cluster_join.py
@@ -7,14 +7,10 @@
 
 from test.test_raft_driver import _running_driver, _wait_for
 from waxwingsaddle.addresses import ControlHost
-from waxwingsaddle.cluster_join import (
-    ClusterJoin,
-    Join,
-    JoinReply,
-    VoterReplacementPolicy,
-)
+from waxwingsaddle.cluster_join import ClusterJoin, Join, JoinReply
 from waxwingsaddle.membership import AddLearner, Remove, Replace, apply_change
 from waxwingsaddle.raft_messages import Members, Replica
+from waxwingsaddle.voter_policy import VoterPolicy
 
 EARLIER = Replica('c1.earlier', 'c1', '127.0.0.1:2')
 PRESENT = Replica('c1.present', 'c1', '127.0.0.1:2')
@@ -58,7 +54,7 @@
             host,
             ('c0',),
             False,
-            VoterReplacementPolicy(0, 1),
+            VoterPolicy(0, 1),
         )
 
     def send_join(self, replica, challenge=''):
--- a/test/test_platform_settings.py
+++ b/test/test_platform_settings.py
@@ -78,3 +78,17 @@
         except ValueError:
             continue
         raise AssertionError(text)
+
+
+def test_tolerated_losses_reach_the_control_hosts():
+    """Guards against as many voters as there are seeds: review case 1."""
+    text = SETTINGS.replace('appAddr =', 'dataDir = "/data"\nappAddr =')
+    losses = '[timing.faultTolerance]\nmachines = 2\nzones = 1\nregions = 0\n'
+    control = control_settings(
+        parse_platform_settings('boot.toml', f'{text}{losses}')
+    )
+    assert isinstance(control, ControlSettings), control
+    assert control.voter_policy.target_voters == 5
+    assert control.voter_policy.tolerated_zones == 1
+    without = control_settings(parse_platform_settings('boot.toml', text))
+    assert without.voter_policy.target_voters == 3
--- a/test/test_voter_replacement.py
+++ b/test/test_voter_replacement.py
@@ -5,13 +5,17 @@
     MembershipError,
     Promote,
     apply_change,
+    identity_losing_vote,
 )
 from waxwingsaddle.raft_messages import Members, Replica
+from waxwingsaddle.voter_policy import VoterPolicy
 from waxwingsaddle.voter_replacement import next_voter_change
 
 
 def _replica(host):
-    return Replica(f'{host}.1', host, f'10.1.0.{host[1:]}:7620')
+    """Returns a replica; a host named `c2b` is in zone `b`."""
+    zone = host[2:]
+    return Replica(f'{host}.1', host, f'10.1.0.{host[1]}:7620', zone)
 
 
 def _members(voters, learners=()):
@@ -21,13 +25,14 @@
     )
 
 
-def _apply_changes(members, lost_hosts, voters_wanted=3):
+def _apply_changes(members, lost_hosts, voters_wanted=3, **tolerated):
     """Applies changes until there are none; returns them and the members."""
+    policy = VoterPolicy(voters_wanted, 1, **tolerated)
     steps = []
     while True:
         change = next_voter_change(
             members,
-            voters_wanted,
+            policy,
             {f'{host}.1' for host in lost_hosts}.__contains__,
             lambda _: True,
         )
@@ -92,3 +97,40 @@
     except MembershipError:
         return
     raise AssertionError('the last voter was demoted')
+
+
+def test_voters_grow_until_they_bear_the_tolerated_losses():
+    """Guards against a log that two lost disks end: review case 1.
+
+    The hosts were told of three seeds, so only those vote at the start.
+    """
+    hosts = ('c4a', 'c5b', 'c6d', 'c7e', 'c8c')
+    steps, members = _apply_changes(
+        _members(('c1a', 'c2b', 'c3c'), hosts), (), tolerated_hosts=2
+    )
+    assert steps == [Promote('c6d.1'), Promote('c7e.1')]
+    assert len(members.voters) == 5
+
+
+def test_votes_move_out_of_a_zone_that_holds_too_many():
+    """Guards against a majority that is lost together with one zone."""
+    steps, members = _apply_changes(
+        _members(('c1a', 'c2a', 'c3b'), ('c4a', 'c5c')), (), tolerated_zones=1
+    )
+    assert steps == [Promote('c5c.1'), Demote('c1a.1', is_surplus=True)]
+    zones = [voter.availability_zone for voter in members.voters]
+    assert sorted(zones) == ['a', 'b', 'c']
+
+
+def test_voters_stay_if_there_is_no_other_zone():
+    """Guards against votes that move to and fro for ever."""
+    steps, _ = _apply_changes(
+        _members(('c1a', 'c2a', 'c3b'), ('c4a', 'c5b')), (), tolerated_zones=1
+    )
+    assert not steps
+
+
+def test_live_voter_is_demoted_only_as_surplus():
+    """Guards against a repair that takes the vote of a voter that responds."""
+    assert identity_losing_vote(Demote('c1a.1')) == 'c1a.1'
+    assert identity_losing_vote(Demote('c1a.1', is_surplus=True)) is None
--- a/waxwingsaddle/cluster_join.py
+++ b/waxwingsaddle/cluster_join.py
@@ -13,7 +13,6 @@
 """
 
 import secrets
-from dataclasses import dataclass
 
 import msgspec
 
@@ -28,6 +27,7 @@
 from waxwingsaddle.peers import Peers
 from waxwingsaddle.raft_driver import RaftDriver
 from waxwingsaddle.raft_messages import Members, Replica
+from waxwingsaddle.voter_policy import VoterPolicy
 from waxwingsaddle.voter_replacement import next_voter_change
 
 
@@ -82,21 +82,6 @@
 CHALLENGE_BYTES = 6
 
 
-@dataclass(frozen=True, slots=True)
-class VoterReplacementPolicy:
-    """When an unresponsive voter is replaced by a caught-up learner.
-
-    Attributes:
-        voters_wanted: Number of voters to maintain; 0 leaves all changes to
-            operators.
-        lost_after_s: Seconds without a reply after which a voter counts as
-            lost.
-    """
-
-    voters_wanted: int
-    lost_after_s: float
-
-
 class ClusterJoin:
     """Joins this host to the cluster and, as leader, admits other hosts.
 
@@ -107,7 +92,7 @@
         first_voters: Names of the hosts that are voters of a new log.
         has_lost_state: Whether damaged state of this host was set aside. The
             host then does not take part in the bootstrap of a new log.
-        replacement_policy: When an unresponsive voter is replaced.
+        voter_policy: Which voters the log should have.
     """
 
     def __init__(
@@ -117,15 +102,16 @@
         this_host: ControlHost,
         first_voters: tuple[str, ...],
         has_lost_state: bool,
-        replacement_policy: VoterReplacementPolicy,
+        voter_policy: VoterPolicy,
     ) -> None:
         self._driver = driver
-        self._replacement_policy = replacement_policy
+        self._voter_policy = voter_policy
         self._peers = peers
         self._replica = Replica(
             driver.raft.identity,
             this_host.host,
             this_host.peer_address,
+            this_host.availability_zone,
         )
         self._first_voters = first_voters
         self._has_lost_state = has_lost_state
@@ -177,8 +163,8 @@
     def _propose_change(self) -> None:
         changes = (
             *self._replacements(),
-            *self._additions(),
             *self._voter_changes(),
+            *self._additions(),
         )
         for change in changes:
             try:
@@ -203,11 +189,12 @@
         raft = self._driver.raft
         change = next_voter_change(
             raft.members,
-            self._replacement_policy.voters_wanted,
+            self._voter_policy,
             lambda identity: (
-                raft.silence_s(identity) > self._replacement_policy.lost_after_s
+                raft.silence_s(identity) > self._voter_policy.lost_after_s
             ),
             raft.is_caught_up,
+            raft.identity,
         )
         return [] if change is None else [change]
 
--- a/waxwingsaddle/control_settings.py
+++ b/waxwingsaddle/control_settings.py
@@ -6,12 +6,12 @@
 
 from waxwingsaddle.access import AccessToken, check_names
 from waxwingsaddle.addresses import ControlHost, HostName
-from waxwingsaddle.cluster_join import VoterReplacementPolicy
 from waxwingsaddle.distribution_settings import DistributionSettings
 from waxwingsaddle.peers import PeerLimits
 from waxwingsaddle.raft_driver import DriverLimits
 from waxwingsaddle.raft_state import Timing
 from waxwingsaddle.util.clock import MS_PER_S
+from waxwingsaddle.voter_policy import VoterPolicy
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 
@@ -61,6 +61,10 @@
         edit_bytes: Maximum size of an edit, as the sum of its files.
         voters_wanted: Target number of voters; a learner that has caught up
             replaces a silent voter. 0 leaves changes to operators.
+        tolerated_hosts: Number of control hosts that may lose their disks at
+            the same time. Edits are accepted once there are enough voters.
+        tolerated_zones: Number of availability zones that may be lost at the
+            same time; voters are spread over zones accordingly.
         voter_lost_ms: Silence after which a voter is replaced in this way.
         submit_deadline_ms: Time for which an edit is tried before the answer
             is that its outcome is unknown.
@@ -110,6 +114,8 @@
     history_kept: Positive
     edit_bytes: Positive
     voters_wanted: Annotated[int, msgspec.Meta(ge=0, le=7)]
+    tolerated_hosts: Annotated[int, msgspec.Meta(ge=0, le=6)]
+    tolerated_zones: Annotated[int, msgspec.Meta(ge=0, le=6)]
     voter_lost_ms: Positive
     submit_deadline_ms: Positive
     read_deadline_ms: Positive
@@ -167,11 +173,13 @@
         )
 
     @property
-    def voter_replacement(self) -> VoterReplacementPolicy:
-        """When a silent voter is replaced."""
-        return VoterReplacementPolicy(
+    def voter_policy(self) -> VoterPolicy:
+        """Which voters the log should have."""
+        return VoterPolicy(
             self.voters_wanted,
             self.voter_lost_ms / MS_PER_S,
+            self.tolerated_hosts,
+            self.tolerated_zones,
         )
 
     @property
--- a/waxwingsaddle/leader_requests.py
+++ b/waxwingsaddle/leader_requests.py
@@ -18,11 +18,15 @@
 )
 from waxwingsaddle.raft_driver import RaftDriver
 from waxwingsaddle.util.clock import monotonic_s, wall_ms
+from waxwingsaddle.voter_policy import OPERATORS_ONLY, VoterPolicy
 
 # Polling interval for conditions without an event, such as a new leader.
 POLL_INTERVAL_S = 0.02
 NOT_LEADER = Unavailable(reason='not the leader')
 IN_DOUBT = Unavailable(reason='the result is unknown')
+TOO_FEW_VOTERS = Unavailable(
+    reason='too few voters to bear the tolerated losses'
+)
 
 
 class LeaderRequests:
@@ -30,10 +34,16 @@
 
     Args:
         driver: Runs the replica of this host.
+        voter_policy: Which voters the log needs before it accepts edits.
     """
 
-    def __init__(self, driver: RaftDriver) -> None:
+    def __init__(
+        self,
+        driver: RaftDriver,
+        voter_policy: VoterPolicy = OPERATORS_ONLY,
+    ) -> None:
         self._driver = driver
+        self._voter_policy = voter_policy
 
     def decide_edit(self, edit: Edit, budget_s: float) -> Outcome:
         """Accepts or refuses an edit.
@@ -52,6 +62,9 @@
             return Refused(problems=checked.problems)
         if not self._wait_established(deadline_s):
             return NOT_LEADER
+        # What is accepted with fewer voters could be lost with their disks.
+        if not self._wait_enough_voters(deadline_s):
+            return TOO_FEW_VOTERS
         state = self._driver.state
         outcome = _verdict(state, edit, checked)
         if not isinstance(outcome, Accepted | None):
@@ -130,6 +143,19 @@
         )
         return self._is_established()
 
+    def _wait_enough_voters(self, deadline_s: float) -> bool:
+        """Waits until the voters can bear the tolerated losses."""
+        return wait_until(
+            lambda: self._voter_policy.is_satisfied(
+                self._driver.raft.members, self._is_lost
+            ),
+            deadline_s - monotonic_s(),
+        )
+
+    def _is_lost(self, identity: str) -> bool:
+        silence_s = self._driver.raft.silence_s(identity)
+        return silence_s > self._voter_policy.lost_after_s
+
     def _wait_majority_contact(
         self, requested_s: float, deadline_s: float
     ) -> bool:
--- a/waxwingsaddle/membership.py
+++ b/waxwingsaddle/membership.py
@@ -6,7 +6,7 @@
 
 from waxwingsaddle.raft_messages import Members, Replica
 
-MAX_VOTERS = 7
+MAX_VOTERS = 15
 
 
 class MembershipError(ValueError):
@@ -39,9 +39,16 @@
 
 
 class Demote(msgspec.Struct, frozen=True, tag=True):
-    """Turns an unresponsive voter into a learner."""
+    """Turns a voter into a learner.
+
+    Attributes:
+        identity: Identity of the voter.
+        is_surplus: Whether the other voters suffice. Otherwise the voter must
+            be unresponsive.
+    """
 
     identity: str
+    is_surplus: bool = False
 
 
 class Replace(msgspec.Struct, frozen=True, tag=True):
@@ -86,7 +93,7 @@
 def identity_losing_vote(change: Change) -> str | None:
     """Returns the identity that loses its vote and must not respond."""
     if isinstance(change, Demote):
-        return change.identity
+        return None if change.is_surplus else change.identity
     return change.ended if isinstance(change, Replace) else None
 
 
--- a/waxwingsaddle/raft_messages.py
+++ b/waxwingsaddle/raft_messages.py
@@ -20,11 +20,14 @@
         host: Name of its control host.
         peer_address: Address at which that host receives messages from other
             control hosts.
+        availability_zone: Its availability zone; empty if unknown, as in
+            entries of earlier versions.
     """
 
     identity: str
     host: str
     peer_address: str = ''
+    availability_zone: str = ''
 
 
 class Members(msgspec.Struct, frozen=True, array_like=True, tag='members'):
--- a/waxwingsaddle/replication.py
+++ b/waxwingsaddle/replication.py
@@ -104,7 +104,7 @@
         )
         for message_type in MESSAGE_TYPES:
             peers.subscribe(message_type, self._receive)
-        self._requests = LeaderRequests(self._driver)
+        self._requests = LeaderRequests(self._driver, settings.voter_policy)
         self._forwarder = LeaderForwarder(peers, self._requests, self.state)
         self._cluster_join = ClusterJoin(
             self._driver,
@@ -112,7 +112,7 @@
             settings.this_host,
             settings.initial_voters,
             self._storage.has_lost_state,
-            settings.voter_replacement,
+            settings.voter_policy,
         )
         self._threads: list[greenthread.GreenThread] = []
 
