Match prefixes that end with a slash only where they begin the path

Cause: RouteTable took the slash off prefixes and paths before it compared them.

Change: both are compared as received. A prefix without a slash at its end still matches whole segments. The check for two routes with the same calls, and the node API, compare the same text.

--- a/waxwingsaddle/config_checks.py
+++ b/waxwingsaddle/config_checks.py
@@ -50,7 +50,7 @@
 def _overlap_problems(label: str, document: SiteDocument) -> Iterator[str]:
     by_match: dict[tuple[str, str], list[str]] = defaultdict(list)
     for name, route in sorted(document.routes.items()):
-        by_match[route.host, route.path_prefix.rstrip('/')].append(name)
+        by_match[route.host, route.path_prefix].append(name)
     yield from (
         f'{label}: routes.{first} and routes.{second} '
         f'both take {document.routes[first].path_prefix!r}'
--- a/waxwingsaddle/entry.py
+++ b/waxwingsaddle/entry.py
@@ -117,7 +117,7 @@
         if table is None:
             return _refuse_unclaimed('no-configuration', key)
         method = environ['REQUEST_METHOD']
-        match = table.match(method, environ['PATH_INFO'])
+        match = table.match(method, environ['waxwing.head'].path)
         if match is None:
             return _refuse_unclaimed('no-route', key)
         timeout_ms = _timeout_ms(environ, match)
--- a/waxwingsaddle/http_heads.py
+++ b/waxwingsaddle/http_heads.py
@@ -108,6 +108,16 @@
     framing: Framing
     is_http10: bool
 
+    @property
+    def path(self) -> str:
+        """Path without the query, as received."""
+        return self.target.partition('?')[0]
+
+    @property
+    def host(self) -> str:
+        """Host that the request names, in lower case and without a port."""
+        return self.fields.get('host', '').partition(':')[0].lower()
+
 
 @dataclass(slots=True)
 class ResponseHead:
--- a/waxwingsaddle/ingress.py
+++ b/waxwingsaddle/ingress.py
@@ -156,8 +156,7 @@
         table = self._routing.table
         if table is None:
             return not_run('no-configuration')
-        path = head.target.partition('?')[0]
-        match = table.match(head.method, path, _host(head))
+        match = table.match(head.method, head.path, head.host)
         if match is None:
             return not_run(NO_ROUTE)
         match = self._splitter.select_service(table, match)
@@ -280,7 +279,3 @@
         if is_number and len(text) <= _MAX_TIMEOUT_DIGITS:
             return min(int(text), max_ms)
         return route.timeout_ms or match.service.timeout_ms
-
-
-def _host(head: RequestHead) -> str:
-    return head.fields.get('host', '').partition(':')[0].lower()
--- a/waxwingsaddle/request_log.py
+++ b/waxwingsaddle/request_log.py
@@ -72,7 +72,7 @@
         logs.logger().info(
             'call',
             request_id=head.fields.get(self.request_id_key, ''),
-            target=head.target.partition('?')[0],
+            target=head.path,
             outcome=answer.outcome.value,
             reason=answer.reason,
             status=answer.status,
--- a/waxwingsaddle/routing.py
+++ b/waxwingsaddle/routing.py
@@ -1,5 +1,6 @@
 """Longest-prefix route matching on a configuration snapshot."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import msgspec
@@ -35,8 +36,10 @@
     """Routes of one snapshot, compiled for lookup.
 
     A prefix matches at path segment boundaries only: `/plans` matches `/plans`
-    and `/plans/7`, but not `/planschedule`. Routes that name the host of a
-    call take precedence over those for any host.
+    and `/plans/7`, but not `/planschedule`. A prefix that ends with a slash
+    matches the paths that begin with it: `/plans/` matches `/plans/7`, but not
+    `/plans`. Paths are compared as received, without decoding. Routes that
+    name the host of a call take precedence over those for any host.
 
     Args:
         snapshot: The configuration.
@@ -50,7 +53,7 @@
         self._by_host: dict[str, _Prefixes] = {}
         for name, route in document.routes.items():
             prefixes = self._by_host.setdefault(route.host, {})
-            methods = prefixes.setdefault(route.path_prefix.rstrip('/'), {})
+            methods = prefixes.setdefault(route.path_prefix, {})
             match = _compile_match(name, route, document)
             if match.shares:
                 self.split_matches.append(match)
@@ -62,14 +65,14 @@
 
         Args:
             method: HTTP method.
-            path: Decoded path without the query.
+            path: Path without the query, as received.
             host: Host that the call names, without a port.
 
         Returns:
             The match, or None if no route matches.
         """
         for prefixes in self._prefixes_for_host(host):
-            found = _longest_match(prefixes, method, path.rstrip('/'))
+            found = _longest_match(prefixes, method, path or '/')
             if found is not None:
                 return found
         return None
@@ -94,18 +97,25 @@
     return Match(name, route, document.services[route.service], shares)
 
 
-def _longest_match(
-    prefixes: _Prefixes, method: str, prefix: str
-) -> Match | None:
-    while True:
+def _longest_match(prefixes: _Prefixes, method: str, path: str) -> Match | None:
+    for prefix in _prefixes_of(path):
         methods = prefixes.get(prefix)
         if methods is not None:
             found = methods.get(method) or methods.get(_ANY_METHOD)
             if found is not None:
                 return found
-        if not prefix:
-            return None
-        prefix = prefix[: prefix.rfind('/')] if '/' in prefix else ''
+    return None
+
+
+def _prefixes_of(path: str) -> Iterator[str]:
+    """Yields the prefixes that match a path, longest first."""
+    if not path.endswith('/'):
+        yield path
+    end = path.rfind('/')
+    while end >= 0:
+        yield path[: end + 1]
+        yield path[:end]
+        end = path.rfind('/', 0, end)
 
 
 class RouteTableCache:
--- a/waxwingsaddle/running_calls.py
+++ b/waxwingsaddle/running_calls.py
@@ -146,8 +146,6 @@
             head = self._readers.get(reader)
             if head is not None:
                 _cut_off.inc()
-                logs.logger().warning(
-                    'body cut off', target=head.target.partition('?')[0]
-                )
+                logs.logger().warning('body cut off', target=head.path)
                 greenthread.kill(reader, StoppingError())
         return len(readers)
