Check with the host whether an edit takes calls away from others

A team whose token covers one service could add a route for a host and so take the calls of another team's route for any host; the check of the edit asked for the matches of a call without a host, which finds no route of a host.

test_route_of_a_host_takes_no_calls_of_another_team fails without the change.

--- a/test/test_scope.py
+++ b/test/test_scope.py
@@ -102,6 +102,16 @@
     assert control.replication.state.version == 1
 
 
+def test_route_of_a_host_takes_no_calls_of_another_team():
+    """Guards against a capture check that compares calls without a host."""
+    control, token = _control_with_token(services=('orders',), may_write=True)
+    named = route('/plans/7').replace('service', 'host = "a.example"\nservice')
+    body = _edit_with('[routes.plan]', f'{named}[routes.plan]')
+    status, failure = ask(control, 'POST', '/v1/edits', body, token)
+    assert status == 403, failure
+    assert "away from route 'plan' of service 'plans'" in failure['message']
+
+
 @params(('"POST"', 403), ('"GET"', 200))
 def test_changed_methods_take_no_calls(methods, expected):
     """Guards against a route that captures calls of another team's route."""
--- a/waxwingsaddle/route_capture.py
+++ b/waxwingsaddle/route_capture.py
@@ -36,9 +36,10 @@
 def captures(old: Tree, new: Tree) -> Iterator[Capture]:
     """Yields the calls that new and changed routes redirect.
 
-    It suffices to check calls at the prefix of each route. Other calls of the
-    route had the same longest match before the edit, and calls below a longer
-    prefix belong to the route of that prefix, which is checked itself.
+    It suffices to check calls at the host and prefix of each route. Other
+    calls of the route had the same longest match before the edit, and calls
+    below a longer prefix belong to the route of that prefix, which is checked
+    itself.
 
     Args:
         old: Merged tree of a site before the edit.
@@ -46,13 +47,13 @@
     """
     tables = [RouteTable(snapshot('', 0, tree)) for tree in (old, new)]
     before_routes = old.get('routes', {})
-    changed_prefixes = [
-        route['path_prefix']
+    changed_keys = {
+        (route.get('host', ''), route['path_prefix'])
         for name, route in new.get('routes', {}).items()
         if before_routes.get(name) != route
-    ]
-    for prefix, method in product(sorted(set(changed_prefixes)), METHODS):
-        before, after = (table.match(method, prefix) for table in tables)
+    }
+    for (host, prefix), method in product(sorted(changed_keys), METHODS):
+        before, after = (table.match(method, prefix, host) for table in tables)
         if before is None or after is None:
             continue
         if before.route.services != after.route.services:
