Tell the reader of a connection that this side ends it

Cause: a cancelled call shuts its connection to the upstream down, and the reader takes the end of the input that this causes for the end of the body.

Change: SocketReader.abort, called before the shutdown, and close make every later end an error, which collected and streamed bodies already handle.

--- a/test/scripted_hosts.py
+++ b/test/scripted_hosts.py
@@ -7,14 +7,19 @@
 
 
 @contextmanager
-def two_hosts(*scripts):
-    """Yields a scripted upstream, its guarding node and an entry node."""
+def two_hosts(*scripts, **settings):
+    """Yields a scripted upstream, its guarding node and an entry node.
+
+    Args:
+        scripts: Scripts of the upstream.
+        settings: Additional settings of both nodes.
+    """
     upstream = ScriptedUpstream(*scripts)
     upstream.name = 'up-1'
     upstream.slots = 6
     with node_environment() as started:
-        guard = started.new_node('guard')
-        entry = started.new_node('entry')
+        guard = started.new_node('guard', **settings)
+        entry = started.new_node('entry', **settings)
         guard.start(nodes=(entry, guard))
         guard.announce(upstream)
         entry.start([guard.entry(upstream)], nodes=(entry, guard))
--- a/test/test_socket_reader.py
+++ b/test/test_socket_reader.py
@@ -6,6 +6,7 @@
 from contextlib import contextmanager
 
 import eventlet
+from nose2.tools import params
 
 from waxwingsaddle.socket_reader import SocketReader
 
@@ -45,6 +46,30 @@
         raise AssertionError(f'read {remainder!r} as the end')
 
 
+def _shut_down(reader, local_socket):
+    reader.abort()
+    local_socket.shutdown(socket.SHUT_RDWR)
+
+
+def _close(reader, _local_socket):
+    reader.close()
+
+
+@params(_shut_down, _close)
+def test_end_that_this_side_caused_is_an_error(end):
+    """Guards against a half body that looks whole after our own close."""
+    with connected_reader() as (reader, peer):
+        peer.sendall(b'half of a body')
+        assert reader.read(4) == b'half'
+        eventlet.spawn_after(0.05, end, reader, reader._sock)
+        eventlet.spawn_after(0.1, peer.sendall, b' and more')
+        try:
+            remainder = reader.read(100)
+        except ConnectionAbortedError:
+            return
+        raise AssertionError(f'read {remainder!r} as the end')
+
+
 def test_regular_close_ends_the_body():
     """Guards against a complete body without length taken for truncated."""
     with connected_reader() as (reader, peer):
--- a/waxwingsaddle/socket_reader.py
+++ b/waxwingsaddle/socket_reader.py
@@ -37,6 +37,7 @@
         # keeps reading many short lines linear in their size.
         self._start = 0
         self._is_ended = False
+        self._is_aborted = False
         self._receives = 0
 
     @property
@@ -48,10 +49,11 @@
         """Returns the buffer without consuming it; waits if it is empty.
 
         Returns:
-            The buffered bytes; empty at the end of the connection.
+            The buffered bytes; empty after the peer closed the connection.
 
         Raises:
-            OSError: The connection broke off or the deadline passed.
+            OSError: The connection broke off, this side closed it, or the
+                deadline passed.
         """
         if not self.has_buffered:
             self._receive_more()
@@ -94,9 +96,18 @@
         self._buffer = b''
         self._start = 0
 
+    def abort(self) -> None:
+        """Makes reads fail at the end, because this side ends the connection.
+
+        Otherwise a body that lasts until the connection closes would look
+        complete wherever this side shut the connection down.
+        """
+        self._is_aborted = True
+
     def close(self) -> None:
-        """Discards the buffered bytes; later reads return no bytes."""
+        """Discards the buffered bytes; later reads fail."""
         self.discard()
+        self.abort()
         self._is_ended = True
 
     def _take(self, size_bytes: int) -> bytes:
@@ -109,10 +120,10 @@
         return block
 
     def _receive_more(self) -> bool:
-        if self._is_ended:
-            return False
-        received = self._receive()
-        self._is_ended = not received
+        received = b'' if self._is_ended else self._receive()
+        self._is_ended = self._is_ended or not received
+        if self._is_ended and self._is_aborted:
+            raise ConnectionAbortedError('this side closed the connection')
         self._buffer = self._buffer[self._start :] + received
         self._start = 0
         return bool(received)
--- a/waxwingsaddle/upstream_connection.py
+++ b/waxwingsaddle/upstream_connection.py
@@ -92,6 +92,7 @@
         """Shuts down the connection, which the upstream notices."""
         self.is_aborted = True
         if self.connection is not None:
+            self.connection.reader.abort()
             try:
                 self.connection.sock.shutdown(socket.SHUT_RDWR)
             except OSError:
