Reset the connection of an HTTP/1.0 caller whose answer breaks off

A body without length ends with its connection for such callers. When the upstream broke off, the node closed the connection regularly, and half of an answer looked whole. Both servers now reset it.

test_broken_body_never_looks_whole_to_an_old_caller fails without the change: 295,019 bytes end regularly at the first of four servers. With it, all four end with a reset.

--- a/test/scripted_hosts.py
+++ b/test/scripted_hosts.py
@@ -4,6 +4,7 @@
 
 from test.nodes import node_environment
 from test.scripted_upstreams import ScriptedUpstream
+from waxwingsaddle.util.ports import free_address
 
 
 @contextmanager
@@ -18,8 +19,10 @@
     upstream.name = 'up-1'
     upstream.slots = 6
     with node_environment() as started:
-        guard = started.new_node('guard', **settings)
-        entry = started.new_node('entry', **settings)
+        guard, entry = (
+            started.new_node(host, ingress_address=free_address(), **settings)
+            for host in ('guard', 'entry')
+        )
         guard.start(nodes=(entry, guard))
         guard.announce(upstream)
         entry.start([guard.entry(upstream)], nodes=(entry, guard))
--- a/test/test_broken_answers.py
+++ b/test/test_broken_answers.py
@@ -3,10 +3,12 @@
 from http.client import HTTPConnection, HTTPException
 from itertools import product
 
+import eventlet
 from nose2.tools import params
 
 from test.scripted_hosts import two_hosts
 from test.scripted_upstreams import reset
+from waxwingsaddle.socket_reader import SocketReader
 
 WHOLE = (
     b'HTTP/1.1 200 OK\r\nX-Id: z1\r\nContent-Length: 300000\r\n'
@@ -77,3 +79,31 @@
     with two_hosts(script, script) as hosts:
         for address in _addresses(hosts):
             assert _post(address) == (200, BODY)
+
+
+def _receive_all(address):
+    """Makes a call of HTTP/1.0; returns what came until the regular close."""
+    host, _, port = address.partition(':')
+    with eventlet.connect((host, int(port))) as sock:
+        sock.settimeout(10)
+        # The green socket returns no bytes after a reset.
+        reader = SocketReader(sock)
+        sock.sendall(b'POST /orders?id=z1 HTTP/1.0\r\nHost: orders\r\n\r\n')
+        return reader.read(len(UNSIZED) + len(BODY) + 1000)
+
+
+def test_broken_body_never_looks_whole_to_an_old_caller():
+    """Guards against the close of a connection that ends a broken body.
+
+    HTTP/1.0 has no chunks, so the close is the only end of a body without
+    length.
+    """
+    scripts = [[UNSIZED + BODY, reset, None] for _ in range(4)]
+    with two_hosts(*scripts) as (_, guard, entry):
+        for node in (guard, entry):
+            for server in ('http_address', 'ingress_address'):
+                try:
+                    received = _receive_all(node.settings[server])
+                except ConnectionResetError:
+                    continue
+                raise AssertionError((server, len(received)))
--- a/waxwingsaddle/lean_http.py
+++ b/waxwingsaddle/lean_http.py
@@ -23,7 +23,7 @@
     parse_request,
     read_head,
 )
-from waxwingsaddle.lingering_close import linger
+from waxwingsaddle.lingering_close import linger, reset_on_close
 from waxwingsaddle.web import Environ
 
 _CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -71,13 +71,22 @@
         limits: Largest accepted head.
         is_lingering: Whether the connection is closed only after its caller
             had time to read the last answer.
+        is_broken_off: Whether the connection is to be reset, because a plain
+            close would mark the end of a body that broke off.
     """
 
     limits = HeadLimits()
     is_lingering = False
+    is_broken_off = False
 
     def finish(self) -> None:
         """Closes the connection."""
+        if self.is_broken_off:
+            reset_on_close(self.connection)
+            # The socket stays open as long as one of these is.
+            for stream in (self.rfile, self.wfile, self.connection):
+                stream.close()
+            return
         if self.is_lingering:
             linger(self.connection)
         super().finish()
@@ -226,6 +235,7 @@
         """Breaks the response off, so that it does not look complete."""
         logs.logger().warning('answer broke off', error=repr(error))
         self._protocol.close_connection = True
+        self._protocol.is_broken_off = self._is_until_close
         if not self._is_head_written:
             self.start('500 Internal Server Error', [])
             self._send(self._build_head(0), b'')
--- a/waxwingsaddle/lingering_close.py
+++ b/waxwingsaddle/lingering_close.py
@@ -1,6 +1,7 @@
-"""Close of a connection after its last answer."""
+"""Close of a connection after its last answer, or in the middle of one."""
 
 import socket
+import struct
 import time
 from typing import Any
 
@@ -8,6 +9,13 @@
 
 # Time in which the peer has to close its end.
 _LINGER_S = 1.0
+# Closing a socket with this SO_LINGER option resets the connection.
+_LINGER_ZERO = struct.pack('ii', 1, 0)
+
+
+def reset_on_close(sock: Any) -> None:
+    """Makes the close of a socket reset its connection."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
 
 
 def linger(sock: Any) -> None:
--- a/waxwingsaddle/reply_writer.py
+++ b/waxwingsaddle/reply_writer.py
@@ -5,6 +5,7 @@
 
 from waxwingsaddle.calls import Answer, HeaderPairs
 from waxwingsaddle.http_heads import STATUS_LINES, RequestHead
+from waxwingsaddle.lingering_close import reset_on_close
 
 _BODYLESS = frozenset((204, 304))
 
@@ -57,7 +58,13 @@
         sock.sendall(head_bytes if is_bodyless else head_bytes + answer.body)
         return not reply.is_last
     sock.sendall(head_bytes)
-    sent_bytes = _write_stream(sock, answer, is_chunked)
+    try:
+        sent_bytes = _write_stream(sock, answer, is_chunked)
+    except BaseException:
+        if is_until_close:
+            # A plain close would mark the end of the body.
+            reset_on_close(sock)
+        raise
     is_complete = length is None or sent_bytes == length
     return is_complete and not reply.is_last and not is_until_close
 
--- a/waxwingsaddle/upstream_connection.py
+++ b/waxwingsaddle/upstream_connection.py
@@ -1,7 +1,5 @@
 """HTTP connection to an upstream, and reading of answers from it."""
 
-import struct
-
 from eventlet.green import socket
 
 from waxwingsaddle.calls import Request
@@ -14,6 +12,7 @@
     parse_response,
     read_head,
 )
+from waxwingsaddle.lingering_close import reset_on_close
 from waxwingsaddle.socket_reader import SocketReader
 
 # Maximum number and body size of stray answers, which are second answers to
@@ -27,8 +26,6 @@
 # Maximum number of interim answers before the final answer to a request.
 _MAX_INTERIM_ANSWERS = 8
 _MIN_REDIRECT_STATUS = 300
-# Closing a socket with this SO_LINGER option resets the connection.
-_LINGER_ZERO = struct.pack('ii', 1, 0)
 
 
 class Connection:
@@ -77,7 +74,7 @@
         After a plain close, an upstream that goes on sending may wait for room
         in its window for as long as the kernel knows the connection, a minute.
         """
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+        reset_on_close(self.sock)
         self.close()
 
 
