Keep drains and ends of upstreams beyond the end of their node

Cause: the node alone remembered which upstreams had left. The directory of the control hosts says what is there, not what must not come back.

Change: departures are part of the directory entry, outlive it, and come back with the next lease.

--- a/test/distribution_fakes.py
+++ b/test/distribution_fakes.py
@@ -69,10 +69,22 @@
     """Service `upstreams` of a node, whose announcements a test sets."""
 
     parts: tuple = ()
+    departed: tuple = ()
+    restored: tuple = ()
 
     def announcements(self):
         return self.parts
 
+    def departures(self):
+        return self.departed
+
+    def restore_departures(self, departures):
+        self.restored += departures
+        self.departed += departures
+
+    def keep_departures(self, wait_until_kept):
+        """Acknowledges nothing."""
+
 
 class FakeNodeTransport:
     """Service `hop`: answers requests between nodes directly."""
@@ -235,6 +247,11 @@
     def _on_in_force(self, version):
         self.seen.append(version)
 
+    def crash(self):
+        """Ends without a message to its control host."""
+        self.service._thread.kill()
+        self.service.session.link.close()
+
     def announce(self, *parts):
         self.upstreams.parts = parts
         self.kernel.publish('upstreams-changed')
--- a/test/test_distribution_starts.py
+++ b/test/test_distribution_starts.py
@@ -9,11 +9,10 @@
 from test.distribution_fleet import ZONES, fleet, until
 from waxwingsaddle.control_link import query_versions
 from waxwingsaddle.known_controls import ControlList
+from waxwingsaddle.neighbour_messages import WholeQuery, WholeReply
 from waxwingsaddle.node_messages import (
     FloorQuery,
     FloorReply,
-    WholeQuery,
-    WholeReply,
 )
 
 
--- a/waxwingsaddle/announcement_order.py
+++ b/waxwingsaddle/announcement_order.py
@@ -54,12 +54,15 @@
         self._newest[name] = position
         return True
 
-    def record_end(self, name: str, started_at_ms: int) -> None:
+    def record_end(self, name: str, started_at_ms: int) -> int:
         """Records that an upstream has left; ignores its late announcements.
 
         Args:
             name: Name of the upstream.
             started_at_ms: Start time of the incarnation; 0 if not given.
+
+        Returns:
+            The start time of the incarnation; 0 if it is not known.
         """
         newest_ms, _ = self._newest.pop(name, (0, 0))
         ended_ms = started_at_ms or newest_ms
@@ -67,7 +70,23 @@
             # This node has restarted since the last announcement, and the
             # leave message does not identify the incarnation.
             self._unidentified_end_s[name] = self.clock()
-        self._ended[name] = max(ended_ms, self._ended.pop(name, 0))
+        self._record_ended(name, ended_ms)
+        return ended_ms
+
+    def restore_end(self, name: str, started_at_ms: int, ago_s: float) -> None:
+        """Records an end that an earlier incarnation of this node recorded.
+
+        Args:
+            name: Name of the upstream.
+            started_at_ms: Start time of the incarnation; 0 if not known.
+            ago_s: Seconds since then.
+        """
+        if not started_at_ms:
+            self._unidentified_end_s[name] = self.clock() - ago_s
+        self._record_ended(name, started_at_ms)
+
+    def _record_ended(self, name: str, started_at_ms: int) -> None:
+        self._ended[name] = max(started_at_ms, self._ended.pop(name, 0))
         for ended in (self._ended, self._unidentified_end_s):
             if len(ended) > _MAX_ENDED:
                 ended.popitem(last=False)
--- a/waxwingsaddle/directory.py
+++ b/waxwingsaddle/directory.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from waxwingsaddle.addresses import OptionalAddress
+from waxwingsaddle.departures import Departures, convert_departures
 from waxwingsaddle.util.clock import monotonic_ms
 from waxwingsaddle.util.codec import encode_canonical
 from waxwingsaddle.util.numbers import Count, SpanMs
@@ -56,6 +57,8 @@
         is_gone: Whether the entry is a tombstone: the node left or its lease
             ended.
         upstreams: Upstreams that the node announced.
+        departures: Upstreams that drain or have left, also after the end of
+            the node; nodes do not get them.
     """
 
     host: str
@@ -66,6 +69,7 @@
     holder: str
     is_gone: bool = False
     upstreams: tuple[UpstreamRecord, ...] = ()
+    departures: Departures = ()
 
 
 class UpstreamEntry(msgspec.Struct, frozen=True):
@@ -146,7 +150,10 @@
         )
         for upstream in record.upstreams
     )
-    return msgspec.structs.replace(record, upstreams=upstreams)
+    departures = convert_departures(record.departures, now_ms)
+    return msgspec.structs.replace(
+        record, upstreams=upstreams, departures=departures
+    )
 
 
 def as_tombstone(record: NodeRecord) -> NodeRecord:
--- a/waxwingsaddle/directory_exchange.py
+++ b/waxwingsaddle/directory_exchange.py
@@ -190,9 +190,20 @@
         )
         self.peers.send(sender, own_changes)
         if message.is_restarted:
-            copies = self._with_ages(self.directory.records_of_holder(sender))
+            copies = self._with_ages(self._records_kept_for(sender))
             self.peers.send(sender, DirectoryChanges(copies))
 
+    def _records_kept_for(self, holder: str) -> tuple[NodeRecord, ...]:
+        """Returns its live entries, and ended ones that have departures."""
+        return (
+            *self.directory.records_of_holder(holder),
+            *(
+                record
+                for record in self.directory.tombstones()
+                if record.holder == holder and record.departures
+            ),
+        )
+
     def _end_missing(
         self,
         holder: str,
--- a/waxwingsaddle/directory_feed.py
+++ b/waxwingsaddle/directory_feed.py
@@ -190,5 +190,7 @@
         for upstream in record.upstreams
         if upstream.service in services
     )
-    # Nodes do not use the holder, so it is left out.
-    return msgspec.structs.replace(record, holder='', upstreams=upstreams)
+    # Nodes do not use the holder and the departures of others.
+    return msgspec.structs.replace(
+        record, holder='', upstreams=upstreams, departures=()
+    )
--- a/waxwingsaddle/fleet.py
+++ b/waxwingsaddle/fleet.py
@@ -12,6 +12,7 @@
 
 from waxwingsaddle import settings as checked_settings
 from waxwingsaddle.addresses import Address, HostName, NodeControl
+from waxwingsaddle.departures import Departures, WaitUntilKept
 from waxwingsaddle.events import Timeline
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.node_settings import NodeSettings
@@ -113,6 +114,16 @@
         """Returns the only upstream."""
         return (self._upstream,)
 
+    def departures(self) -> Departures:
+        """Returns no departures."""
+        return ()
+
+    def restore_departures(self, departures: Departures) -> None:
+        """Ignores them, since the upstream never leaves."""
+
+    def keep_departures(self, wait_until_kept: WaitUntilKept) -> None:
+        """Acknowledges none, since the upstream never leaves."""
+
     def set_state(self, state: str) -> None:
         """Changes the state of the upstream."""
         self._upstream = msgspec.structs.replace(self._upstream, state=state)
--- a/waxwingsaddle/neighbours.py
+++ b/waxwingsaddle/neighbours.py
@@ -7,11 +7,10 @@
 
 from waxwingsaddle.config import SiteSnapshot
 from waxwingsaddle.control_host_selection import VersionReply
+from waxwingsaddle.neighbour_messages import WholeQuery, WholeReply
 from waxwingsaddle.node_messages import (
     FloorQuery,
     FloorReply,
-    WholeQuery,
-    WholeReply,
 )
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.codec import compress, encode_canonical
--- a/waxwingsaddle/node_messages.py
+++ b/waxwingsaddle/node_messages.py
@@ -1,4 +1,4 @@
-"""Messages between nodes and control hosts, and between neighbours.
+"""Messages between nodes and control hosts.
 
 Each message is encoded with msgpack in the first frame of a zmq message. Some
 messages have a second frame of raw bytes; their docstrings describe it.
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from waxwingsaddle.departures import Departures
 from waxwingsaddle.directory import NodeRecord, UpstreamRecord
 from waxwingsaddle.event_batches import EventBatch
 from waxwingsaddle.odd_entries import decode_nodes, upstreams_decoder
@@ -31,6 +32,7 @@
         version: Version of the node's configuration; 0 if it has none.
         digest: First characters of the digest of that configuration.
         upstreams: Announced upstreams, with ages.
+        departures: Upstreams that drain or have left, with ages.
     """
 
     host: str
@@ -42,6 +44,7 @@
     version: Count
     digest: str
     upstreams: tuple[UpstreamRecord, ...] = ()
+    departures: Departures = ()
 
 
 class Renew(msgspec.Struct, frozen=True, array_like=True, tag='renew'):
@@ -58,6 +61,8 @@
         upstreams: Announced upstreams; none if they have not changed since a
             control host confirmed them.
         events: Events that no control host has confirmed, if any.
+        departures: Upstreams that drain or have left, with ages; sent together
+            with `upstreams`.
     """
 
     sequence: Count
@@ -67,6 +72,7 @@
     is_full_requested: bool = False
     upstreams: tuple[UpstreamRecord, ...] | None = None
     events: EventBatch | None = None
+    departures: Departures = ()
 
 
 class InForce(msgspec.Struct, frozen=True, array_like=True, tag='in-force'):
@@ -125,12 +131,15 @@
         known_incarnation: Highest known incarnation of the node. If it is
             above that of the node, the lease is not granted and the node
             retries with a higher one.
+        departures: Upstreams of the node that drain or have left, also those
+            of its earlier incarnations, with ages.
     """
 
     ttl_ms: int
     majority_age_ms: int
     version: int
     known_incarnation: int
+    departures: Departures = ()
 
 
 class LeaseGranted(msgspec.Struct, frozen=True, array_like=True, tag='granted'):
@@ -142,6 +151,8 @@
         version: Newest accepted version.
         has_lease: Whether the node has a lease; otherwise it needs a new one.
         events_known: Number of events of the node that the host knows.
+        sequence: Sequence number of the directory entry of the node that the
+            control hosts have; 0 if not told, -1 from earlier versions.
     """
 
     ttl_ms: int
@@ -149,6 +160,7 @@
     version: int
     has_lease: bool = True
     events_known: int = 0
+    sequence: int = -1
 
 
 class ConfigStep(msgspec.Struct, frozen=True, array_like=True):
@@ -253,34 +265,6 @@
     controls: tuple[KnownControl, ...] = ()
 
 
-class WholeQuery(
-    msgspec.Struct, frozen=True, array_like=True, tag='whole-query'
-):
-    """A node requests the full configuration of a neighbour.
-
-    Attributes:
-        site: Site of the requesting node.
-    """
-
-    site: str
-
-
-class WholeReply(
-    msgspec.Struct, frozen=True, array_like=True, tag='whole-reply'
-):
-    """Full configuration of a neighbour.
-
-    Attributes:
-        version: Version of the tree; 0 if the neighbour has none for the site.
-        digest: Digest of the tree.
-        tree: Compressed canonical encoding of the tree.
-    """
-
-    version: int
-    digest: str
-    tree: bytes
-
-
 FromNode = Hello | Renew | InForce | Leave | FloorQuery
 FromControl = (
     Welcome
--- a/waxwingsaddle/node_protocol.py
+++ b/waxwingsaddle/node_protocol.py
@@ -5,11 +5,17 @@
 from functools import singledispatchmethod
 from typing import Any
 
+import msgspec
+
 from waxwingsaddle import metrics
 from waxwingsaddle.admission import Admission
+from waxwingsaddle.departures import (
+    Departures,
+    convert_departures,
+    merge_departures,
+)
 from waxwingsaddle.directory import (
     NodeRecord,
-    UpstreamRecord,
     as_tombstone,
     convert_ages,
 )
@@ -84,13 +90,15 @@
         self._dispatch(message, identity, lease)
 
     def renewal_reply(
-        self, has_lease: bool, events_known: int = 0
+        self, has_lease: bool, events_known: int = 0, sequence: int = 0
     ) -> LeaseGranted:
         """Returns the reply to a renewal.
 
         Args:
             has_lease: Whether the node has a lease here.
             events_known: Number of events of the node that this host knows.
+            sequence: Sequence number of the directory entry of the node; 0 if
+                not told.
         """
         return LeaseGranted(
             self.ttl_ms,
@@ -98,6 +106,7 @@
             self.push.sites.version,
             has_lease,
             events_known,
+            sequence,
         )
 
     def announce_departure(self, lease: Lease) -> None:
@@ -138,8 +147,9 @@
             self._reply(identity, Busy(wait_ms), message)
             return
         lease = self.leases.grant(identity, message)
-        self._announce(lease, message.call_address, message.upstreams)
-        self._reply(identity, self._welcome_message(current_incarnation), lease)
+        departures = self._announce(lease, message.call_address, message)
+        welcome = self._welcome_message(current_incarnation, departures)
+        self._reply(identity, welcome, lease)
         self.push.send_initial(lease)
 
     @_dispatch.register
@@ -159,7 +169,7 @@
             lease.sequence = message.sequence
             current = self.exchange.directory.find(lease.host)
             address = current.call_address if current else ''
-            self._announce(lease, address, message.upstreams)
+            self._announce(lease, address, message)
         if message.events is not None and message.events.events:
             lease.events_known = self.events.add_batch(
                 lease.host,
@@ -172,6 +182,7 @@
         reply = self.renewal_reply(
             has_lease=True,
             events_known=lease.events_known,
+            sequence=lease.sequence,
         )
         self._reply(identity, reply, lease)
 
@@ -216,28 +227,44 @@
         self._reply(identity, reply, lease)
 
     def _announce(
-        self,
-        lease: Lease,
-        call_address: str,
-        upstreams: tuple[UpstreamRecord, ...],
-    ) -> None:
-        record = NodeRecord(
-            host=lease.host,
-            availability_zone=lease.availability_zone,
-            call_address=call_address,
-            incarnation=lease.incarnation,
-            sequence=lease.sequence,
-            holder=self.host,
-            upstreams=upstreams,
+        self, lease: Lease, call_address: str, message: Hello | Renew
+    ) -> Departures:
+        """Stores the entry of a node; returns all its departures, with ages."""
+        now_ms = monotonic_ms()
+        current = self.exchange.directory.find(lease.host)
+        known = current.departures if current else ()
+        record = convert_ages(
+            NodeRecord(
+                host=lease.host,
+                availability_zone=lease.availability_zone,
+                call_address=call_address,
+                incarnation=lease.incarnation,
+                sequence=lease.sequence,
+                holder=self.host,
+                upstreams=message.upstreams or (),
+                departures=message.departures,
+            ),
+            now_ms,
+        )
+        departures = merge_departures((*known, *record.departures), now_ms)
+        self.exchange.update_record(
+            msgspec.structs.replace(record, departures=departures)
         )
-        self.exchange.update_record(convert_ages(record, monotonic_ms()))
+        if departures != known:
+            # The node acknowledges a departure once it has the reply; the
+            # other control hosts must know of it if this one ends then.
+            self.exchange.flush()
+        return convert_departures(departures, now_ms)
 
-    def _welcome_message(self, current_incarnation: int) -> Welcome:
+    def _welcome_message(
+        self, current_incarnation: int, departures: Departures = ()
+    ) -> Welcome:
         return Welcome(
             self.ttl_ms,
             self.majority_age_ms(),
             self.push.sites.version,
             current_incarnation,
+            departures,
         )
 
     def _reply(
--- a/waxwingsaddle/node_session.py
+++ b/waxwingsaddle/node_session.py
@@ -8,9 +8,9 @@
 
 from waxwingsaddle import metrics
 from waxwingsaddle.addresses import NodeControl
+from waxwingsaddle.announced_entry import AnnouncedEntry
 from waxwingsaddle.configuration_state import ApplyOutcome, ConfigurationState
 from waxwingsaddle.control_link import ControlLink
-from waxwingsaddle.directory import UpstreamRecord, without_ages
 from waxwingsaddle.node_directory import NodeDirectory
 from waxwingsaddle.node_events import NodeEvents
 from waxwingsaddle.node_messages import (
@@ -37,8 +37,6 @@
     'Received configurations that did not fit and were dropped as a whole.',
 )
 
-Upstreams = tuple[UpstreamRecord, ...]
-
 
 class Session:
     """Acquires and renews the lease, and receives pushed updates.
@@ -47,7 +45,7 @@
         settings: Settings of the node.
         config: Configuration of the node.
         directory: Directory of the node.
-        announced_upstreams: Returns the announced upstreams, with ages.
+        entry: Directory entry of the node.
         on_configuration: Called after a newer configuration was applied.
         on_directory: Called with the services whose upstreams changed.
         events: Events of the node.
@@ -66,7 +64,7 @@
         settings: Any,
         config: ConfigurationState,
         directory: NodeDirectory,
-        announced_upstreams: Callable[[], Upstreams],
+        entry: AnnouncedEntry,
         on_configuration: Callable[[], None],
         on_directory: Callable[[frozenset[str]], None],
         events: NodeEvents,
@@ -74,15 +72,12 @@
         self._settings = settings
         self._config = config
         self._directory = directory
-        self._announced_upstreams = announced_upstreams
+        self._entry = entry
         self._on_configuration = on_configuration
         self._on_directory = on_directory
         self._events = events
         self._incarnation = wall_ms()
         self._identity = f'{settings.host}/{self._incarnation}'.encode()
-        self._sequence = 0
-        self._sent_upstreams: tuple[Any, ...] = ()
-        self._is_entry_confirmed = False
         self._revision = -1
         self._is_full_requested = False
         self._joining_link: ControlLink | None = None
@@ -135,23 +130,19 @@
         """Renews the lease; returns whether the answer came in time."""
         if self.link is None:
             return False
-        upstreams = self._announced_upstreams()
-        upstream_keys = without_ages(upstreams)
-        if upstream_keys != self._sent_upstreams:
-            self._sequence += 1
-            self._sent_upstreams = upstream_keys
-            self._is_entry_confirmed = False
+        upstreams, departures = self._entry.for_renewal()
         self.renewed.clear()
         self.early_renewal.clear()
         self.link.send(
             Renew(
-                sequence=self._sequence,
+                sequence=self._entry.sequence,
                 version=self._config.version,
                 digest=self._config.short_digest,
                 revision=self._revision,
                 is_full_requested=self._is_full_requested,
-                upstreams=None if self._is_entry_confirmed else upstreams,
+                upstreams=upstreams,
                 events=self._events.next_batch(),
+                departures=departures,
             ),
         )
         return self.renewed.wait(self._settings.answer_wait_ms / MS_PER_S)
@@ -179,19 +170,18 @@
         return self._hello_answered.wait(timeout_ms / MS_PER_S)
 
     def _hello(self) -> Hello:
-        self._sequence += 1
-        upstreams = self._announced_upstreams()
-        self._sent_upstreams = without_ages(upstreams)
+        upstreams, departures = self._entry.for_hello()
         return Hello(
             host=self._settings.host,
             availability_zone=self._settings.availability_zone,
             site=self._settings.site,
             call_address=self._settings.call_address,
             incarnation=self._incarnation,
-            sequence=self._sequence,
+            sequence=self._entry.sequence,
             version=self._config.version,
             digest=self._config.short_digest,
             upstreams=upstreams,
+            departures=departures,
         )
 
     def _receive(
@@ -222,7 +212,8 @@
         self.is_leased = True
         self.majority_age_ms = message.majority_age_ms
         self._revision = -1
-        self._is_entry_confirmed = True
+        self._entry.confirm(self._entry.sequence)
+        self._entry.restore(message.departures)
         if previous_link is not None and previous_link is not link:
             previous_link.close()
         self._hello_answered.set()
@@ -240,7 +231,10 @@
             return
         self.majority_age_ms = message.majority_age_ms
         self.is_leased = message.has_lease
-        self._is_entry_confirmed = message.has_lease
+        if message.has_lease:
+            self._entry.confirm(message.sequence)
+        else:
+            self._entry.reject()
         self._events.confirm(message.events_known)
         limit_ms = self._settings.majority_age_limit_ms
         is_isolated = message.majority_age_ms > limit_ms
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -67,6 +67,8 @@
         events_kept: Number of events kept for the timeline.
         upstream_ttl_ms: Time after the last heartbeat at which an announcement
             expires.
+        departure_wait_ms: Maximum wait until a control host has the drain or
+            the end of an upstream, before its message is refused.
         upstream_connections: Maximum number of open connections to one
             upstream.
         upstream_idle_limit_ms: Idle time after which a connection to an
@@ -142,6 +144,7 @@
     log_form: Literal['json', 'text']
     events_kept: Positive
     upstream_ttl_ms: Positive
+    departure_wait_ms: Positive
     upstream_connections: Positive
     upstream_idle_limit_ms: Positive
     crossing_ms: Positive
--- a/waxwingsaddle/subscription.py
+++ b/waxwingsaddle/subscription.py
@@ -6,6 +6,7 @@
 from eventlet import greenthread
 
 from waxwingsaddle import logs, metrics
+from waxwingsaddle.announced_entry import AnnouncedEntry
 from waxwingsaddle.config import SiteSnapshot
 from waxwingsaddle.configuration_state import ConfigurationState
 from waxwingsaddle.control_host_selection import (
@@ -15,7 +16,6 @@
     should_switch,
     version_floor,
 )
-from waxwingsaddle.directory import UpstreamRecord
 from waxwingsaddle.kernel import Kernel, UnknownServiceError
 from waxwingsaddle.known_controls import ControlList
 from waxwingsaddle.neighbours import Neighbours
@@ -77,11 +77,15 @@
             settings.event_bytes_per_s,
             monotonic_s,
         )
+        self.entry = AnnouncedEntry(
+            _find_service(kernel, 'upstreams'),
+            settings.departure_wait_ms / MS_PER_S,
+        )
         self.session = Session(
             settings,
             self._config,
             self.directory,
-            self._announced_upstreams,
+            self.entry,
             self._on_configuration,
             self._on_directory,
             self._events,
@@ -242,23 +246,8 @@
     def _back_off(self) -> None:
         greenthread.sleep(self._backoff.next_delay_s())
 
-    def _announced_upstreams(self) -> tuple[UpstreamRecord, ...]:
-        upstreams = _find_service(self._kernel, 'upstreams')
-        if upstreams is None:
-            return ()
-        return tuple(
-            UpstreamRecord(
-                name=upstream.name,
-                service=upstream.service,
-                slots=upstream.slots,
-                state=upstream.state,
-                started_ms=upstream.started_ms_ago,
-            )
-            for upstream in upstreams.announcements()
-        )
-
     def _on_upstreams_changed(self, **_fields: Any) -> None:
-        self._events.record_upstreams(self._announced_upstreams())
+        self._events.record_upstreams(self.entry.upstreams())
         self.session.early_renewal.set()
 
     def _on_configuration(self) -> None:
--- a/waxwingsaddle/upstreams.py
+++ b/waxwingsaddle/upstreams.py
@@ -1,21 +1,22 @@
 """Registry of the upstreams that announced themselves to this node."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
-from typing import Literal
+from dataclasses import replace
 
 import eventlet
 import msgspec
 
 from waxwingsaddle import logs
-from waxwingsaddle.addresses import Address
 from waxwingsaddle.announcement_order import AnnouncementOrder
+from waxwingsaddle.announcements import (
+    Announcement,
+    AnnouncementBody,
+    decode_announcement,
+)
 from waxwingsaddle.config_models import Name
-from waxwingsaddle.directory import Slots
+from waxwingsaddle.departures import DepartureLog, Departures, WaitUntilKept
 from waxwingsaddle.kernel import Kernel
-from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
-from waxwingsaddle.util.codec import json_decoder
-from waxwingsaddle.util.numbers import Count
+from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.web import Environ, StartResponse, reply_json
 
 PATH = '/v1/upstreams/'
@@ -24,79 +25,7 @@
 # Age assumed for an upstream that reports that it has warmed up; longer than
 # any slow start.
 _WARM_AGE_S = 3600
-
-
-class AnnouncementBody(
-    msgspec.Struct,
-    frozen=True,
-    kw_only=True,
-    forbid_unknown_fields=True,
-):
-    """Announcement or heartbeat as an upstream sends it.
-
-    Attributes:
-        service: Service of the upstream.
-        address: Address for HTTP calls.
-        slots: Number of calls it runs at once.
-        state: `draining` when it is about to leave.
-        started_at_ms: Start time in milliseconds since the epoch, on its own
-            clock; compared only with other announcements. 0 if not given.
-        sequence: Increases with each announcement since the start.
-        cold_ms: How much longer it is slow after its start; absent if not
-            given.
-    """
-
-    service: Name
-    address: Address
-    slots: Slots
-    state: Literal['ready', 'draining'] = 'ready'
-    started_at_ms: Count = 0
-    sequence: Count = 0
-    cold_ms: Count | None = None
-
-
-_decode_announcement = json_decoder(AnnouncementBody)
-
-
-@dataclass(frozen=True, slots=True)
-class Announcement:
-    """An announced upstream of this node.
-
-    Attributes:
-        name: Unique name of the upstream on this node.
-        service: Service of the upstream.
-        address: Address for HTTP calls.
-        slots: Number of calls it runs at once.
-        state: `ready` or `draining`.
-        started_s: When it was first announced, on the local clock.
-        incarnation: Start time on its own clock, in milliseconds; 0 if not
-            given.
-    """
-
-    name: str
-    service: str
-    address: str
-    slots: int
-    state: str
-    started_s: float
-    incarnation: int = 0
-
-    @property
-    def started_ms_ago(self) -> int:
-        """Milliseconds since it was first announced."""
-        return int((monotonic_s() - self.started_s) * MS_PER_S)
-
-    def is_restart_of(self, earlier: 'Announcement') -> bool:
-        """Returns whether the upstream has started anew, or moved.
-
-        A drain cannot be undone: an upstream that is ready again has started
-        anew.
-        """
-        return (
-            (earlier.state == 'draining' and self.state != 'draining')
-            or earlier.incarnation != self.incarnation
-            or earlier.address != self.address
-        )
+_DRAINING = 'draining'
 
 
 class Upstreams:
@@ -127,6 +56,11 @@
         self._order = AnnouncementOrder(self._ttl_s, clock)
         self._is_draining = False
         self._published: tuple[Announcement, ...] = ()
+        self._departures = DepartureLog(lambda: round(clock() * MS_PER_S))
+        self._wait_until_kept: WaitUntilKept | None = None
+        # Until then, announcements are held back: one that is late may name an
+        # upstream that left before this node started.
+        self._held_until_s = float('-inf')
 
     def start(self) -> None:
         """Starts to remove upstreams without heartbeats."""
@@ -136,6 +70,54 @@
         """Returns the upstreams; all are `draining` while the node stops."""
         return self._published
 
+    def keep_departures(self, wait_until_kept: WaitUntilKept) -> None:
+        """Makes control hosts keep the departures of this node.
+
+        Announcements take effect once `restore_departures` has brought those
+        of earlier incarnations of the node, or once no announcement of before
+        its start can arrive any more.
+
+        Args:
+            wait_until_kept: Waits until control hosts have a departure, and
+                returns whether they have it.
+        """
+        self._wait_until_kept = wait_until_kept
+        self._held_until_s = self._clock() + self._ttl_s
+
+    def departures(self) -> Departures:
+        """Returns the upstreams that drain or have left, with ages."""
+        return self._departures.recent()
+
+    def restore_departures(self, departures: Departures) -> None:
+        """Adds departures that control hosts have kept, with ages."""
+        self._departures.restore(departures)
+        for departure in departures:
+            if departure.has_ended:
+                self._order.restore_end(
+                    departure.name,
+                    departure.incarnation,
+                    departure.since_ms / MS_PER_S,
+                )
+        is_held = self._is_held
+        self._held_until_s = float('-inf')
+        is_changed = self._apply_departures()
+        if is_changed or (is_held and self._announcements):
+            self._publish_change()
+
+    def is_departure_kept(self, name: str) -> bool:
+        """Returns whether the last message of an upstream may be acknowledged.
+
+        If it announced its departure, this waits until the control hosts have
+        that, so that it holds if this node ends.
+        """
+        departure = self._departures.find(name)
+        current = self._announcements.get(name)
+        if departure is None or self._wait_until_kept is None:
+            return True
+        if current and current.incarnation > departure.incarnation:
+            return True
+        return self._wait_until_kept(departure.key)
+
     def drain(self) -> None:
         """Publishes all upstreams of this node as draining."""
         self._is_draining = True
@@ -152,6 +134,12 @@
         if not self._replace_at_address(name, body):
             return False
         now_s = self._clock()
+        state = body.state
+        if self._departures.is_leaving(name, body.started_at_ms):
+            # A drain cannot be undone.
+            state = _DRAINING
+        if state == _DRAINING and body.started_at_ms:
+            self._departures.record(name, body.started_at_ms, has_ended=False)
         prior = self._announcements.get(name)
         is_same = prior and prior.incarnation == body.started_at_ms
         self._last_heard_s[name] = now_s
@@ -160,7 +148,7 @@
             service=body.service,
             address=body.address,
             slots=body.slots,
-            state=body.state,
+            state=state,
             started_s=prior.started_s if is_same else _started_s(body, now_s),
             incarnation=body.started_at_ms,
         )
@@ -181,8 +169,13 @@
         current = self._announcements.get(name)
         if current and started_at_ms and started_at_ms < current.incarnation:
             return False
-        self._order.record_end(name, started_at_ms)
-        return self._delete(name, 'left')
+        ended_ms = self._order.record_end(name, started_at_ms)
+        is_new = self._departures.record(name, ended_ms, has_ended=True)
+        is_deleted = self._delete(name, 'left')
+        if is_new and not is_deleted:
+            # Control hosts must know it all the same.
+            self._publish_change()
+        return is_deleted
 
     def _delete(self, name: str, state: str) -> bool:
         self._last_heard_s.pop(name, None)
@@ -214,6 +207,8 @@
 
     def expire(self) -> None:
         """Removes upstreams whose last heartbeat is too old."""
+        if self._is_held and self._held_until_s <= self._clock():
+            self._publish_change()
         oldest_s = self._clock() - self._ttl_s
         silent = [
             name for name, at_s in self._last_heard_s.items() if at_s < oldest_s
@@ -232,17 +227,47 @@
             name = msgspec.convert(environ['PATH_INFO'][len(PATH) :], Name)
             if environ['REQUEST_METHOD'] == 'PUT':
                 raw = environ['wsgi.input'].read(_BODY_LIMIT_BYTES)
-                self.record_announcement(name, _decode_announcement(raw))
-                return reply_json(start_response, '200 OK', {'name': name})
+                self.record_announcement(name, decode_announcement(raw))
+                return self._reply_recorded(name, '200 OK', start_response)
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
             problem = {'problem': str(error)}
             return reply_json(start_response, '400 Bad Request', problem)
         if environ['REQUEST_METHOD'] == 'DELETE':
             status = '200 OK' if self.remove(name) else '404 Not Found'
-            return reply_json(start_response, status, {'name': name})
+            return self._reply_recorded(name, status, start_response)
         return reply_json(start_response, '405 Method Not Allowed', {})
 
+    def _reply_recorded(
+        self, name: str, status: str, start_response: StartResponse
+    ) -> list[bytes]:
+        if self.is_departure_kept(name):
+            return reply_json(start_response, status, {'name': name})
+        problem = {'problem': 'no control host has confirmed it; send it again'}
+        return reply_json(start_response, '503 Service Unavailable', problem)
+
+    @property
+    def _is_held(self) -> bool:
+        return self._held_until_s > float('-inf')
+
+    def _apply_departures(self) -> bool:
+        """Applies restored departures; returns whether they changed any."""
+        before = dict(self._announcements)
+        for name, announcement in before.items():
+            if not self._departures.is_leaving(name, announcement.incarnation):
+                continue
+            if self._departures.find(name).has_ended:
+                self._last_heard_s.pop(name)
+                _log_change(self._announcements.pop(name), 'left')
+            else:
+                self._announcements[name] = replace(
+                    announcement, state=_DRAINING
+                )
+        return self._announcements != before
+
     def _publish_change(self) -> None:
+        if self._clock() < self._held_until_s:
+            return
+        self._held_until_s = float('-inf')
         state = {'state': 'draining'} if self._is_draining else {}
         self._published = tuple(
             replace(announcement, **state)
