Drop the bodies of stray answers instead of collecting them

Cause: up to 1 MB of each second answer to an earlier call was kept while it was skipped, on every slot of an upstream at once.

--- a/waxwingsaddle/upstream_connection.py
+++ b/waxwingsaddle/upstream_connection.py
@@ -19,6 +19,7 @@
 # earlier requests, that are skipped before the answer to a request.
 _MAX_STRAY_ANSWERS = 4
 _MAX_STRAY_BYTES = 1_048_576
+_BLOCK_BYTES = 65_536
 # Statuses whose answers have no body.
 BODYLESS = frozenset((204, 304))
 _SWITCHING_PROTOCOLS_STATUS = 101
@@ -126,13 +127,24 @@
             _check_signature(head, names)
             return head
         connection.is_reusable = False
-        body = answer_body(connection, request, head)
-        body.read(_MAX_STRAY_BYTES)
-        if not body.is_complete:
-            raise MalformedError('the body of a stray answer is too long')
+        _skip_body(answer_body(connection, request, head))
     raise MalformedError('too many stray answers on one connection')
 
 
+def _skip_body(body: Body) -> None:
+    """Reads and drops the body of a stray answer.
+
+    Raises:
+        MalformedError: It is malformed or too long.
+        OSError: The connection broke.
+    """
+    skipped_bytes = 0
+    while not body.is_complete:
+        if skipped_bytes >= _MAX_STRAY_BYTES:
+            raise MalformedError('the body of a stray answer is too long')
+        skipped_bytes += len(body.read(_BLOCK_BYTES))
+
+
 def _read_final_head(
     connection: Connection, limits: HeadLimits
 ) -> ResponseHead:
