Bound what commands read from a control host

Cause: waxwingctl and waxwing-source read an answer to its end, however large, and the timeout applied to each read alone, so that bytes without end kept a command reading for ever and in memory.

--- a/waxwingsaddle/client.py
+++ b/waxwingsaddle/client.py
@@ -22,6 +22,11 @@
     VersionEntry,
     VersionSources,
 )
+from waxwingsaddle.bounded_reading import (
+    MAX_ANSWER_BYTES,
+    AnswerTooLongError,
+    read_body,
+)
 from waxwingsaddle.config import SourceSet
 from waxwingsaddle.events import Events
 from waxwingsaddle.util.codec import json_decoder, pack_json
@@ -42,6 +47,7 @@
         token: Bearer token; empty when the platform uses none.
         timeout_ms: Timeout of a request to one control host, in milliseconds.
         pool: Connection pool; a new one by default.
+        max_answer_bytes: Largest answer that is read.
     """
 
     def __init__(
@@ -50,6 +56,7 @@
         token: str = '',
         timeout_ms: int = 5000,
         pool: urllib3.PoolManager | None = None,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
         if not controls:
             raise ValueError('a client needs the address of a control host')
@@ -57,6 +64,7 @@
         self._first = 0
         self._timeout_s = timeout_ms / MS_PER_S
         self._pool = pool or urllib3.PoolManager(retries=False)
+        self._max_answer_bytes = max_answer_bytes
         self._headers = {'Content-Type': 'application/json'}
         if token:
             self._headers['Authorization'] = f'Bearer {token}'
@@ -219,14 +227,19 @@
                 body=body or None,
                 headers=self._headers,
                 timeout=self._timeout_s,
+                preload_content=False,
             )
-        except urllib3.exceptions.HTTPError as error:
+            with response:
+                raw = read_body(
+                    response, self._timeout_s, self._max_answer_bytes
+                )
+        except (urllib3.exceptions.HTTPError, AnswerTooLongError) as error:
             return Failure(
                 kind='unreachable',
                 message=f'no answer from {address}: {_reason(error)}; check '
                 'that the program runs there, or name another address',
             )
-        return _decode_answer(address, response.status, response.data, model)
+        return _decode_answer(address, response.status, raw, model)
 
     def _hosts_in_order(self) -> Iterator[tuple[int, str]]:
         count = len(self._controls)
@@ -268,6 +281,6 @@
         )
 
 
-def _reason(error: urllib3.exceptions.HTTPError) -> str:
+def _reason(error: Exception) -> str:
     text = str(error).rpartition(': ')[2] or type(error).__name__
     return text.lower().rstrip('.')
