Bound the bodies that a node takes from other nodes by its memory

Cause: nothing bounded these bodies but the slots of the upstream. The memory of the host is in the settings of the platform and was not read.

Change: `guard_body_bytes`, on a platform 35% of the memory. The room for a body is reserved before its first piece is asked for; a call without room is refused as not run. Bodies are not copied on their way to the upstream.

--- a/test/test_platform_settings.py
+++ b/test/test_platform_settings.py
@@ -92,3 +92,14 @@
     assert control.voter_policy.tolerated_zones == 1
     without = control_settings(parse_platform_settings('boot.toml', text))
     assert without.voter_policy.target_voters == 3
+
+
+def test_memory_of_a_host_bounds_bodies():
+    """Guards against a limit that is told and not read: review case 5."""
+    text = SETTINGS.replace(
+        'cpuShare = 0.86', 'cpuShare = 0.86\nmemoryMb = 150'
+    )
+    node = node_settings(parse_platform_settings('boot.toml', text))
+    assert node.guard_body_bytes == 52_500_000
+    unlimited = node_settings(parse_platform_settings('boot.toml', SETTINGS))
+    assert unlimited.guard_body_bytes > node.guard_body_bytes
--- a/test/test_uploads.py
+++ b/test/test_uploads.py
@@ -8,6 +8,7 @@
 import msgspec
 from nose2.tools import params
 
+from waxwingsaddle.body_budget import BodyBudget
 from waxwingsaddle.call_class import Call
 from waxwingsaddle.call_server import CallServer
 from waxwingsaddle.calls import Answer, Request
@@ -40,7 +41,9 @@
         self.order = []
         self.ran = {}
         self.is_reachable = True
-        self.receiver = UploadReceiver(self, self._run, lambda: self.now_s)
+        self.receiver = UploadReceiver(
+            self, self._run, BodyBudget(10_000_000), lambda: self.now_s
+        )
 
     def subscribe_raw(self, _message_type, handler):
         """Takes the handler of pieces, as a transport does."""
@@ -180,13 +183,16 @@
 class TwoNodes:
     """Node of a caller and guarding node, connected by ZeroMQ."""
 
-    def __init__(self, load=ROOM):
+    def __init__(self, load=ROOM, memory_bytes=10_000_000):
         """Starts both."""
         self.upstreams = FakeUpstreams(load)
         self.address = free_address()
         self.guard = NodeTransport(self.address, LinkPolicy())
         self.entry = NodeTransport(free_address(), LinkPolicy())
-        server = CallServer(self.guard, self.upstreams, 5, monotonic_s)
+        self.budget = BodyBudget(memory_bytes)
+        server = CallServer(
+            self.guard, self.upstreams, self.budget, 5, monotonic_s
+        )
         self.calls = RemoteCalls(self.entry, RemoteCallPolicy(), monotonic_s)
         self.guard.start()
         self.entry.start()
@@ -249,3 +255,44 @@
     answer = nodes.post(b'p' * 100_000, timeout_s=0.3)
     nodes.stop()
     assert answer.outcome is Outcome.UNKNOWN
+
+
+def test_upload_without_memory_is_refused_before_it_is_sent():
+    """Guards against bodies that fill the memory of a host: review case 5."""
+    nodes = TwoNodes(memory_bytes=1_500_000)
+    nodes.budget.reserve(1_000_000)
+    answer = nodes.post(b'p' * 1_000_000)
+    assert (answer.outcome, answer.reason) == (Outcome.NOT_RUN, 'overload')
+    assert answer.retry_after_ms
+    nodes.budget.release(1_000_000)
+    assert nodes.post(b'p' * 1_000_000).status == 200
+    nodes.stop()
+    assert len(nodes.upstreams.bodies) == 1
+
+
+def _ignore_grants(nodes):
+    nodes.entry.subscribe_answers(BodyGrant, id)
+
+
+@params(
+    ('run', lambda _nodes: None, 2),
+    ('fault', lambda nodes: setattr(nodes.upstreams, 'run', None), 0.5),
+    ('deadline', _ignore_grants, 0.5),
+)
+def test_memory_of_a_body_is_released(name, disturb, timeout_s):
+    """Guards against a host that refuses uploads for ever."""
+    nodes = TwoNodes()
+    disturb(nodes)
+    nodes.post(b'p' * 1_000_000, timeout_s)
+    eventlet.sleep(0.5)
+    nodes.stop()
+    assert not nodes.budget.held_bytes, name
+
+
+def test_one_body_of_any_size_is_taken():
+    """Guards against a large upload that never finds room."""
+    budget = BodyBudget(100)
+    assert budget.reserve(1000)
+    assert not budget.reserve(1)
+    budget.release(1000)
+    assert budget.reserve(1)
--- a/waxwingsaddle/call_server.py
+++ b/waxwingsaddle/call_server.py
@@ -7,6 +7,7 @@
 import eventlet
 import msgspec
 
+from waxwingsaddle.body_budget import BodyBudget
 from waxwingsaddle.body_sender import BodySender
 from waxwingsaddle.call_class import Call
 from waxwingsaddle.calls import (
@@ -18,8 +19,12 @@
     Request,
     not_run,
 )
+from waxwingsaddle.guard_decisions import Refused
 from waxwingsaddle.node_transport import NodeTransport, ReceivedMessage
-from waxwingsaddle.upload_admission import refuse_before_body
+from waxwingsaddle.upload_admission import (
+    refuse_before_body,
+    refuse_without_memory,
+)
 from waxwingsaddle.upload_messages import CallUpload
 from waxwingsaddle.upload_receiver import UploadReceiver
 from waxwingsaddle.upstream_calls import UpstreamCalls
@@ -41,6 +46,7 @@
     Args:
         transport: Sends and receives messages between nodes.
         upstream_calls: Runs the calls.
+        body_budget: Memory for request bodies.
         stall_timeout_s: Longest wait for credit of a streamed body.
         clock: Returns the monotonic time, in seconds.
     """
@@ -49,6 +55,7 @@
         self,
         transport: NodeTransport,
         upstream_calls: UpstreamCalls,
+        body_budget: BodyBudget,
         stall_timeout_s: float,
         clock: Callable[[], float],
     ) -> None:
@@ -56,7 +63,10 @@
         self._upstream_calls = upstream_calls
         self._clock = clock
         self._bodies = BodySender(transport, stall_timeout_s, clock)
-        self._uploads = UploadReceiver(transport, self._spawn_call, clock)
+        self._body_budget = body_budget
+        self._uploads = UploadReceiver(
+            transport, self._spawn_upload, body_budget, clock
+        )
         self._rng = random.Random()
         self._callers: dict[str, bytes] = {}
         transport.subscribe_raw(CallRequest, self._on_request)
@@ -85,14 +95,16 @@
         deadline_s = now_s + message.request.remaining_ms / MS_PER_S
         call = message.request.to_call(deadline_s)
         refusal = self._refuse_before_body(message, call, now_s)
-        if refusal is not None:
-            self._send_answer(received.sender, call.call_id, refusal)
-            return
         # Sent to another upstream after this, the body would be sent twice.
         request = msgspec.structs.replace(message.request, may_spill=False)
-        self._uploads.start(
+        if refusal is None and not self._uploads.start(
             received.sender, request, message.body_bytes, deadline_s
-        )
+        ):
+            refusal = self._refusal(
+                request.upstream, refuse_without_memory(call, self._rng)
+            )
+        if refusal is not None:
+            self._send_answer(received.sender, call.call_id, refusal)
 
     def _refuse_before_body(
         self, message: CallUpload, call: Call, now_s: float
@@ -101,12 +113,34 @@
         if load is None:
             return not_run('no-upstream')
         refused = refuse_before_body(call, load, now_s, self._rng)
-        if refused is None:
-            return None
+        return refused and self._refusal(message.request.upstream, refused)
+
+    def _refusal(self, upstream: str, refused: Refused) -> Answer:
         answer = not_run(refused.reason, refused.retry_after_ms)
-        answer.load = load
+        answer.load = self._upstream_calls.load_of(upstream)
         return answer
 
+    def _spawn_upload(
+        self,
+        sender: bytes,
+        message: CallRequest,
+        body: bytearray,
+        deadline_s: float,
+    ) -> None:
+        eventlet.spawn_n(self._run_upload, sender, message, body, deadline_s)
+
+    def _run_upload(
+        self,
+        sender: bytes,
+        message: CallRequest,
+        body: bytearray,
+        deadline_s: float,
+    ) -> None:
+        try:
+            self._run(sender, message, body, deadline_s)
+        finally:
+            self._body_budget.release(len(body))
+
     def _spawn_call(
         self,
         sender: bytes,
@@ -152,7 +186,7 @@
         self,
         sender: bytes,
         message: CallRequest,
-        body: bytes,
+        body: bytes | bytearray,
         deadline_s: float,
     ) -> None:
         call_id = message.call_id
--- a/waxwingsaddle/node.py
+++ b/waxwingsaddle/node.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 from waxwingsaddle import (
+    body_budget,
     claim_service,
     claims,
     entry_bound,
@@ -179,6 +180,7 @@
     call_server = CallServer(
         kernel.find('hop'),
         upstream_calls,
+        body_budget.BodyBudget(settings.guard_body_bytes),
         settings.stall_timeout_ms / MS_PER_S,
         monotonic_s,
     )
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -87,6 +87,8 @@
         entry_calls: Maximum number of callers' calls in flight; calls of the
             lowest rank (from priority and idempotence) are refused from three
             quarters of it on.
+        guard_body_bytes: Maximum total size of the request bodies that this
+            node holds for its upstreams and that came from other nodes.
         entry_body_bytes: Maximum total size of the request bodies held for
             such calls.
         inline_answer_bytes: Size above which answers are streamed in chunks.
@@ -155,6 +157,7 @@
     configuration_wait_ms: Positive
     entry_calls: Positive
     entry_body_bytes: Positive
+    guard_body_bytes: Positive
     inline_answer_bytes: Positive
     bulk_request_bytes: Positive
     chunk_bytes: Positive
--- a/waxwingsaddle/upload_admission.py
+++ b/waxwingsaddle/upload_admission.py
@@ -16,6 +16,9 @@
 )
 from waxwingsaddle.util.clock import MS_PER_S
 
+# A body is held while it arrives and its call runs.
+_MEMORY_WAIT_S = 0.5
+
 
 def refuse_before_body(
     call: Call, load: Load, now_s: float, rng: Random
@@ -41,3 +44,15 @@
     if now_s + wait_s > call.deadline_s:
         return refuse_with_hint(call, OVERLOAD, wait_s, rng)
     return None
+
+
+def refuse_without_memory(call: Call, rng: Random) -> Refused:
+    """Returns the refusal of a call for whose body there is no memory.
+
+    Args:
+        call: The call.
+        rng: Spreads the retry hints.
+    """
+    if call.may_spill:
+        return Refused(call, BUSY, 0)
+    return refuse_with_hint(call, OVERLOAD, _MEMORY_WAIT_S, rng)
--- a/waxwingsaddle/upload_receiver.py
+++ b/waxwingsaddle/upload_receiver.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from waxwingsaddle.body_budget import BodyBudget
 from waxwingsaddle.bulk_order import BulkTurn
 from waxwingsaddle.bulk_window import BulkWindow, Piece
 from waxwingsaddle.calls import CallRequest
@@ -24,7 +25,7 @@
 _decode_piece = msgpack_decoder(BodyPiece)
 
 # Runs a call: the connection of its node, the call, its body and its deadline.
-RunCall = Callable[[bytes, CallRequest, bytes, float], None]
+RunCall = Callable[[bytes, CallRequest, bytearray, float], None]
 
 
 @dataclass(slots=True)
@@ -36,7 +37,8 @@
         request: The call.
         deadline_s: Its deadline, in monotonic seconds.
         turn: Position among the uploads to this node.
-        body: The bytes received so far.
+        body: The body, of which `received_bytes` have arrived.
+        received_bytes: Number of bytes that have arrived.
         asked: Pieces that were asked for and have not arrived.
     """
 
@@ -44,7 +46,8 @@
     request: CallRequest
     deadline_s: float
     turn: BulkTurn
-    body: bytearray = field(default_factory=bytearray)
+    body: bytearray
+    received_bytes: int = 0
     asked: deque[Piece] = field(default_factory=deque)
 
     @property
@@ -67,7 +70,9 @@
 
     Args:
         transport: Sends and receives messages between nodes.
-        run_call: Runs a call whose body is complete; must not block.
+        run_call: Runs a call whose body is complete; must not block. It
+            releases the body from the budget in the end.
+        budget: Memory for bodies.
         clock: Returns the monotonic time, in seconds.
     """
 
@@ -75,10 +80,12 @@
         self,
         transport: NodeTransport,
         run_call: RunCall,
+        budget: BodyBudget,
         clock: Callable[[], float],
     ) -> None:
         self._transport = transport
         self._run_call = run_call
+        self._budget = budget
         self._clock = clock
         self._window = BulkWindow(clock)
         self._uploads: dict[str, _Upload] = {}
@@ -90,7 +97,7 @@
         request: CallRequest,
         body_bytes: int,
         deadline_s: float,
-    ) -> None:
+    ) -> bool:
         """Begins to ask for the body of a call.
 
         Args:
@@ -98,17 +105,29 @@
             request: The call.
             body_bytes: Size of its body.
             deadline_s: Its deadline, in monotonic seconds.
+
+        Returns:
+            Whether there is memory for the body.
         """
-        turn = BulkTurn(self._clock(), body_bytes)
-        upload = _Upload(sender, request, deadline_s, turn)
-        if request.call_id not in self._uploads:
-            self._uploads[request.call_id] = upload
-            self.ask()
+        if request.call_id in self._uploads:
+            return True
+        if not self._budget.reserve(body_bytes):
+            return False
+        self._uploads[request.call_id] = _Upload(
+            sender,
+            request,
+            deadline_s,
+            BulkTurn(self._clock(), body_bytes),
+            bytearray(body_bytes),
+        )
+        self.ask()
+        return True
 
     def cancel(self, call_id: str) -> None:
         """Forgets an upload; its call does not run."""
         upload = self._uploads.pop(call_id, None)
         if upload is not None:
+            self._budget.release(len(upload.body))
             for piece in upload.asked:
                 self._window.drop(piece)
 
@@ -157,19 +176,20 @@
         piece = received.frames[0] if received.frames else b''
         is_expected = (
             upload.asked
-            and message.offset == len(upload.body)
+            and message.offset == upload.received_bytes
             and len(piece) == upload.asked[0].size_bytes
         )
         if not is_expected:
             # Part of the body is missing, so the call can't run.
             self.cancel(message.call_id)
             return
-        upload.body += piece
+        start = upload.received_bytes
+        upload.received_bytes += len(piece)
+        upload.body[start : upload.received_bytes] = piece
         self._window.acknowledge(upload.asked.popleft())
-        if len(upload.body) == upload.turn.length_bytes:
+        if upload.received_bytes == upload.turn.length_bytes:
             self._uploads.pop(message.call_id)
-            body = bytes(upload.body)
             self._run_call(
-                upload.sender, upload.request, body, upload.deadline_s
+                upload.sender, upload.request, upload.body, upload.deadline_s
             )
         self.ask()
--- a/waxwingsaddle/upstream_requests.py
+++ b/waxwingsaddle/upstream_requests.py
@@ -68,7 +68,8 @@
 
 def _send_body(connection: Connection, body: bytes) -> None:
     try:
-        connection.sock.sendall(body)
+        # A green socket slices what is left to send, which copies bytes.
+        connection.sock.sendall(memoryview(body))
     except OSError:
         # Reading the answer fails, too, and reports the broken connection.
         connection.is_reusable = False
