--- a/waxwingsaddle/distribution.py
+++ b/waxwingsaddle/distribution.py
@@ -200,7 +200,7 @@
             self._leases.extend_all(late_ms / MS_PER_S)
         for lease in self._leases.remove_expired():
             EXPIRED.inc()
-            self._protocol.announce_departure(lease)
+            self._protocol.end_entry(lease)
         LEASES.set(len(self._leases))
         self._announce_isolation()
 
--- a/waxwingsaddle/node_protocol.py
+++ b/waxwingsaddle/node_protocol.py
@@ -109,10 +109,10 @@
             sequence,
         )
 
-    def announce_departure(self, lease: Lease) -> None:
-        """Announces that the node of an ended lease is gone.
+    def end_entry(self, lease: Lease) -> None:
+        """Ends the directory entry of a node whose lease has ended.
 
-        Nothing is announced if the node has moved to another control host.
+        Nothing happens if the node has moved to another control host.
         """
         record = self.exchange.directory.find(lease.host)
         if record is not None and record.holder == self.host:
@@ -213,7 +213,7 @@
         if lease is None or lease.incarnation != message.incarnation:
             return
         self.leases.remove(lease.host)
-        self.announce_departure(lease)
+        self.end_entry(lease)
 
     @_dispatch.register
     def _on_floor_query(
--- a/waxwingsaddle/upstreams.py
+++ b/waxwingsaddle/upstreams.py
@@ -58,8 +58,8 @@
         self._published: tuple[Announcement, ...] = ()
         self._departures = DepartureLog(lambda: round(clock() * MS_PER_S))
         self._wait_until_kept: WaitUntilKept | None = None
-        # Until then, announcements are held back: one that is late may name an
-        # upstream that left before this node started.
+        # Time until which announcements are held back, if ever: one that is
+        # late may name an upstream that left before this node started.
         self._held_until_s = float('-inf')
 
     def start(self) -> None:
