Bound the size of a body that a node announces

Room is reserved for as many bytes as the message of the other node says. A negative size, or one that the memory cannot hold, left the budget wrong for good. Sizes beyond the largest that a configuration allows are malformed now.

--- a/waxwingsaddle/upload_messages.py
+++ b/waxwingsaddle/upload_messages.py
@@ -4,9 +4,15 @@
 body piece by piece. A call runs only once its body is complete.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from waxwingsaddle.calls import CallRequest
+from waxwingsaddle.config_models import MAX_BODY_BYTES
+
+# Memory is reserved for as many bytes as the message says.
+BodySize = Annotated[int, msgspec.Meta(ge=0, le=MAX_BODY_BYTES)]
 
 
 class CallUpload(msgspec.Struct, frozen=True, array_like=True):
@@ -18,7 +24,7 @@
     """
 
     request: CallRequest
-    body_bytes: int
+    body_bytes: BodySize
 
 
 class BodyGrant(msgspec.Struct, frozen=True, array_like=True, gc=False):
