--- /dev/null
+++ b/review/standins2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the backends, the operator and the clients."""
