--- a/review/10/case.py
+++ b/review/10/case.py
@@ -10,18 +10,14 @@
 # Requests are sent from this time after the odd heartbeats: `contact` is 3 s,
 # and a backend without heartbeats counts as gone after about four of 1.5 s.
 CALM_S = 10.0
-WATCHED_S = 30.0
+WATCHED_S = 20.0
 
 
 def case(platform, is_troubled):
-    """Sends one odd heartbeat to each node, then requests."""
+    """Sends one odd heartbeat to each node before the first request."""
     backends = start_shop(platform, lambda _path: 0.02)
     if backends is None:
         return None
-    for node in platform.nodes:
-        _, response = call(platform, node, 'POST', '/order/first')
-        if response is None or response.status != 200:
-            return None
     if is_troubled:
         for backend in backends:
             _send_odd_heartbeat(platform, backend)
--- a/review/standins2/backend.py
+++ b/review/standins2/backend.py
@@ -28,6 +28,8 @@
         state: State that its heartbeats report.
         late_bytes: Bytes that it writes before each response on a connection
             that is kept, except the first; empty if it is sound.
+        is_full: Whether it refuses the next request.
+        refusal: The last refusal that it has sent; empty before any.
     """
 
     def __init__(self, platform, machine, name, work_s, body=None):
@@ -39,6 +41,8 @@
         self.born = int(time.time() * 1000)
         self.state = 'ready'
         self.late_bytes = b''
+        self.is_full = False
+        self.refusal = b''
         self.sequence = 0
         self.runs = []
         self.answered = []
@@ -156,6 +160,10 @@
                 f'X-Waxwingsaddle-Instance-Id: {self.name}\r\n'
                 'Content-Length: 0\r\n\r\n'
             ).encode()
+        if self.is_full:
+            self.is_full = False
+            self.refusal = self._refuse(own)
+            return self.refusal
         with self._lock:
             self.runs.append((time.monotonic(), identifier, path))
         self._platform.note('run', id=self.name, request=identifier, path=path)
@@ -168,3 +176,11 @@
             f'Content-Length: {len(body)}\r\n\r\n'
         )
         return head.encode() + body
+
+    def _refuse(self, own):
+        self._platform.note('refuse', id=self.name, field=own.strip())
+        return (
+            'HTTP/1.1 503 Service Unavailable\r\n'
+            f'X-Waxwingsaddle-Not-Executed: 1\r\n{own}'
+            'Content-Type: text/plain\r\nContent-Length: 0\r\n\r\n'
+        ).encode()
