--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,43 +1,56 @@
-"""A heartbeat names a service that does not exist, beside each backend."""
+"""A heartbeat names a service that does not exist, beside a sound backend."""
 
 import time
 from pathlib import Path
 
 from standins2.client import call
 from standins2.http11 import exchange_json
-from standins2.shop import run_case, start_shop
+from standins2.operator import configuration, put
+from standins2.shop import ROUTES, run_case, start_shop
 
-# Requests are sent from this time after the odd heartbeats: `contact` is 3 s,
-# and a backend without heartbeats counts as gone after about four of 1.5 s.
-CALM_S = 10.0
-WATCHED_S = 20.0
+SERVICES = ('orders', 'gallery')
+# Requests are sent this long after the odd heartbeat; `contact` is 3 s.
+CALM_S = 8.0
+WATCHED_S = 12.0
+MIN_REQUESTS = 20
 
 
 def case(platform, is_troubled):
-    """Sends one odd heartbeat to each node before the first request."""
-    backends = start_shop(platform, lambda _path: 0.02)
+    """Adds a route, sends the odd heartbeat, then requests on both routes."""
+    backends = start_shop(
+        platform,
+        lambda _path: 0.02,
+        document=configuration(1, ROUTES[1:], SERVICES),
+    )
     if backends is None:
         return None
+    if put(platform, configuration(2, ROUTES, SERVICES), 1, 10) != 200:
+        return None
     if is_troubled:
-        for backend in backends:
-            _send_odd_heartbeat(platform, backend)
+        _send_odd_heartbeat(platform, backends[0])
     time.sleep(CALM_S)
-    acknowledged = [backend.beat() for backend in backends]
-    served, sent = 0, 0
+    acknowledged = backends[0].beat()
+    sent, first, later = 0, 0, 0
     end_s = time.monotonic() + WATCHED_S
     while time.monotonic() < end_s:
         for node in platform.nodes:
-            for method, path in (('GET', '/browse/x'), ('POST', '/order/x')):
-                _, response = call(platform, node, method, path)
-                sent += 1
-                served += response is not None and response.status == 200
-        time.sleep(0.5)
+            sent += 1
+            first += _is_served(platform, node, 'GET', '/browse/x')
+            later += _is_served(platform, node, 'POST', '/order/x')
+        time.sleep(0.4)
     platform.note(
         'result',
-        heartbeats_acknowledged=acknowledged,
-        served=f'{served}/{sent}',
+        sent_on_each=sent,
+        served_on_first_route=first,
+        served_on_later_route=later,
+        heartbeat_acknowledged=acknowledged,
     )
-    return served > 0
+    return None if sent < MIN_REQUESTS else later * 4 >= first
+
+
+def _is_served(platform, node, method, path):
+    _, response = call(platform, node, method, path)
+    return response is not None and response.status == 200
 
 
 def _send_odd_heartbeat(platform, backend):
@@ -52,9 +65,11 @@
         },
         status={'state': 'ready', 'sequence': 1, 'warmupLeft': '0ms'},
     )
-    path = f'/v1/instances/i-elsewhere-{backend.machine.name}/heartbeat'
     reply = exchange_json(
-        backend.machine.address('control'), 'POST', path, document
+        backend.machine.address('control'),
+        'POST',
+        '/v1/instances/i-elsewhere/heartbeat',
+        document,
     )
     platform.note('odd-heartbeat', document=document, status=reply.status)
 
--- a/review/standins2/backend.py
+++ b/review/standins2/backend.py
@@ -28,6 +28,7 @@
         state: State that its heartbeats report.
         late_bytes: Bytes that it writes before each response on a connection
             that is kept, except the first; empty if it is sound.
+        late_one_in: Writes them before one in so many of these responses.
         is_full: Whether it refuses the next request.
         refusal: The last refusal that it has sent; empty before any.
     """
@@ -41,6 +42,8 @@
         self.born = int(time.time() * 1000)
         self.state = 'ready'
         self.late_bytes = b''
+        self.late_one_in = 1
+        self._kept_answers = 0
         self.is_full = False
         self.refusal = b''
         self.sequence = 0
@@ -139,10 +142,18 @@
             while not self._is_ended and (request := read_message(stream)):
                 if not request.is_whole:
                     return
-                late = self.late_bytes if is_kept else b''
-                sock.sendall(late + self._answer(request))
+                answer = self._answer(request)
+                sock.sendall(self._next_late(is_kept) + answer)
                 is_kept = True
 
+    def _next_late(self, is_kept):
+        with self._lock:
+            if not (is_kept and self.late_bytes):
+                return b''
+            self._kept_answers += 1
+            is_spoilt = self._kept_answers % self.late_one_in == 0
+        return self.late_bytes if is_spoilt else b''
+
     def _answer(self, request):
         method, path, _ = request.start.split(' ')
         identifier = request.fields.get(ID_FIELD, '')
--- a/review/standins2/shop.py
+++ b/review/standins2/shop.py
@@ -34,7 +34,7 @@
     return backends
 
 
-def start_shop(platform, work_s, body=None, services=SERVICES):
+def start_shop(platform, work_s, body=None, services=SERVICES, document=None):
     """Starts all machines and backends, and sends the first configuration.
 
     Args:
@@ -42,6 +42,7 @@
         work_s: Function that returns the work of a request, in seconds.
         body: Function that returns the body of the response to a request.
         services: Service of each node.
+        document: Configuration to send; by default the usual first one.
 
     Returns:
         The backends; None if the deployment does not become ready.
@@ -50,7 +51,8 @@
         node.service = service
     for machine in platform.machines:
         machine.start()
-    status = put(platform, first_configuration(), 0, START_TIMEOUT_S)
+    document = document or first_configuration()
+    status = put(platform, document, 0, START_TIMEOUT_S)
     if status != 200:
         return None
     backends = new_backends(platform, work_s, body)
