Tell the reader of an answer when the sender of its request meets a reset

Callers saw: an upstream answered a long upload at once with 200 and no length, sent a part of its body and reset the connection while the upload was being written.

Cause: the kernel reports a reset once, to the first call on the socket. If that is the send of the thread that writes the upload, the receive of the thread that reads the answer returns no bytes, as after a regular close. The sender dropped its error.

Change: Connection.send tells the reader, whose end is an error from then on. A first error of EPIPE comes after a regular end of the upstream and is left out.

Evidence: in a trace of the guarding node, sendto fails with ECONNRESET and the next recvfrom returns 0.

Why it works: whichever thread learns of the reset, the other one knows. Bytes that arrived before it are still read, so answers with a length stay whole.

--- a/waxwingsaddle/socket_reader.py
+++ b/waxwingsaddle/socket_reader.py
@@ -37,7 +37,7 @@
         # keeps reading many short lines linear in their size.
         self._start = 0
         self._is_ended = False
-        self._is_aborted = False
+        self._problem = ''
         self._receives = 0
 
     @property
@@ -96,13 +96,16 @@
         self._buffer = b''
         self._start = 0
 
-    def abort(self) -> None:
-        """Makes reads fail at the end, because this side ends the connection.
+    def abort(self, problem: str = 'this side closed the connection') -> None:
+        """Makes reads fail at the end, because the peer has not caused it.
 
         Otherwise a body that lasts until the connection closes would look
         complete wherever this side shut the connection down.
+
+        Args:
+            problem: What ended the connection.
         """
-        self._is_aborted = True
+        self._problem = self._problem or problem
 
     def close(self) -> None:
         """Discards the buffered bytes; later reads fail."""
@@ -122,8 +125,8 @@
     def _receive_more(self) -> bool:
         received = b'' if self._is_ended else self._receive()
         self._is_ended = self._is_ended or not received
-        if self._is_ended and self._is_aborted:
-            raise ConnectionAbortedError('this side closed the connection')
+        if self._is_ended and self._problem:
+            raise ConnectionAbortedError(self._problem)
         self._buffer = self._buffer[self._start :] + received
         self._start = 0
         return bool(received)
--- a/waxwingsaddle/upstream_connection.py
+++ b/waxwingsaddle/upstream_connection.py
@@ -52,6 +52,26 @@
         self.idle_limit_s = float('inf')
         self.is_reusable = True
 
+    def send(self, data: bytes | memoryview) -> None:
+        """Sends bytes; another green thread may read at the same time.
+
+        The kernel reports a reset once, to the first call on the socket. Later
+        reads return no bytes, as after a regular end. If the reset is reported
+        here, the reader has to be told.
+
+        Raises:
+            BrokenPipeError: The upstream ended its answers before the reset,
+                so their end is a regular one.
+            OSError: The connection broke.
+        """
+        try:
+            self.sock.sendall(data)
+        except BrokenPipeError:
+            raise
+        except OSError:
+            self.reader.abort('the connection broke off during the request')
+            raise
+
     def is_idle(self) -> bool:
         """Returns whether it is open and has nothing to read."""
         if self.reader.has_buffered:
--- a/waxwingsaddle/upstream_requests.py
+++ b/waxwingsaddle/upstream_requests.py
@@ -60,16 +60,16 @@
         OSError: The connection broke.
     """
     if len(body) <= _MAX_INLINE_BODY_BYTES:
-        connection.sock.sendall(head + body if body else head)
+        connection.send(head + body if body else head)
         return None
-    connection.sock.sendall(head)
+    connection.send(head)
     return greenthread.spawn(_send_body, connection, body)
 
 
 def _send_body(connection: Connection, body: bytes) -> None:
     try:
         # A green socket slices what is left to send, which copies bytes.
-        connection.sock.sendall(memoryview(body))
+        connection.send(memoryview(body))
     except OSError:
-        # Reading the answer fails, too, and reports the broken connection.
+        # Reading the answer reports a broken connection.
         connection.is_reusable = False
