Refuse answers of upstreams with a status above 599

Callers saw: an upstream answered with status 999, and got it passed on with its body as it was.

Cause: the response head took any three digits that do not begin with 0. RFC 9110, section 15, calls values outside 100 to 599 invalid, and a client is to treat them as a failure of the server.

Change: statuses of 100 to 599 only; the outcome of others is unknown, which callers see as 502, without the signature of the upstream.

Evidence: test_answer_with_a_status_above_599_reaches_no_caller fails before the change: 600 arrives through the node beside the upstream. By hand, 600 and 999 arrived through both nodes.

--- a/test/test_odd_heads.py
+++ b/test/test_odd_heads.py
@@ -13,6 +13,8 @@
 UPLOAD = b'u' * 3_000_000
 BODY = b'Content-Length: 5\r\n\r\nwhole'
 INVALID_STATUSES = (b'000', b'099', b'abc', b'20', b'2000', b'-20', b'')
+# Three digits that are no status of HTTP (RFC 9110, 15).
+STATUSES_OUT_OF_RANGE = (b'600', b'999')
 ODD_NAMES = (
     b'X Name',
     b'X-Name ',
@@ -56,6 +58,13 @@
     _assert_refused([_answer(status=status) for status in INVALID_STATUSES])
 
 
+def test_answer_with_a_status_above_599_reaches_no_caller():
+    """Guards against an answer that is none in HTTP: status 999."""
+    _assert_refused(
+        [_answer(status=status) for status in STATUSES_OUT_OF_RANGE]
+    )
+
+
 def test_answer_with_an_odd_field_name_reaches_no_caller():
     """Guards against a blank or a control byte in the name of a field."""
     _assert_refused([_answer(name=name) for name in ODD_NAMES])
--- a/waxwingsaddle/http_heads.py
+++ b/waxwingsaddle/http_heads.py
@@ -28,7 +28,7 @@
     rb'(%b) (/[!-~]*) HTTP/1\.([01])\r\n%b' % (_TOKEN, _FIELDS),
 )
 _RESPONSE = re.compile(
-    rb'HTTP/1\.([01]) ([1-9][0-9][0-9])(?: %b)?\r\n%b' % (_FIELD_TEXT, _FIELDS),
+    rb'HTTP/1\.([01]) ([1-5][0-9][0-9])(?: %b)?\r\n%b' % (_FIELD_TEXT, _FIELDS),
 )
 # A second status line in a head is the start of another answer, which follows
 # one that broke off within its reason phrase or a field value.
