Check the lines of trailer sections

Callers saw: an answer in chunks whose trailer held a control byte in the name of a field was passed on as whole. So were answers with any other line there, such as the status line of the next answer.

Cause: lines of the trailer were read up to the empty one and dropped, without a look at them. RFC 9112, 7.1.2, allows fields only. A body that breaks off before the empty line, with another answer behind it, looked complete: one message taken from the bytes of two.

Change: each line has to be a field, by the expression that heads are matched with, and to hold no status line. Otherwise the body is malformed: an answer is 502 or breaks off, a request is refused with 400 before it runs.

Evidence: two tests of test_odd_heads fail before the change, at the first of 15 trailers (200 with 2 and with 100,000 bytes).

--- a/test/test_odd_heads.py
+++ b/test/test_odd_heads.py
@@ -1,12 +1,13 @@
 """Answers of upstreams whose status or field names are not those of HTTP."""
 
-from itertools import product
+from itertools import chain, product
 from string import ascii_letters, digits
 
 from nose2.tools import params
 
 from test.nodes import call
 from test.scripted_hosts import two_hosts
+from test.test_broken_answers import CHUNKED, _addresses, _post
 from test.test_http_heads import _parse_or_none
 from waxwingsaddle.http_heads import parse_response
 
@@ -70,6 +71,33 @@
     _assert_refused([_answer(name=name) for name in ODD_NAMES])
 
 
+@params(b'ok', b'z' * 100_000)
+def test_body_with_an_odd_trailer_never_looks_whole(body):
+    """Guards against a trailer that is no field, or another answer."""
+    lines = (
+        *(b'%b: x' % name for name in ODD_NAMES),
+        b'no field',
+        b'X-Name: a\x00b',
+        b'HTTP/1.1 200 OK',
+        b'X-Name: aHTTP/1.1 200 OK',
+    )
+    chunks = b'%b%x\r\n%b\r\n0\r\n' % (CHUNKED, len(body), body)
+    scripts = [[b'%b%b\r\n\r\n' % (chunks, line), None] for line in lines]
+    with two_hosts(*chain(*zip(scripts, scripts, strict=True))) as hosts:
+        for line, address in product(lines, _addresses(hosts)):
+            status, received = _post(address)
+            assert status in {0, 502}, (line, status, len(received))
+
+
+def test_body_with_trailer_fields_is_whole():
+    """Guards against a sound answer with trailers that is taken for broken."""
+    trailers = b'0\r\nX-Sum: 1f\r\nX-Empty:\r\n\r\n'
+    script = [b'%b2\r\nok\r\n%b' % (CHUNKED, trailers)]
+    with two_hosts(script, script) as hosts:
+        for address in _addresses(hosts):
+            assert _post(address) == (200, b'ok')
+
+
 @params(b'X%bName', b'X-Name%b', b'%bX-Name', b'%b')
 def test_field_names_are_tokens(pattern):
     """Guards against any byte in a field name that is not of a token."""
--- a/waxwingsaddle/http_bodies.py
+++ b/waxwingsaddle/http_bodies.py
@@ -3,7 +3,7 @@
 import re
 from typing import BinaryIO
 
-from waxwingsaddle.http_heads import Framing, MalformedError
+from waxwingsaddle.http_heads import Framing, MalformedError, check_trailer
 
 # Chunk size of up to 15 hexadecimal digits; chunk extensions are ignored.
 _CHUNK_LINE = re.compile(rb'([0-9A-Fa-f]{1,15})[ \t]*(?:;[ -~\t]*)?\r\n')
@@ -101,8 +101,10 @@
 
     def _skip_trailers(self) -> None:
         for _ in range(_MAX_TRAILERS):
-            if self._read_line() == _LINE_END:
+            line = self._read_line()
+            if line == _LINE_END:
                 return
+            check_trailer(line)
         raise MalformedError('too many trailer fields')
 
     def _read_line(self) -> bytes:
--- a/waxwingsaddle/http_heads.py
+++ b/waxwingsaddle/http_heads.py
@@ -23,7 +23,8 @@
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _FIELD_TEXT = rb'[^\x00-\x08\x0a-\x1f\x7f]*'
-_FIELDS = rb'((?:%b:%b\r\n)*)\r\n' % (_TOKEN, _FIELD_TEXT)
+_FIELD_LINE = rb'%b:%b\r\n' % (_TOKEN, _FIELD_TEXT)
+_FIELDS = rb'((?:%b)*)\r\n' % _FIELD_LINE
 _REQUEST = re.compile(
     rb'(%b) (/[!-~]*) HTTP/1\.([01])\r\n%b' % (_TOKEN, _FIELDS),
 )
@@ -33,6 +34,7 @@
 # A second status line in a head is the start of another answer, which follows
 # one that broke off within its reason phrase or a field value.
 _STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-9][0-9][0-9]')
+_TRAILER = re.compile(_FIELD_LINE)
 _LINE_END = b'\r\n'
 _HEAD_END = b'\r\n\r\n'
 
@@ -225,6 +227,17 @@
     )
 
 
+def check_trailer(line: bytes) -> None:
+    """Checks a line of the trailer section, including its end.
+
+    Raises:
+        MalformedError: The line is no field (RFC 9112, 7.1.2), or is the start
+            of another answer, which follows one that broke off here.
+    """
+    if _TRAILER.fullmatch(line) is None or _STATUS_LINE.search(line):
+        raise MalformedError('malformed trailer field')
+
+
 # Fields that make a message ambiguous when they are repeated.
 _SINGLE_FIELDS = frozenset(('host', 'content-length', 'transfer-encoding'))
 
