Reset connections of HTTP/1.0 callers also when their node ends

Callers saw: a caller of HTTP/1.0 whose node was killed, or stopped at the node API, in the middle of a body without length got the part with a regular close, which is a whole answer for HTTP/1.0.

Cause: the connection was made to reset only after the body had broken off, in the program. When the process ends, the kernel closes its connections.

Change: the option is set before the head of such an answer, and taken back after the last byte of its body. Whatever ends the connection in between resets it.

Whole bodies end with a regular close, as before.

--- a/waxwingsaddle/lean_http.py
+++ b/waxwingsaddle/lean_http.py
@@ -5,7 +5,6 @@
 small steps.
 """
 
-import time
 from collections.abc import Iterable
 from http import HTTPStatus
 from typing import Any
@@ -24,6 +23,7 @@
     read_head,
 )
 from waxwingsaddle.lingering_close import linger, reset_on_close
+from waxwingsaddle.util.http_date import http_date
 from waxwingsaddle.web import Environ
 
 _CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -70,7 +70,8 @@
     Attributes:
         limits: Largest accepted head.
         is_lingering: Whether the caller gets time to read the last answer.
-        is_broken_off: Whether to reset, as a close would end the body.
+        is_broken_off: Whether the connection ends with a reset, as a regular
+            close would mark the end of the body.
     """
 
     limits = HeadLimits()
@@ -80,7 +81,6 @@
     def finish(self) -> None:
         """Closes the connection."""
         if self.is_broken_off:
-            reset_on_close(self.connection)
             # The socket is open as long as one of these is.
             for stream in (self.rfile, self.wfile, self.connection):
                 stream.close()
@@ -204,7 +204,10 @@
             body = b''.join(body_parts)
             self._send(self._build_head(len(body)), body)
             return
-        self._send(self._build_head(None), b'')
+        head = self._build_head(None)
+        if self._is_until_close:
+            self._set_broken_off(True)
+        self._send(head, b'')
         if self._is_bodyless():
             return
         sent_bytes = 0
@@ -216,11 +219,17 @@
                 self._protocol.connection.sendall(block)
         if self._is_chunked:
             self._protocol.connection.sendall(b'0\r\n\r\n')
-        elif not self._is_until_close and sent_bytes != self._declared_length():
+        elif self._is_until_close:
+            self._set_broken_off(False)
+        elif sent_bytes != self._declared_length():
             raise ValueError(
                 f'body has {sent_bytes} bytes, unlike its Content-Length'
             )
 
+    def _set_broken_off(self, is_broken_off: bool) -> None:
+        self._protocol.is_broken_off = is_broken_off
+        reset_on_close(self._protocol.connection, is_broken_off)
+
     def _declared_length(self) -> int:
         return next(
             int(text)
@@ -232,7 +241,6 @@
         """Breaks the response off, so that it does not look complete."""
         logs.logger().warning('answer broke off', error=repr(error))
         self._protocol.close_connection = True
-        self._protocol.is_broken_off = self._is_until_close
         if not self._is_head_written:
             self.start('500 Internal Server Error', [])
             self._send(self._build_head(0), b'')
@@ -245,7 +253,7 @@
             *(f'{name}: {text}\r\n' for name, text in self._headers),
         ]
         if 'date' not in names:
-            lines.append(f'Date: {_date()}\r\n')
+            lines.append(f'Date: {http_date()}\r\n')
         has_length = 'content-length' in names
         if not has_length and not self._is_bodyless():
             lines.append(self._framing_line(length))
@@ -285,16 +293,3 @@
         if self._is_bodyless():
             message = parts[0]
         self._protocol.connection.sendall(message)
-
-
-_dates: dict[int, str] = {}
-
-
-def _date() -> str:
-    now_s = int(time.time())
-    text = _dates.get(now_s)
-    if text is None:
-        _dates.clear()
-        text = wsgi.format_date_time(now_s)
-        _dates[now_s] = text
-    return text
--- a/waxwingsaddle/lingering_close.py
+++ b/waxwingsaddle/lingering_close.py
@@ -9,13 +9,19 @@
 
 # Time in which the peer has to close its end.
 _LINGER_S = 1.0
-# Closing a socket with this SO_LINGER option resets the connection.
+# Closing a socket with the first of these SO_LINGER options resets the
+# connection; the second one is the default.
 _LINGER_ZERO = struct.pack('ii', 1, 0)
+_LINGER_OFF = struct.pack('ii', 0, 0)
 
 
-def reset_on_close(sock: Any) -> None:
-    """Makes the close of a socket reset its connection."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+def reset_on_close(sock: Any, is_reset: bool = True) -> None:
+    """Makes the close of a socket reset its connection, or not any more.
+
+    It also applies to the close by the kernel when the process ends.
+    """
+    option = _LINGER_ZERO if is_reset else _LINGER_OFF
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
 
 
 def linger(sock: Any) -> None:
--- a/waxwingsaddle/reply_writer.py
+++ b/waxwingsaddle/reply_writer.py
@@ -57,14 +57,13 @@
     if is_bodyless or answer.stream is None:
         sock.sendall(head_bytes if is_bodyless else head_bytes + answer.body)
         return not reply.is_last
+    if is_until_close:
+        # A plain close would mark the end of the body.
+        reset_on_close(sock)
     sock.sendall(head_bytes)
-    try:
-        sent_bytes = _write_stream(sock, answer, is_chunked)
-    except BaseException:
-        if is_until_close:
-            # A plain close would mark the end of the body.
-            reset_on_close(sock)
-        raise
+    sent_bytes = _write_stream(sock, answer, is_chunked)
+    if is_until_close:
+        reset_on_close(sock, is_reset=False)
     is_complete = length is None or sent_bytes == length
     return is_complete and not reply.is_last and not is_until_close
 
