Refuse answers with a malformed head in the programs' own clients

Callers saw: waxwingctl and waxwing-source took an answer of a control host, such as the acknowledgement of an edit, although a field name in its head held a blank, a control byte or a byte above 127, or was empty.

Cause: http.client takes a line that is no field for the end of the head and drops the fields behind it, the length among them, and urllib3 only logs it.

Change: strict_client, a response class for urllib3 that raises if the head was not parsed whole, by urllib3's own check, or if a field name is no token. The command fails as it does without an answer, and asks the next control host. waxwing-load, which reads answers of nodes, uses it as well.

Evidence: 11 forms of test_odd_field_name_is_a_failure fail before the change (History in place of a failure) and pass after it. Answers that end early, odd statuses and a reset during an edit of 8 MB were failures before; their tests are kept.

--- a/waxwingsaddle/client.py
+++ b/waxwingsaddle/client.py
@@ -31,6 +31,7 @@
 from waxwingsaddle.config import SourceSet
 from waxwingsaddle.events import Events
 from waxwingsaddle.rollout_models import RolloutOrder
+from waxwingsaddle.strict_client import pool_manager
 from waxwingsaddle.util.codec import json_decoder, pack_json
 
 MS_PER_S = 1000
@@ -65,7 +66,7 @@
         self._controls = tuple(controls)
         self._first = 0
         self._timeout_s = timeout_ms / MS_PER_S
-        self._pool = pool or urllib3.PoolManager(retries=False)
+        self._pool = pool or pool_manager(retries=False)
         self._max_answer_bytes = max_answer_bytes
         self._headers = {'Content-Type': 'application/json'}
         if token:
--- a/waxwingsaddle/load_generator.py
+++ b/waxwingsaddle/load_generator.py
@@ -18,6 +18,7 @@
 from waxwingsaddle.experiment import Action, Experiment, Flow, Stage
 from waxwingsaddle.load_report import Recorder
 from waxwingsaddle.standin import CALL_ID_HEADER, is_complete_answer
+from waxwingsaddle.strict_client import pool_manager
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s, wall_ms
 from waxwingsaddle.util.jsonlines import JsonLinesWriter
 
@@ -116,7 +117,7 @@
         self._recorder = recorder
         self._is_direct = is_direct
         self._rng = random.Random(experiment.seed)
-        self._http = urllib3.PoolManager(
+        self._http = pool_manager(
             num_pools=MAX_ADDRESSES,
             maxsize=CONNECTIONS_PER_ADDRESS,
             retries=False,
--- a/waxwingsaddle/standin_announcer.py
+++ b/waxwingsaddle/standin_announcer.py
@@ -10,6 +10,7 @@
 
 from waxwingsaddle import logs
 from waxwingsaddle.standin_settings import StandinSettings
+from waxwingsaddle.strict_client import pool_manager
 from waxwingsaddle.util.clock import monotonic_s, wall_ms
 
 POLL_INTERVAL_S = 0.02
@@ -39,7 +40,7 @@
     ) -> None:
         self._settings = settings
         self._standin = standin
-        self._pool = urllib3.PoolManager(retries=False)
+        self._pool = pool_manager(retries=False)
         self._thread: greenthread.GreenThread | None = None
         self._url = (
             f'http://{settings.node_http_address}/v1/upstreams/{settings.host}'
