--- a/test/test_resets_amid_uploads.py
+++ b/test/test_resets_amid_uploads.py
@@ -83,35 +83,52 @@
     return status, body
 
 
+def _read_behind_a_reset(*steps):
+    """Returns the body of a connection whose reset its sender meets first.
+
+    Args:
+        steps: Functions that the upstream calls with its socket before it
+            closes, after it has sent a body.
+    """
+    listener = eventlet.listen(('127.0.0.1', 0))
+    connection = Connection(listener.getsockname(), 1)
+    peer, _ = listener.accept()
+    try:
+        peer.sendall(b'a body')
+        for step in steps:
+            step(peer)
+        peer.close()
+        _send_until_broken(connection)
+        body = Body(connection.reader, UNDELIMITED, is_until_close=True)
+        return body.read(1000)
+    finally:
+        connection.close()
+        listener.close()
+
+
 def _send_until_broken(connection):
     while True:
         try:
             send_request(connection, b'u', b'')
-        except ConnectionResetError:
+        except ConnectionError:
             return
         eventlet.sleep(0.01)
 
 
 def test_reset_that_the_sender_meets_first_reaches_the_reader():
     """Guards against a reset that ends a body like a regular close."""
-    listener = eventlet.listen(('127.0.0.1', 0))
-    connection = Connection(listener.getsockname(), 1)
-    peer, _ = listener.accept()
     try:
-        peer.sendall(b'half of a body')
-        reset(peer)
-        peer.close()
-        _send_until_broken(connection)
-        body = Body(connection.reader, UNDELIMITED, is_until_close=True)
-        received = body.read(1000)
+        received = _read_behind_a_reset(reset)
     except ConnectionAbortedError:
         return
-    finally:
-        connection.close()
-        listener.close()
     raise AssertionError(f'{received!r} looks whole')
 
 
+def test_regular_end_before_the_reset_ends_the_body():
+    """Guards against a whole body that a reset behind its end breaks."""
+    assert _read_behind_a_reset(_end, _pause, reset) == b'a body'
+
+
 @params(*PARTS)
 def test_body_cut_by_a_reset_during_the_upload_is_broken(part):
     """Guards against a success of the client with a part of the body."""
