Name the whole body in tests of resets after what it is

Cause: reading the diff, `_receive` did not say that it gives None for a body that does not look whole, and a comment told of an end of the upload that is not reached with 8 MB.

Change: names and a comment in test_resets_amid_uploads.

--- a/test/test_resets_amid_uploads.py
+++ b/test/test_resets_amid_uploads.py
@@ -33,7 +33,7 @@
 PIECE_BYTES = 16_384
 # Below and above the size from which bodies are streamed.
 PARTS = (b'z' * 300, LARGE)
-# The reset comes early in the upload, in its middle, and near its end.
+# At most a quarter of the upload is read before the reset.
 PIECES_READ = (5, 20, 60, 120)
 PAUSE_S = 0.05
 UNDELIMITED = Framing(None, is_chunked=False, is_persistent=False)
@@ -58,7 +58,7 @@
     return [start, partial(_read_upload, pieces), reset, None]
 
 
-def _receive(received):
+def _whole_body(received):
     """Returns the body that looks whole; None if the answer is no success."""
     if received.outcome is not Outcome.RAN:
         return None
@@ -135,7 +135,7 @@
     scripts = [_reset_after(HEAD + part, pieces) for pieces in PIECES_READ]
     with scripted_client(*scripts) as (_, client):
         for pieces in PIECES_READ:
-            received = _receive(send(client, request('a', body=UPLOAD)))
+            received = _whole_body(send(client, request('a', body=UPLOAD)))
             assert received is None, (pieces, len(received))
 
 
@@ -143,7 +143,7 @@
 def test_body_cut_while_the_upload_stands_still_is_broken(upload, part):
     """Guards against a part that looks whole, with no sender to notice."""
     with scripted_client([HEAD + part, _pause, reset, None]) as (_, client):
-        received = _receive(send(client, request('a', body=upload)))
+        received = _whole_body(send(client, request('a', body=upload)))
     assert received is None, len(received)
 
 
@@ -157,14 +157,14 @@
     read = partial(_read_upload, PIECES_READ[0])
     script = [HEAD + part, _end, read, _pause, reset, None]
     with scripted_client(script) as (_, client):
-        assert _receive(send(client, request('a', body=UPLOAD))) == part
+        assert _whole_body(send(client, request('a', body=UPLOAD))) == part
 
 
 def test_answer_with_a_length_before_the_reset_is_whole():
     """Guards against an early answer, such as a refusal, that is lost."""
     script = _reset_after(answer('a', b'whole'), PIECES_READ[0])
     with scripted_client(script) as (_, client):
-        received = _receive(send(client, request('a', body=UPLOAD)))
+        received = _whole_body(send(client, request('a', body=UPLOAD)))
     assert received == b'whole'
 
 
