--- a/review/standins3/mesh3.py
+++ b/review/standins3/mesh3.py
@@ -12,6 +12,7 @@
 import os
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -82,6 +83,32 @@
 ZONES = ('z-a', 'z-b', 'z-c')
 
 
+# Ports of the settings, and those of the internal range that are used.
+PORTS = (8300, 8301, 8302, 8304, 8306, *range(7620, 7626))
+
+
+def find_net(net):
+    """Returns the first network from this one on whose ports are free."""
+    first, second = map(int, net.split('.'))
+    for offset in range(20):
+        found = f'{first}.{(second + offset) % 256}'
+        if all(is_free(f'{found}.{part}.1') for part in (0, 1)):
+            return found
+    raise RuntimeError('no free loopback addresses')
+
+
+def is_free(ip):
+    """Returns whether all ports are free at an address."""
+    for port in PORTS:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                return False
+    return True
+
+
 class Program:
     """One process of the project, with its settings file."""
 
@@ -175,6 +202,7 @@
         self.memory_mb = memory_mb
         self.started_s = time.monotonic()
         self.lines = []
+        net = find_net(net)
         self.control_ips = [f'{net}.0.{n + 1}' for n in range(controls)]
         self.controls = [
             Program(self, 'control', ip, ZONES[n % 3])
