--- a/review/standins3/mesh3.py
+++ b/review/standins3/mesh3.py
@@ -202,6 +202,10 @@
         self.memory_mb = memory_mb
         self.started_s = time.monotonic()
         self.lines = []
+        # A script that takes too long still ends its processes.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         net = find_net(net)
         self.control_ips = [f'{net}.0.{n + 1}' for n in range(controls)]
         self.controls = [
