Keep departures of upstreams in the replicated log

Cause: departures were in the memory of nodes and control hosts only, and the first reply of a control host that had just restarted read like "there are none".

Change: departures are entries of the log of the configurations. A node acknowledges one when a majority has synced it. A node that starts holds announcements back until a majority has confirmed its departures (departures-kept), or until none of before its start can arrive any more. LeaderChannel, edit_image, edit_checks, polling and periodic_task are moved code.

--- a/test/distribution_fakes.py
+++ b/test/distribution_fakes.py
@@ -9,10 +9,12 @@
 from waxwingsaddle.addresses import ControlHost, NodeControl
 from waxwingsaddle.config import SourceSet, check_sources
 from waxwingsaddle.control_settings import ControlSettings
+from waxwingsaddle.departure_records import DepartureRecords, encode_departures
 from waxwingsaddle.events import Timeline
 from waxwingsaddle.fleet_events import FleetTimeline
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.node_settings import NodeSettings
+from waxwingsaddle.outcomes import Unavailable
 from waxwingsaddle.raft_messages import Members
 from waxwingsaddle.rollout_orders import RolloutOrders
 from waxwingsaddle.util.codec import msgpack_decoder, pack
@@ -24,13 +26,25 @@
 
     def __init__(self):
         self.state = SimpleNamespace(
-            version=0, sites={}, rollouts=RolloutOrders()
+            version=0,
+            sites={},
+            rollouts=RolloutOrders(),
+            departures=DepartureRecords(),
         )
         self.age_ms = 0
+        self.has_leader = True
 
     def majority_age_ms(self):
         return self.age_ms
 
+    def newest(self):
+        return self.state if self.has_leader else Unavailable(reason='test')
+
+    def store_departures(self, hosts):
+        if not self.has_leader:
+            return Unavailable(reason='test')
+        return self.state.departures.apply(encode_departures(hosts))
+
     def members(self):
         return Members()
 
@@ -74,6 +88,7 @@
     parts: tuple = ()
     departed: tuple = ()
     restored: tuple = ()
+    is_restored: bool = False
 
     def announcements(self):
         return self.parts
@@ -81,9 +96,11 @@
     def departures(self):
         return self.departed
 
-    def restore_departures(self, departures):
-        self.restored += departures
+    def restore_departures(self, departures, *, are_all):
+        known = (*self.restored, *departures)
+        self.restored = tuple({one.key: one for one in known}.values())
         self.departed += departures
+        self.is_restored = self.is_restored or are_all
 
     def keep_departures(self, wait_until_kept):
         """Acknowledges nothing."""
@@ -179,6 +196,7 @@
             version=version,
             sites=trees(version, **tree_options),
             rollouts=RolloutOrders(),
+            departures=self.replication.state.departures,
         )
         self.kernel.publish('configuration-accepted', version=version)
 
--- a/test/test_departures.py
+++ b/test/test_departures.py
@@ -1,17 +1,25 @@
 """Departures of upstreams that hold beyond the end of their node."""
 
+from functools import partial
 from unittest.mock import Mock
 
 import eventlet
 from nose2.tools import params
 
-from test.distribution_fakes import Control, FakeUpstreams, Node, announcement
+from test.distribution_fakes import (
+    Control,
+    FakeReplication,
+    FakeUpstreams,
+    Node,
+    announcement,
+)
 from test.distribution_fleet import ZONES, fleet, until
 from test.meshes import mesh
 from test.nodes import call
 from test.processes import get_json, wait_until
 from test.test_announcement_order import _body, _states
 from waxwingsaddle.announced_entry import AnnouncedEntry
+from waxwingsaddle.departure_keeper import DepartureKeeper
 from waxwingsaddle.departures import (
     DEPARTURES_KEPT_MS,
     Departure,
@@ -228,6 +236,47 @@
     assert entry.wait_until_kept(ENDED.key)
 
 
+def test_node_waits_until_departures_are_confirmed():
+    """Guards against control hosts that know of none and say so: case 14.
+
+    They have all restarted and have no leader yet.
+    """
+    options = {'node_options': {**FAST, 'departure_wait_ms': 300}}
+    with fleet(**options) as (controls, nodes):
+        node = nodes[0]
+        replication = controls[0].replication
+        replication.has_leader = False
+        node.upstreams.departed = (ENDED,)
+        node.announce()
+        assert not node.service.entry.wait_until_kept(ENDED.key)
+        restarted = Node('node-0', node.hosts, options=FAST)
+        until(lambda: restarted.upstreams.restored, 'the lease')
+        assert not restarted.upstreams.is_restored
+        replication.has_leader = True
+        until(lambda: restarted.upstreams.is_restored, 'the confirmation')
+        assert restarted.service.entry.wait_until_kept(ENDED.key)
+        restarted.kernel.stop()
+
+
+def test_departures_of_many_nodes_take_one_entry():
+    """Guards against an entry of the log for each upstream of a release."""
+    replication = FakeReplication()
+    replication.has_leader = False
+    keeper = DepartureKeeper(replication, _always)
+    answers = {}
+    keeper.start()
+    for number in range(100):
+        host = f'host-{number}'
+        keeper.keep(host, (ENDED,), partial(answers.__setitem__, host))
+    eventlet.sleep(0.1)
+    assert not answers
+    replication.has_leader = True
+    until(lambda: len(answers) == 100, 'the answers')
+    assert {kept[0].key for kept in answers.values()} == {ENDED.key}
+    assert replication.state.departures.changes == 1
+    keeper.stop()
+
+
 def test_departure_without_control_hosts_is_not_kept():
     """Guards against a wait without end, and against a wrong promise."""
     options = {'node_options': {**FAST, 'departure_wait_ms': 300}}
@@ -261,8 +310,12 @@
     return {upstream['name'] for upstream in listed}
 
 
-def test_killed_node_keeps_what_it_acknowledged():
-    """Guards against a late heartbeat after a leave: review case 4."""
+@params(('node',), ('node', 'control'))
+def test_killed_node_keeps_what_it_acknowledged(*programs):
+    """Guards against a late heartbeat after a leave: review cases 4 and 14.
+
+    The node is killed, or all processes that know of the leave message.
+    """
     fields = '"service":"orders","address":"127.0.0.1:9","slots":6'
     first, late = (
         f'{{{fields},"started_at_ms":100,"sequence":{sequence}}}'.encode()
@@ -278,10 +331,17 @@
             lambda: call(node.http_address, 'DELETE', target)[0] != 503,
             'the acknowledgement',
         )
-        process = running.processes[node.host]
-        process.kill()
-        process.start()
-        running.wait_ready(node)
+        members = [
+            member
+            for program in programs
+            for member in running.deployment.members_of(program)
+        ]
+        for member in members:
+            running.processes[member.host].kill()
+        for member in members:
+            running.processes[member.host].start()
+        for member in members:
+            running.wait_ready(member)
         assert call(node.http_address, 'PUT', target, late)[0] == 200
         wait_until(lambda: 'upstream-0' in _names(running), 'the other one')
         assert 'leaving' not in _names(running)
--- a/test/test_rollout_orders.py
+++ b/test/test_rollout_orders.py
@@ -11,7 +11,8 @@
     number_of,
 )
 from waxwingsaddle.documents import Document, render_document, service_entry
-from waxwingsaddle.edits import MAX_ENTRY_BYTES, EditState
+from waxwingsaddle.edit_image import MAX_ENTRY_BYTES
+from waxwingsaddle.edits import EditState
 from waxwingsaddle.outcomes import Accepted, Edit, Refused
 from waxwingsaddle.rollout_models import (
     RolloutAccepted,
--- a/waxwingsaddle/announced_entry.py
+++ b/waxwingsaddle/announced_entry.py
@@ -24,8 +24,10 @@
     def departures(self) -> Departures:
         """Returns the upstreams that drain or have left, with ages."""
 
-    def restore_departures(self, departures: Departures) -> None:
-        """Adds departures that control hosts have kept, with ages."""
+    def restore_departures(
+        self, departures: Departures, *, are_all: bool
+    ) -> None:
+        """Adds departures that control hosts have, with ages."""
 
     def keep_departures(self, wait_until_kept: WaitUntilKept) -> None:
         """Makes control hosts keep the departures of this node."""
@@ -107,11 +109,17 @@
         """Notes that the control host has no entry of this node."""
         self._is_confirmed = False
 
-    def restore(self, departures: Departures) -> None:
-        """Takes over the departures that the control hosts have kept."""
+    def restore(self, departures: Departures, *, are_all: bool) -> None:
+        """Takes over departures that control hosts have.
+
+        Args:
+            departures: Departures, with ages.
+            are_all: Whether they are stored and no other ones are.
+        """
         if self._service is not None:
-            self._service.restore_departures(departures)
-        self._kept_keys |= {departure.key for departure in departures}
+            self._service.restore_departures(departures, are_all=are_all)
+        if are_all:
+            self._kept_keys |= {departure.key for departure in departures}
 
     def wait_until_kept(self, key: DepartureKey) -> bool:
         """Waits until control hosts have a departure.
--- a/waxwingsaddle/announcements.py
+++ b/waxwingsaddle/announcements.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from waxwingsaddle import logs
 from waxwingsaddle.addresses import Address
 from waxwingsaddle.config_models import Name
 from waxwingsaddle.directory import Slots
@@ -12,6 +13,10 @@
 from waxwingsaddle.util.codec import json_decoder
 from waxwingsaddle.util.numbers import Count
 
+# Age assumed for an upstream that reports that it has warmed up; longer than
+# any slow start.
+_WARM_AGE_S = 3600
+
 UpstreamVersion = Annotated[str, msgspec.Meta(pattern='^[!-~]{0,128}$')]
 
 
@@ -90,3 +95,36 @@
             or earlier.incarnation != self.incarnation
             or earlier.address != self.address
         )
+
+
+def find_start_s(body: AnnouncementBody, now_s: float) -> float:
+    """Returns when an upstream counts as started, on the local clock.
+
+    Args:
+        body: Its first announcement.
+        now_s: Monotonic time of that, in seconds.
+    """
+    return now_s - _WARM_AGE_S if body.cold_ms == 0 else now_s
+
+
+def log_change(
+    announcement: Announcement, state: str, sequence: int | None = None
+) -> None:
+    """Logs that an upstream was added, has changed or was removed.
+
+    Args:
+        announcement: The upstream.
+        state: Its state; `left` or `silent` once it was removed.
+        sequence: Number of the announcement, if one was the reason.
+    """
+    logs.logger().info(
+        'upstream',
+        upstream=announcement.name,
+        service=announcement.service,
+        address=announcement.address,
+        slots=announcement.slots,
+        state=state,
+        incarnation=announcement.incarnation,
+        version=announcement.version,
+        sequence=sequence,
+    )
--- a/waxwingsaddle/departures.py
+++ b/waxwingsaddle/departures.py
@@ -42,6 +42,22 @@
 
 Departures = tuple[Departure, ...]
 
+
+class DeparturesKept(
+    msgspec.Struct, frozen=True, array_like=True, tag='departures-kept'
+):
+    """The replicated log has the departures of a node.
+
+    Attributes:
+        sequence: Sequence number of the directory entry that brought them.
+        departures: All upstreams of the node that drain or have left, also
+            those of its earlier incarnations, with ages.
+    """
+
+    sequence: Count
+    departures: Departures = ()
+
+
 # Waits until control hosts have a departure, named by its key, and returns
 # whether they have it.
 WaitUntilKept = Callable[[tuple[str, int, bool]], bool]
--- a/waxwingsaddle/distribution.py
+++ b/waxwingsaddle/distribution.py
@@ -7,8 +7,9 @@
 
 from eventlet import greenthread
 
-from waxwingsaddle import logs, metrics
+from waxwingsaddle import metrics
 from waxwingsaddle.admission import Admission
+from waxwingsaddle.departure_keeper import DepartureKeeper
 from waxwingsaddle.directory import Directory, UpstreamEntry, upstream_entries
 from waxwingsaddle.directory_exchange import DirectoryExchange
 from waxwingsaddle.directory_feed import DirectoryFeed
@@ -23,6 +24,7 @@
 from waxwingsaddle.node_protocol import NodeProtocol
 from waxwingsaddle.node_push import NodePush
 from waxwingsaddle.node_server import NodeServer, encode_message
+from waxwingsaddle.periodic_task import repeat_task
 from waxwingsaddle.rollout_messages import RolloutReport
 from waxwingsaddle.site_encodings import SiteCatalogue
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_ms, monotonic_s
@@ -76,6 +78,7 @@
         )
         self._versions = DistributedVersions(settings.config_steps_kept + 1)
         self._connect_peers(kernel.find('peers'))
+        self._departures = DepartureKeeper(self._replication, self._is_leased)
         self._protocol = self._create_protocol()
         self._threads: list[greenthread.GreenThread] = []
         self._is_isolation_announced = False
@@ -89,15 +92,16 @@
         )
         self._kernel.subscribe('rollouts-changed', self._on_version_accepted)
         self._on_version_accepted()
+        self._departures.start()
         self._server.start()
         settings = self._settings
         self._threads = [
-            greenthread.spawn(_repeat, TICK_MS, self._tick),
+            greenthread.spawn(repeat_task, TICK_MS, self._tick),
             greenthread.spawn(
-                _repeat, settings.directory_batch_ms, self._push_directory
+                repeat_task, settings.directory_batch_ms, self._push_directory
             ),
             greenthread.spawn(
-                _repeat,
+                repeat_task,
                 settings.directory_digest_ms,
                 self._exchange.tick,
             ),
@@ -108,6 +112,7 @@
         for thread in self._threads:
             thread.kill()
         self._threads.clear()
+        self._departures.stop()
         self._server.stop()
 
     def fleet_status(self) -> FleetStatus:
@@ -170,6 +175,7 @@
                 monotonic_s,
             ),
             self._exchange,
+            self._departures,
             self._push,
             self._majority_age_ms,
             self._events,
@@ -278,22 +284,3 @@
         self, entries: Callable[[], tuple[UpstreamEntry, ...]]
     ) -> None:
         self.entries = entries
-
-
-def _repeat(interval_ms: int, task: Callable[[int], None]) -> None:
-    """Runs a task forever at an interval.
-
-    Args:
-        interval_ms: Pause after each run, in milliseconds.
-        task: Called with the milliseconds by which the run is late.
-    """
-    late_ms = 0
-    while True:
-        try:
-            task(late_ms)
-        except Exception:
-            # An error in one round must not end the periodic task.
-            logs.logger().exception('periodic task failed')
-        due_ms = monotonic_ms() + interval_ms
-        greenthread.sleep(interval_ms / MS_PER_S)
-        late_ms = monotonic_ms() - due_ms
--- a/waxwingsaddle/edits.py
+++ b/waxwingsaddle/edits.py
@@ -11,9 +11,15 @@
 
 import msgspec
 
-from waxwingsaddle import rollout_orders
+from waxwingsaddle import departure_records, rollout_orders
 from waxwingsaddle.config import CheckedSources, SourceSet
 from waxwingsaddle.edit_history import EditHistory, HistoryEntry
+from waxwingsaddle.edit_image import (
+    MAX_ENTRY_BYTES,
+    EditImage,
+    decode_image,
+    encode_image,
+)
 from waxwingsaddle.outcomes import Accepted, Conflict, Edit, Outcome, Refused
 from waxwingsaddle.util.codec import (
     Tree,
@@ -31,24 +37,11 @@
     make_entry,
 )
 
-# Limits the size to which damaged compressed data can expand; edits are far
-# smaller.
-MAX_ENTRY_BYTES = 268_435_456
-
-
-class _Image(msgspec.Struct, frozen=True, array_like=True):
-    """Content of a snapshot."""
-
-    version: int
-    sites: dict[str, Tree]
-    texts: dict[str, str]
-    history: tuple[HistoryEntry, ...]
-    entries: tuple[EditEntry, ...]
-    rollouts: rollout_orders.RolloutImage = rollout_orders.RolloutImage()
-
+EntryOutcome = (
+    Outcome | rollout_orders.RolloutOutcome | departure_records.DeparturesStored
+)
 
 _decode_entry = msgpack_decoder(EditEntry)
-_decode_image = msgpack_decoder(_Image)
 
 
 class EditState:
@@ -60,6 +53,7 @@
 
     Attributes:
         rollouts: The rollouts of services, whose entries are in the same log.
+        departures: The departures of upstreams, likewise.
     """
 
     def __init__(self, versions_kept: int, history_kept: int) -> None:
@@ -68,6 +62,7 @@
         self._history = EditHistory(history_kept)
         self._versions.append(EMPTY_VERSION)
         self.rollouts = rollout_orders.RolloutOrders()
+        self.departures = departure_records.DepartureRecords()
 
     @property
     def current(self) -> StoredVersion:
@@ -190,8 +185,10 @@
         """Encodes an edit that creates the next version as a log entry."""
         return _encode(make_entry(self.current, edit, checked, taken_ms))
 
-    def apply(self, command: bytes) -> Outcome | rollout_orders.RolloutOutcome:
+    def apply(self, command: bytes) -> EntryOutcome:
         """Applies a log entry; returns the outcome of its edit or order."""
+        if departure_records.is_departure_entry(command):
+            return self.departures.apply(command)
         if rollout_orders.is_rollout_entry(command):
             services = rollout_orders.services_of(self.sites)
             return self.rollouts.apply(command, services, self.version)
@@ -206,14 +203,15 @@
     def dump(self) -> bytes:
         """Encodes the state as a snapshot."""
         oldest = self._versions[0]
-        return _encode(
-            _Image(
+        return encode_image(
+            EditImage(
                 version=oldest.version,
                 sites=dict(oldest.sites),
                 texts=dict(oldest.texts),
                 history=self.history(),
                 entries=tuple(self._entries),
                 rollouts=self.rollouts.dump(),
+                departures=self.departures.dump(),
             ),
         )
 
@@ -225,8 +223,9 @@
         if not body:
             self._versions.append(EMPTY_VERSION)
             self.rollouts.load(rollout_orders.RolloutImage())
+            self.departures.load(departure_records.DepartureImage())
             return
-        image = _decode_image(decompress(body, MAX_ENTRY_BYTES))
+        image = decode_image(body)
         self._versions.append(
             StoredVersion(
                 image.version,
@@ -239,6 +238,7 @@
             self._add_version(entry)
         self._history.replace(image.history)
         self.rollouts.load(image.rollouts)
+        self.departures.load(image.departures)
 
     def _race_conflict(self, entry: EditEntry) -> Conflict | None:
         """Returns the conflict of a document that lost a race, if it did.
--- a/waxwingsaddle/fleet.py
+++ b/waxwingsaddle/fleet.py
@@ -120,7 +120,9 @@
         """Returns no departures."""
         return ()
 
-    def restore_departures(self, departures: Departures) -> None:
+    def restore_departures(
+        self, departures: Departures, *, are_all: bool
+    ) -> None:
         """Ignores them, since the upstream never leaves."""
 
     def keep_departures(self, wait_until_kept: WaitUntilKept) -> None:
--- a/waxwingsaddle/leader_forwarding.py
+++ b/waxwingsaddle/leader_forwarding.py
@@ -7,6 +7,7 @@
 from eventlet import greenpool, timeout
 from eventlet.event import Event
 
+from waxwingsaddle.departure_records import DeparturesStored, HostDepartures
 from waxwingsaddle.edits import EditState
 from waxwingsaddle.leader_requests import LeaderRequests
 from waxwingsaddle.membership import Change
@@ -34,7 +35,14 @@
 # edits from operators, `edit_bytes`, is far smaller.
 MAX_EDIT_BYTES = 268_435_456
 
-Answer = Outcome | MembersChanged | Newest | RolloutAccepted | RolloutConflict
+Answer = (
+    Outcome
+    | MembersChanged
+    | Newest
+    | RolloutAccepted
+    | RolloutConflict
+    | DeparturesStored
+)
 
 
 class ForwardPacked(msgspec.Struct, frozen=True):
@@ -78,6 +86,14 @@
     start: RolloutStart
 
 
+class ForwardDepartures(msgspec.Struct, frozen=True):
+    """Asks the leader to store departures of upstreams."""
+
+    request: str
+    budget_s: float
+    hosts: tuple[HostDepartures, ...]
+
+
 class ForwardReply(msgspec.Struct, frozen=True):
     """Replies to a forwarded request."""
 
@@ -111,6 +127,7 @@
         peers.subscribe(ForwardChange, self._on_change)
         peers.subscribe(ForwardRead, self._on_read)
         peers.subscribe(ForwardRollout, self._on_rollout)
+        peers.subscribe(ForwardDepartures, self._on_departures)
         peers.subscribe(ForwardReply, self._on_reply)
 
     def forward_edit(self, host: str, edit: Edit, budget_s: float) -> Answer:
@@ -161,13 +178,25 @@
             host, ForwardRollout(self._new_request_id(), budget_s, start)
         )
 
+    def forward_departures(
+        self, host: str, hosts: tuple[HostDepartures, ...], budget_s: float
+    ) -> Answer:
+        """Forwards departures to a host that leads and waits for the answer."""
+        return self._request_leader(
+            host, ForwardDepartures(self._new_request_id(), budget_s, hosts)
+        )
+
     def _new_request_id(self) -> str:
         return f'{self._peers.host}-{self._nonce}-{next(self._counter)}'
 
     def _request_leader(
         self,
         host: str,
-        message: ForwardPacked | ForwardChange | ForwardRead | ForwardRollout,
+        message: ForwardPacked
+        | ForwardChange
+        | ForwardRead
+        | ForwardRollout
+        | ForwardDepartures,
     ) -> Answer | WholeNeeded:
         answer_event = Event()
         self._pending[message.request] = answer_event
@@ -211,6 +240,14 @@
             sender, message, self._leader_requests.decide_rollout, message.start
         )
 
+    def _on_departures(self, sender: str, message: ForwardDepartures) -> None:
+        self._start_request(
+            sender,
+            message,
+            self._leader_requests.store_departures,
+            message.hosts,
+        )
+
     def _start_request(self, sender: str, message, decide, request) -> None:
         if self._pool.free() > 0:
             self._pool.spawn_n(
--- a/waxwingsaddle/leader_requests.py
+++ b/waxwingsaddle/leader_requests.py
@@ -1,10 +1,11 @@
 """Requests that only the leader can answer: edits, members, newest version."""
 
-from collections.abc import Callable
-
-from eventlet import greenthread
-
 from waxwingsaddle import config
+from waxwingsaddle.departure_records import (
+    DeparturesStored,
+    HostDepartures,
+    encode_departures,
+)
 from waxwingsaddle.edits import EditState
 from waxwingsaddle.membership import Change, MembershipError
 from waxwingsaddle.outcomes import (
@@ -16,6 +17,7 @@
     Refused,
     Unavailable,
 )
+from waxwingsaddle.polling import wait_until
 from waxwingsaddle.raft_driver import RaftDriver
 from waxwingsaddle.rollout_models import (
     RolloutAccepted,
@@ -31,8 +33,6 @@
 from waxwingsaddle.util.clock import monotonic_s, wall_ms
 from waxwingsaddle.voter_policy import OPERATORS_ONLY, VoterPolicy
 
-# Polling interval for conditions without an event, such as a new leader.
-POLL_INTERVAL_S = 0.02
 NOT_LEADER = Unavailable(reason='not the leader')
 IN_DOUBT = Unavailable(reason='the result is unknown')
 NO_MAJORITY = Unavailable(reason='no contact with a majority')
@@ -118,7 +118,11 @@
         if not is_confirmed:
             return NO_MAJORITY
         state = self._driver.state
-        return Newest(version=state.version, changes=state.rollouts.changes)
+        return Newest(
+            version=state.version,
+            changes=state.rollouts.changes,
+            departures=state.departures.changes,
+        )
 
     def decide_rollout(
         self, request: RolloutStart, budget_s: float
@@ -169,6 +173,25 @@
             return NOT_LEADER
         return proposal.wait(budget_s) or IN_DOUBT
 
+    def store_departures(
+        self, hosts: tuple[HostDepartures, ...], budget_s: float
+    ) -> DeparturesStored | Unavailable:
+        """Stores departures of upstreams.
+
+        Args:
+            hosts: The departures by host, with times since the epoch.
+            budget_s: Seconds to wait until they are committed.
+        """
+        deadline_s = monotonic_s() + budget_s
+        if not self._wait_established(deadline_s):
+            return NOT_LEADER
+        if not self._wait_enough_voters(deadline_s):
+            return TOO_FEW_VOTERS
+        proposal = self._driver.propose(encode_departures(hosts))
+        if proposal is None:
+            return NOT_LEADER
+        return proposal.wait(deadline_s - monotonic_s()) or IN_DOUBT
+
     def change_members(
         self,
         change: Change,
@@ -254,21 +277,3 @@
     state: EditState, request: RolloutStart
 ) -> RolloutOutcome | None:
     return state.rollouts.decide(request.order, services_of(state.sites))
-
-
-def wait_until(condition: Callable[[], bool], timeout_s: float) -> bool:
-    """Polls a condition in this green thread.
-
-    Args:
-        condition: The condition.
-        timeout_s: Seconds after which to give up.
-
-    Returns:
-        Whether the condition became true in time.
-    """
-    deadline_s = monotonic_s() + timeout_s
-    while not condition():
-        if monotonic_s() >= deadline_s:
-            return False
-        greenthread.sleep(POLL_INTERVAL_S)
-    return True
--- a/waxwingsaddle/leases.py
+++ b/waxwingsaddle/leases.py
@@ -30,6 +30,8 @@
         due_revision: Directory revision sent before the last renewal; a node
             that still lacks it has lost the message.
         events_known: Number of events of the node that this host knows.
+        kept_sequence: Sequence number of the newest directory entry of the node
+            whose departures are in the replicated log; 0 for none.
     """
 
     identity: bytes
@@ -47,6 +49,7 @@
     due_version: int = 0
     due_revision: int = -1
     events_known: int = 0
+    kept_sequence: int = 0
 
 
 @dataclass(slots=True)
--- a/waxwingsaddle/node_messages.py
+++ b/waxwingsaddle/node_messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from waxwingsaddle.departures import Departures
+from waxwingsaddle.departures import Departures, DeparturesKept
 from waxwingsaddle.directory import NodeRecord, UpstreamRecord
 from waxwingsaddle.event_batches import EventBatch
 from waxwingsaddle.odd_entries import decode_nodes, upstreams_decoder
@@ -138,6 +138,8 @@
             retries with a higher one.
         departures: Upstreams of the node that drain or have left, also those
             of its earlier incarnations, with ages.
+        are_departures_kept: Whether these are all and are stored; otherwise
+            `DeparturesKept` follows.
     """
 
     ttl_ms: int
@@ -145,6 +147,8 @@
     version: int
     known_incarnation: int
     departures: Departures = ()
+    # True from earlier versions, which send no `DeparturesKept`.
+    are_departures_kept: bool = True
 
 
 class LeaseGranted(msgspec.Struct, frozen=True, array_like=True, tag='granted'):
@@ -157,7 +161,8 @@
         has_lease: Whether the node has a lease; otherwise it needs a new one.
         events_known: Number of events of the node that the host knows.
         sequence: Sequence number of the directory entry of the node that the
-            control hosts have; 0 if not told, -1 from earlier versions.
+            control hosts have, with its departures in the replicated log; 0 if
+            not told, -1 from earlier versions.
         stamp_ms: That of the renewal; 0 if this answers none.
     """
 
@@ -277,6 +282,7 @@
 )
 FromControl = (
     Welcome
+    | DeparturesKept
     | LeaseGranted
     | ConfigDelta
     | ConfigWhole
--- a/waxwingsaddle/node_protocol.py
+++ b/waxwingsaddle/node_protocol.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from typing import Any
 
 from waxwingsaddle import metrics
 from waxwingsaddle.admission import Admission
-from waxwingsaddle.departures import Departures
+from waxwingsaddle.departure_keeper import DepartureKeeper
+from waxwingsaddle.departures import Departures, DeparturesKept
 from waxwingsaddle.directory import as_tombstone
 from waxwingsaddle.directory_exchange import DirectoryExchange
 from waxwingsaddle.fleet_events import FleetTimeline
@@ -51,6 +52,7 @@
         leases: Leases of this control host.
         admission: Limits the rate of new leases.
         exchange: Announces directory entries to the other control hosts.
+        departures: Stores the departures of upstreams.
         push: Pushes the configuration and the directory.
         majority_age_ms: Returns the milliseconds since the last contact with a
             majority.
@@ -66,6 +68,7 @@
     leases: LeaseTable
     admission: Admission
     exchange: DirectoryExchange
+    departures: DepartureKeeper
     push: NodePush
     majority_age_ms: Callable[[], int]
     events: FleetTimeline
@@ -144,11 +147,9 @@
         lease: Lease | None,
     ) -> None:
         current = self.exchange.directory.find(message.host)
-        current_incarnation = current.incarnation if current else 0
-        if current_incarnation > message.incarnation:
-            self._reply(
-                identity, self._welcome_message(current_incarnation), message
-            )
+        known_incarnation = current.incarnation if current else 0
+        if known_incarnation > message.incarnation:
+            self._reply(identity, self._welcome(known_incarnation), message)
             return
         wait_ms = self.admission.retry_after_ms(identity)
         if wait_ms:
@@ -156,10 +157,13 @@
             self._reply(identity, Busy(wait_ms), message)
             return
         lease = self.leases.grant(identity, message)
-        departures = self._announce(lease, message.call_address, message)
-        welcome = self._welcome_message(current_incarnation, departures)
+        departures = store_entry(
+            self.exchange, self.host, lease, message.call_address, message
+        )
+        welcome = self._welcome(known_incarnation, departures)
         self._reply(identity, welcome, lease)
         self.push.send_initial(lease)
+        self._keep_departures(lease, message)
 
     @_dispatch.register
     def _on_renew(
@@ -178,7 +182,8 @@
             lease.sequence = message.sequence
             current = self.exchange.directory.find(lease.host)
             address = current.call_address if current else ''
-            self._announce(lease, address, message)
+            store_entry(self.exchange, self.host, lease, address, message)
+            self._keep_departures(lease, message)
         if message.events is not None and message.events.events:
             lease.events_known = self.events.add_batch(
                 lease.host,
@@ -191,7 +196,7 @@
         reply = self.renewal_reply(
             has_lease=True,
             events_known=lease.events_known,
-            sequence=lease.sequence,
+            sequence=lease.kept_sequence,
             stamp_ms=message.stamp_ms,
         )
         self._reply(identity, reply, lease)
@@ -255,14 +260,25 @@
     ) -> None:
         self.on_quota_report(identity, message)
 
-    def _announce(
-        self, lease: Lease, call_address: str, message: Hello | Renew
-    ) -> Departures:
-        return store_entry(
-            self.exchange, self.host, lease, call_address, message
+    def _keep_departures(self, lease: Lease, message: Hello | Renew) -> None:
+        is_known = self.departures.is_kept(lease.host, message.departures)
+        if is_known and isinstance(message, Renew):
+            lease.kept_sequence = message.sequence
+            return
+        self.departures.keep(
+            lease.host,
+            message.departures,
+            partial(self._confirm_departures, lease, message.sequence),
         )
 
-    def _welcome_message(
+    def _confirm_departures(
+        self, lease: Lease, sequence: int, departures: Departures
+    ) -> None:
+        lease.kept_sequence = max(lease.kept_sequence, sequence)
+        reply = DeparturesKept(sequence, departures)
+        self._reply(lease.identity, reply, lease)
+
+    def _welcome(
         self, current_incarnation: int, departures: Departures = ()
     ) -> Welcome:
         return Welcome(
@@ -271,6 +287,7 @@
             self.push.sites.version,
             current_incarnation,
             departures,
+            are_departures_kept=False,
         )
 
     def _reply(
--- a/waxwingsaddle/node_session.py
+++ b/waxwingsaddle/node_session.py
@@ -13,6 +13,7 @@
 from waxwingsaddle.configuration_proof import ConfigurationProof
 from waxwingsaddle.configuration_state import ApplyOutcome, ConfigurationState
 from waxwingsaddle.control_link import ControlLink
+from waxwingsaddle.departures import DeparturesKept
 from waxwingsaddle.node_directory import NodeDirectory
 from waxwingsaddle.node_events import NodeEvents
 from waxwingsaddle.node_messages import (
@@ -226,12 +227,22 @@
         self.is_leased = True
         self.majority_age_ms = message.majority_age_ms
         self._revision = -1
-        self._entry.confirm(self._entry.sequence)
-        self._entry.restore(message.departures)
+        self._entry.restore(
+            message.departures, are_all=message.are_departures_kept
+        )
+        if message.are_departures_kept:
+            self._entry.confirm(self._entry.sequence)
         if previous_link is not None and previous_link is not link:
             previous_link.close()
         self._hello_answered.set()
 
+    @_dispatch.register
+    def _on_departures_kept(
+        self, message: DeparturesKept, link: ControlLink, raw: bytes
+    ) -> None:
+        self._entry.restore(message.departures, are_all=True)
+        self._entry.confirm(message.sequence)
+
     @_dispatch.register
     def _on_busy(self, message: Busy, link: ControlLink, raw: bytes) -> None:
         self._retry_ms = message.retry_after_ms
--- a/waxwingsaddle/outcomes.py
+++ b/waxwingsaddle/outcomes.py
@@ -101,10 +101,12 @@
     Attributes:
         version: The version; 0 before any edit.
         changes: Number of changes of rollouts.
+        departures: Number of entries with departures in the log.
     """
 
     version: int
     changes: int = 0
+    departures: int = 0
 
 
 Outcome = Accepted | Conflict | Refused | Unavailable
--- a/waxwingsaddle/replication.py
+++ b/waxwingsaddle/replication.py
@@ -1,26 +1,22 @@
 """Replication of accepted configurations between control hosts."""
 
 import random
-from collections.abc import Callable
-from functools import partial
 from pathlib import Path
 
 from eventlet import greenthread
 
-from waxwingsaddle import config, logs
+from waxwingsaddle import logs
 from waxwingsaddle.cluster_join import ClusterJoin
 from waxwingsaddle.control_settings import ControlSettings
+from waxwingsaddle.departure_records import DeparturesStored, HostDepartures
+from waxwingsaddle.edit_checks import check_edit
 from waxwingsaddle.edits import EditState
 from waxwingsaddle.kernel import Kernel
-from waxwingsaddle.leader_forwarding import Answer, LeaderForwarder
-from waxwingsaddle.leader_requests import (
-    POLL_INTERVAL_S,
-    LeaderRequests,
-    wait_until,
-)
+from waxwingsaddle.leader_channel import Answer, LeaderChannel
 from waxwingsaddle.membership import Change
-from waxwingsaddle.outcomes import Edit, Newest, Outcome, Refused, Unavailable
+from waxwingsaddle.outcomes import Edit, Newest, Outcome, Unavailable
 from waxwingsaddle.peers import Peers
+from waxwingsaddle.polling import wait_until
 from waxwingsaddle.publisher import Publisher
 from waxwingsaddle.raft import Raft
 from waxwingsaddle.raft_driver import RaftDriver
@@ -79,8 +75,9 @@
         )
         for message_type in MESSAGE_TYPES:
             peers.subscribe(message_type, self._receive)
-        self._requests = LeaderRequests(self._driver, settings.voter_policy)
-        self._forwarder = LeaderForwarder(peers, self._requests, self.state)
+        self._leader = LeaderChannel(
+            self._driver, peers, settings, lambda: self.leader
+        )
         self._cluster_join = ClusterJoin(
             self._driver,
             peers,
@@ -139,13 +136,13 @@
             The outcome; `Unavailable` if it is unknown within
             `submit_deadline_ms`. The edit can then be submitted again.
         """
-        refusal = self._check_edit(edit)
+        refusal = check_edit(edit, self._settings.edit_bytes)
         if refusal is not None:
             return refusal
-        return self._request_leader(
+        return self._leader.ask(
             edit,
-            self._requests.decide_edit,
-            self._forwarder.forward_edit,
+            self._leader.requests.decide_edit,
+            self._leader.forwarder.forward_edit,
             _deadline_after(self._settings.submit_deadline_ms),
         )
 
@@ -156,10 +153,10 @@
             `MembersChanged`, `Refused`, or `Unavailable` if the result is
             unknown within `submit_deadline_ms`.
         """
-        return self._request_leader(
+        return self._leader.ask(
             change,
-            self._requests.change_members,
-            self._forwarder.forward_change,
+            self._leader.requests.change_members,
+            self._leader.forwarder.forward_change,
             _deadline_after(self._settings.submit_deadline_ms),
         )
 
@@ -171,16 +168,16 @@
             on this host within `read_deadline_ms`.
         """
         deadline_s = _deadline_after(self._settings.read_deadline_ms)
-        response = self._request_leader(
+        response = self._leader.ask(
             None,
-            self._requests.read_newest,
-            self._forwarder.forward_newest,
+            self._leader.requests.read_newest,
+            self._leader.forwarder.forward_newest,
             deadline_s,
         )
         if not isinstance(response, Newest):
             return response
         if wait_until(
-            partial(self._has_applied, response),
+            lambda: self._has_applied(response),
             deadline_s - monotonic_s(),
         ):
             return self.state.current
@@ -195,17 +192,38 @@
             `RolloutAccepted`, `RolloutConflict`, `Refused`, or `Unavailable`
             if the result is unknown within `submit_deadline_ms`.
         """
-        return self._request_leader(
+        return self._leader.ask(
             start,
-            self._requests.decide_rollout,
-            self._forwarder.forward_rollout,
+            self._leader.requests.decide_rollout,
+            self._leader.forwarder.forward_rollout,
             _deadline_after(self._settings.submit_deadline_ms),
         )
 
     def step_rollout(self, step: RolloutStep) -> Answer:
         """Changes a running rollout if this host leads."""
         budget_s = self._settings.submit_deadline_ms / MS_PER_S
-        return self._requests.step_rollout(step, budget_s)
+        return self._leader.requests.step_rollout(step, budget_s)
+
+    def store_departures(self, hosts: tuple[HostDepartures, ...]) -> Answer:
+        """Stores departures of upstreams through the leader.
+
+        Returns:
+            `DeparturesStored` once this host has applied them; `Unavailable`
+            if that is unknown within `read_deadline_ms`.
+        """
+        deadline_s = _deadline_after(self._settings.read_deadline_ms)
+        outcome = self._leader.ask(
+            hosts,
+            self._leader.requests.store_departures,
+            self._leader.forwarder.forward_departures,
+            deadline_s,
+        )
+        if isinstance(outcome, DeparturesStored) and not wait_until(
+            lambda: self.state.departures.changes >= outcome.changes,
+            deadline_s - monotonic_s(),
+        ):
+            return Unavailable(reason='departures are not applied here yet')
+        return outcome
 
     def members(self) -> Members:
         """Returns the newest members in the log of this host."""
@@ -244,43 +262,9 @@
         return (
             self.state.version >= newest.version
             and self.state.rollouts.changes >= newest.changes
+            and self.state.departures.changes >= newest.departures
         )
 
-    def _check_edit(self, edit: Edit) -> Refused | None:
-        sources = edit.sources
-        sizes = map(len, (sources.base, *sources.overlays.values()))
-        limit = self._settings.edit_bytes
-        size = sum(sizes)
-        if size > limit:
-            return Refused(problems=(f'edit of {size} bytes, at most {limit}',))
-        checked = config.check_sources(sources)
-        if isinstance(checked, config.Refused):
-            return Refused(problems=checked.problems)
-        return None
-
-    def _request_leader(
-        self,
-        request,
-        decide: Callable[..., Answer],
-        forward: Callable[..., Answer],
-        deadline_s: float,
-    ) -> Answer:
-        answer: Answer = Unavailable(reason='no leader is known')
-        while monotonic_s() < deadline_s:
-            remaining_s = deadline_s - monotonic_s()
-            leader = self.leader
-            if self._driver.is_leader:
-                answer = decide(request, remaining_s)
-            elif leader not in {None, self._peers.host}:
-                timeout_s = self._settings.forward_timeout_ms / MS_PER_S
-                answer = forward(leader, request, min(remaining_s, timeout_s))
-            if not isinstance(answer, Unavailable):
-                return answer
-            greenthread.sleep(POLL_INTERVAL_S)
-        if self.problem:
-            return Unavailable(reason=self.problem)
-        return answer
-
     def _run_cluster_join(self) -> None:
         while True:
             self._cluster_join.tick()
--- a/waxwingsaddle/standin_control.py
+++ b/waxwingsaddle/standin_control.py
@@ -13,6 +13,12 @@
 from waxwingsaddle import distribution, metrics
 from waxwingsaddle.config import Refused, SourceSet, check_sources
 from waxwingsaddle.control_settings import ControlSettings
+from waxwingsaddle.departure_records import (
+    DepartureRecords,
+    DeparturesStored,
+    HostDepartures,
+    encode_departures,
+)
 from waxwingsaddle.fleet_events import FleetTimeline
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.peers import Peers
@@ -40,7 +46,10 @@
 
     def __init__(self) -> None:
         self.state: Any = SimpleNamespace(
-            version=0, sites={}, rollouts=RolloutOrders()
+            version=0,
+            sites={},
+            rollouts=RolloutOrders(),
+            departures=DepartureRecords(),
         )
         self.isolated_at_s: float | None = None
 
@@ -54,6 +63,16 @@
             return 0
         return (monotonic_s() - self.isolated_at_s) * MS_PER_S
 
+    def newest(self) -> Any:
+        """Returns the accepted configuration."""
+        return self.state
+
+    def store_departures(
+        self, hosts: tuple[HostDepartures, ...]
+    ) -> DeparturesStored:
+        """Stores departures of upstreams in memory."""
+        return self.state.departures.apply(encode_departures(hosts))
+
 
 class StandInApi:
     """HTTP API that sets versions and isolation, and reports usage.
@@ -112,6 +131,7 @@
             version=checked.version,
             sites=checked.sites,
             rollouts=RolloutOrders(),
+            departures=self._replication.state.departures,
         )
         self._kernel.publish('configuration-accepted', version=checked.version)
         return started_s
--- a/waxwingsaddle/upstreams.py
+++ b/waxwingsaddle/upstreams.py
@@ -5,7 +5,6 @@
 
 import eventlet
 
-from waxwingsaddle import logs
 from waxwingsaddle.announcement_checks import (
     AnnouncementChecks,
     Decode,
@@ -13,15 +12,17 @@
     RefusalLog,
 )
 from waxwingsaddle.announcement_order import AnnouncementOrder
-from waxwingsaddle.announcements import Announcement, AnnouncementBody
+from waxwingsaddle.announcements import (
+    Announcement,
+    AnnouncementBody,
+    find_start_s,
+    log_change,
+)
 from waxwingsaddle.departures import DepartureLog, Departures, WaitUntilKept
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.util.clock import MS_PER_S
 
 _EXPIRY_CHECK_INTERVAL_S = 0.5
-# Age assumed for an upstream that reports that it has warmed up; longer than
-# any slow start.
-_WARM_AGE_S = 3600
 _DRAINING = 'draining'
 # Checks of a node without a service of its own and without configuration.
 _NO_SERVICES = AnnouncementChecks('', lambda: None)
@@ -91,8 +92,16 @@
         """Returns the upstreams that drain or have left, with ages."""
         return self._departures.recent()
 
-    def restore_departures(self, departures: Departures) -> None:
-        """Adds departures that control hosts have kept, with ages."""
+    def restore_departures(
+        self, departures: Departures, *, are_all: bool = True
+    ) -> None:
+        """Adds departures that control hosts have.
+
+        Args:
+            departures: Departures, with ages.
+            are_all: Whether the control hosts know of no others, so that no
+                announcement has to be held back any more.
+        """
         self._departures.restore(departures)
         for departure in departures:
             if departure.has_ended:
@@ -102,7 +111,8 @@
                     departure.since_ms / MS_PER_S,
                 )
         is_held = self._is_held
-        self._held_until_s = float('-inf')
+        if are_all:
+            self._held_until_s = float('-inf')
         is_changed = self._apply_departures()
         if is_changed or (is_held and self._announcements):
             self._publish_change()
@@ -174,13 +184,13 @@
             address=body.address,
             slots=body.slots,
             state=state,
-            started_s=prior.started_s if is_same else _started_s(body, now_s),
+            started_s=prior.started_s if is_same else find_start_s(body, now_s),
             incarnation=body.started_at_ms,
             version=body.version,
         )
         if announcement != prior:
             self._announcements[name] = announcement
-            _log_change(announcement, announcement.state, body.sequence)
+            log_change(announcement, announcement.state, body.sequence)
             self._publish_change()
         return True
 
@@ -208,7 +218,7 @@
         current = self._announcements.pop(name, None)
         if current is None:
             return False
-        _log_change(current, state)
+        log_change(current, state)
         self._publish_change()
         return True
 
@@ -255,7 +265,7 @@
                 continue
             if self._departures.find(name).has_ended:
                 self._last_heard_s.pop(name)
-                _log_change(self._announcements.pop(name), 'left')
+                log_change(self._announcements.pop(name), 'left')
             else:
                 self._announcements[name] = replace(
                     announcement, state=_DRAINING
@@ -277,23 +287,3 @@
         while True:
             eventlet.sleep(_EXPIRY_CHECK_INTERVAL_S)
             self.expire()
-
-
-def _started_s(body: AnnouncementBody, now_s: float) -> float:
-    return now_s - _WARM_AGE_S if body.cold_ms == 0 else now_s
-
-
-def _log_change(
-    announcement: Announcement, state: str, sequence: int | None = None
-) -> None:
-    logs.logger().info(
-        'upstream',
-        upstream=announcement.name,
-        service=announcement.service,
-        address=announcement.address,
-        slots=announcement.slots,
-        state=state,
-        incarnation=announcement.incarnation,
-        version=announcement.version,
-        sequence=sequence,
-    )
