Read configurations back as they were sent

Cause: durations were rounded to whole milliseconds, and the read was written anew from the tree that the programs act on.

Change: durations are exact decimals; what can't be held is refused. A document keeps the form of the parts that would be written otherwise. Bounds in the settings are never exceeded by rounding, percentages keep their fractions.

The usual configuration is stored in the same bytes as before.

--- a/waxwingsaddle/caller_fields.py
+++ b/waxwingsaddle/caller_fields.py
@@ -63,7 +63,7 @@
             return ()
         return ((self.names.request_id, head.fields[key]),)
 
-    def timeout_ms(self, head: RequestHead, match: Match) -> int:
+    def timeout_ms(self, head: RequestHead, match: Match) -> float:
         """Returns the timeout of a call, in milliseconds."""
         route = match.route
         max_ms = route.timeout_ms or MAX_TIMEOUT_MS
--- a/waxwingsaddle/config.py
+++ b/waxwingsaddle/config.py
@@ -1,7 +1,7 @@
 """Configuration: parsing, merging and checking of files and snapshots."""
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from itertools import chain
 from typing import Any
 
@@ -21,6 +21,7 @@
 from waxwingsaddle.documents import (
     DOCUMENT_SITE,
     DocumentError,
+    Form,
     is_document,
     parse_document,
 )
@@ -72,6 +73,7 @@
         digest: Digest of all merged sites, without the version.
         sites: Merged tree by site name.
         number: The operator's number of a document; 0 for files.
+        form: How the operator wrote a document.
         base_number: Number of the document that this one is based on; 0 for
             none.
     """
@@ -81,6 +83,7 @@
     sites: Mapping[str, Tree]
     number: int = 0
     base_number: int = 0
+    form: Form = field(default_factory=Form)
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,6 +149,7 @@
         sites=sites,
         number=document.number,
         base_number=document.base_number,
+        form=document.form,
     )
 
 
--- a/waxwingsaddle/config_models.py
+++ b/waxwingsaddle/config_models.py
@@ -23,6 +23,11 @@
 
 Name = Annotated[str, msgspec.Meta(pattern=_NAME_PATTERN)]
 TimeoutMs = Annotated[int, msgspec.Meta(ge=1, le=MAX_TIMEOUT_MS)]
+# Operators may submit fractions of a millisecond.
+OptionalSpanMs = (
+    Annotated[int, msgspec.Meta(ge=0, le=MAX_TIMEOUT_MS)]
+    | Annotated[float, msgspec.Meta(ge=0, le=MAX_TIMEOUT_MS)]
+)
 # No route's run time reaches this multiple of the median run time.
 MAX_RATIO = 1000
 Percent = Annotated[int, msgspec.Meta(ge=0, le=100)]
@@ -161,8 +166,8 @@
     split: tuple[Share, ...] = ()
     host: RequestHost = ''
     idempotent: bool = False
-    timeout_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_TIMEOUT_MS)] = 0
-    objective_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_TIMEOUT_MS)] = 0
+    timeout_ms: OptionalSpanMs = 0
+    objective_ms: OptionalSpanMs = 0
     attempts: Annotated[int, msgspec.Meta(ge=0, le=100)] = 0
     answers: Literal['small', 'large'] = 'small'
     bodies: Literal['small', 'large'] = 'small'
@@ -244,8 +249,8 @@
 
     head_bytes: Annotated[int, msgspec.Meta(ge=0, le=MAX_HEAD_BYTES)] = 0
     body_bytes: Annotated[int, msgspec.Meta(ge=0, le=MAX_BODY_BYTES)] = 0
-    head_timeout_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_TIMEOUT_MS)] = 0
-    idle_timeout_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_TIMEOUT_MS)] = 0
+    head_timeout_ms: OptionalSpanMs = 0
+    idle_timeout_ms: OptionalSpanMs = 0
 
 
 class SiteDocument(
--- a/waxwingsaddle/derived_timeouts.py
+++ b/waxwingsaddle/derived_timeouts.py
@@ -50,13 +50,13 @@
     drain_ms: int
     stop_ms: int
     announce_ms: int
-    retry_percent: int
+    retry_percent: float
     fleet_retries: int
     revoke_ms: int = 0
     quota_window_ms: int = 0
-    quota_overage_percent: int = 0
+    quota_overage_percent: float = 0
     quota_slack: int = 0
-    rollout_exposed_percent: int = 0
+    rollout_exposed_percent: float = 0
     rollout_exposed_calls: int = 0
     rollout_back_ms: int = 0
 
--- a/waxwingsaddle/distribution_settings.py
+++ b/waxwingsaddle/distribution_settings.py
@@ -6,6 +6,7 @@
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 NonNegative = Annotated[int, msgspec.Meta(ge=0)]
+NonNegativePercent = Annotated[float, msgspec.Meta(ge=0)]
 
 
 class DistributionSettings(
@@ -65,8 +66,8 @@
     tombstone_ms: Positive
     status_wait_ms: Positive
     quota_window_ms: NonNegative
-    quota_overage_percent: NonNegative
+    quota_overage_percent: NonNegativePercent
     quota_slack: NonNegative
-    rollout_exposed_percent: Annotated[int, msgspec.Meta(ge=0, le=100)]
+    rollout_exposed_percent: Annotated[float, msgspec.Meta(ge=0, le=100)]
     rollout_exposed_calls: NonNegative
     rollout_back_ms: NonNegative
--- a/waxwingsaddle/documents.py
+++ b/waxwingsaddle/documents.py
@@ -7,12 +7,14 @@
 versions small.
 """
 
-from dataclasses import dataclass
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
 from typing import Any, Literal
 
 import msgspec
 
-from waxwingsaddle.config_models import MAX_RATIO
+from waxwingsaddle.config_models import LIMITS_TABLE, MAX_RATIO
 from waxwingsaddle.util.codec import Tree, json_decoder
 from waxwingsaddle.util.numbers import Count
 
@@ -36,6 +38,7 @@
     frozen=True,
     forbid_unknown_fields=True,
     kw_only=True,
+    omit_defaults=True,
 ):
     """First line of the text.
 
@@ -43,11 +46,57 @@
         document: Version of the text format.
         number: The operator's number of this configuration.
         base_number: Number of the configuration it is based on; 0 for none.
+        heading: See `Form`.
+        order: See `Form`.
+        limits: Limits as the operator wrote them; empty like in `Form`.
     """
 
     document: Literal[1]
     number: Count
     base_number: Count
+    heading: str = ''
+    order: tuple[tuple[str, int], ...] = ()
+    limits: str = ''
+
+
+class _Entry(
+    msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True
+):
+    """Further line of the text.
+
+    Attributes:
+        table: Table of the entry.
+        name: Its name.
+        entry: What it defines.
+        original: The entry as the operator wrote it; empty like in `Form`.
+    """
+
+    table: str
+    name: str
+    entry: Any
+    original: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Form:
+    """What a tree does not tell of the text that an operator submitted.
+
+    A configuration is read back as it was submitted: with the same spelling
+    of durations, with fields that this program does not know, and in the same
+    order. What is written alike from the tree has no place here.
+
+    Attributes:
+        heading: Fields of the whole configuration, except its entries; empty
+            if they are written alike.
+        order: Tables in the order of their entries, each with the number of
+            entries that follow one another; empty for the usual order.
+        originals: Entries as written, by table and name (empty for the
+            limits), if they are not written alike.
+    """
+
+    heading: str = ''
+    order: tuple[tuple[str, int], ...] = ()
+    originals: Mapping[tuple[str, str], str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,11 +107,13 @@
         number: The operator's number of this configuration.
         base_number: Number of the configuration it is based on; 0 for none.
         tree: Tables of services and routes, and the limits.
+        form: How the operator wrote it.
     """
 
     number: int
     base_number: int
     tree: Tree
+    form: Form = field(default_factory=Form)
 
 
 def service_entry(health_path: str, connections: int) -> Tree:
@@ -93,7 +144,8 @@
 
 
 _decode_header = json_decoder(_Header)
-_decode_entry = json_decoder(tuple[str, str, Any])
+_decode_entry = json_decoder(_Entry)
+_LIMITS_KEY = (LIMITS_TABLE, '')
 
 
 def is_document(text: str) -> bool:
@@ -103,13 +155,17 @@
 
 def render_document(document: Document) -> str:
     """Returns the text of a document."""
+    form = document.form
     header = _Header(
         document=1,
         number=document.number,
         base_number=document.base_number,
+        heading=form.heading,
+        order=form.order,
+        limits=form.originals.get(_LIMITS_KEY, ''),
     )
     entries = (
-        (table, name, entry)
+        (table, name, entry, *_original(form, table, name))
         for table, table_entries in document.tree.items()
         for name, entry in table_entries.items()
     )
@@ -117,6 +173,16 @@
     return ''.join(f'{line}\n' for line in lines)
 
 
+def _original(form: Form, table: str, name: str) -> tuple[str, ...]:
+    original = form.originals.get((table, name))
+    return () if original is None else (original,)
+
+
+def has_form(text: str, form: Form) -> bool:
+    """Returns whether a text is a document in this form."""
+    return is_document(text) and parse_document(text).form == form
+
+
 def parse_document(text: str) -> Document:
     """Parses the text of a document.
 
@@ -127,16 +193,50 @@
         raise DocumentError(
             f'document: {len(text)} characters, at most {MAX_DOCUMENT_BYTES}',
         )
-    first, *entry_lines = text.splitlines()
+    # Strings may hold characters that are line ends for `str.splitlines`.
+    first, *entry_lines = text.removesuffix('\n').split('\n')
     try:
         header = _decode_header(first)
         entries = [_decode_entry(line) for line in entry_lines]
     except msgspec.DecodeError as error:
         raise DocumentError(f'document: {error}') from None
+    tree = _read_tree(entries)
+    originals = {
+        (line.table, line.name): line.original
+        for line in entries
+        if line.original
+    }
+    if header.limits:
+        originals[_LIMITS_KEY] = header.limits
+    if header.order and _count_entries(header.order) != _entry_counts(tree):
+        raise DocumentError('document: the order names other entries')
+    form = Form(header.heading, header.order, originals)
+    return Document(header.number, header.base_number, tree, form)
+
+
+def _read_tree(entries: Iterable[_Entry]) -> Tree:
     tree: Tree = {}
-    for table, name, entry in entries:
-        table_entries = tree.setdefault(table, {})
-        if name in table_entries:
-            raise DocumentError(f'document: {table}.{name} is defined twice')
-        table_entries[name] = entry
-    return Document(header.number, header.base_number, tree)
+    for line in entries:
+        table_entries = tree.setdefault(line.table, {})
+        if line.name in table_entries:
+            raise DocumentError(
+                f'document: {line.table}.{line.name} is defined twice'
+            )
+        table_entries[line.name] = line.entry
+    return tree
+
+
+def _count_entries(order: Iterable[tuple[str, int]]) -> Counter[str]:
+    counts: Counter[str] = Counter()
+    for table, count in order:
+        counts[table] += count
+    return counts
+
+
+def _entry_counts(tree: Tree) -> Counter[str]:
+    return Counter(
+        {
+            table: 1 if table == LIMITS_TABLE else len(entries)
+            for table, entries in tree.items()
+        }
+    )
--- a/waxwingsaddle/edit_history.py
+++ b/waxwingsaddle/edit_history.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from waxwingsaddle.outcomes import Accepted
+
 
 class HistoryEntry(msgspec.Struct, frozen=True, array_like=True):
     """One accepted version in the history.
@@ -26,6 +28,15 @@
     accepted_ms: int
     number: int = 0
 
+    def as_outcome(self) -> Accepted:
+        """Returns the outcome of the edit that led to this version."""
+        return Accepted(
+            version=self.version,
+            digest=self.digest,
+            author=self.author,
+            accepted_ms=self.accepted_ms,
+        )
+
 
 class EditHistory:
     """The newest accepted versions, oldest first.
--- a/waxwingsaddle/edits.py
+++ b/waxwingsaddle/edits.py
@@ -13,6 +13,7 @@
 
 from waxwingsaddle import departure_records, rollout_orders
 from waxwingsaddle.config import CheckedSources, SourceSet
+from waxwingsaddle.documents import Form, has_form
 from waxwingsaddle.edit_history import EditHistory, HistoryEntry
 from waxwingsaddle.edit_image import (
     MAX_ENTRY_BYTES,
@@ -30,6 +31,7 @@
     pack,
 )
 from waxwingsaddle.versions import (
+    BASE_KEY,
     EMPTY_VERSION,
     EditEntry,
     StoredVersion,
@@ -139,7 +141,7 @@
                 expected_version=expected,
             )
         if accepted.digest == edit_digest:
-            return _accepted(accepted)
+            return accepted.as_outcome()
         return Conflict(
             version=version,
             winner_digest=accepted.digest,
@@ -158,8 +160,9 @@
         """
         number, newest = checked.number, self._history.newest
         accepted = self._history.of_number(number)
-        if accepted is not None and accepted.digest == checked.digest:
-            return _accepted(accepted)
+        is_known = accepted is not None and accepted.digest == checked.digest
+        if is_known and (accepted != newest or self._has_form(checked.form)):
+            return accepted.as_outcome()
         if newest is not None and checked.base_number != newest.number:
             return Conflict(
                 version=number,
@@ -240,6 +243,10 @@
         self.rollouts.load(image.rollouts)
         self.departures.load(image.departures)
 
+    def _has_form(self, form: Form) -> bool:
+        """Returns whether the newest version is a document in this form."""
+        return has_form(self.current.texts[BASE_KEY], form)
+
     def _race_conflict(self, entry: EditEntry) -> Conflict | None:
         """Returns the conflict of a document that lost a race, if it did.
 
@@ -273,7 +280,7 @@
         self.rollouts.end_removed(
             rollout_orders.services_of(self.sites), self.version
         )
-        return _accepted(accepted)
+        return accepted.as_outcome()
 
     def _add_version(self, entry: EditEntry) -> None:
         new_version = apply_entry(self.current, entry)
@@ -288,12 +295,3 @@
 
 def _encode(struct: msgspec.Struct) -> bytes:
     return compress(pack(struct))
-
-
-def _accepted(accepted: HistoryEntry) -> Accepted:
-    return Accepted(
-        version=accepted.version,
-        digest=accepted.digest,
-        author=accepted.author,
-        accepted_ms=accepted.accepted_ms,
-    )
--- a/waxwingsaddle/node_settings.py
+++ b/waxwingsaddle/node_settings.py
@@ -15,6 +15,7 @@
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 NonNegative = Annotated[int, msgspec.Meta(ge=0)]
+NonNegativePercent = Annotated[float, msgspec.Meta(ge=0)]
 # Lower limits would refuse ordinary calls; each call holds its complete head
 # in memory.
 MIN_HEAD_BYTES = 1024
@@ -191,7 +192,7 @@
     claims_max_bytes: Positive
     fleet_retries: NonNegative
     quota_window_ms: NonNegative
-    quota_overage_percent: NonNegative
+    quota_overage_percent: NonNegativePercent
     quota_slack: NonNegative
     has_rollouts: bool
 
--- a/waxwingsaddle/rollout_models.py
+++ b/waxwingsaddle/rollout_models.py
@@ -13,7 +13,11 @@
 _VERSION_PATTERN = r'^[!-~]{1,128}$'
 
 TargetVersion = Annotated[str, msgspec.Meta(pattern=_VERSION_PATTERN)]
-DurationMs = Annotated[int, msgspec.Meta(ge=1, le=MAX_DURATION_MS)]
+# Operators may order fractions of a millisecond.
+DurationMs = (
+    Annotated[int, msgspec.Meta(ge=1, le=MAX_DURATION_MS)]
+    | Annotated[float, msgspec.Meta(ge=1, le=MAX_DURATION_MS)]
+)
 RolloutState = Literal['running', 'completed', 'rolled_back']
 
 
--- a/waxwingsaddle/rollout_plan.py
+++ b/waxwingsaddle/rollout_plan.py
@@ -62,7 +62,7 @@
         calls: Calls in addition.
     """
 
-    percent: int
+    percent: float
     calls: int
 
 
--- a/waxwingsaddle/util/codec.py
+++ b/waxwingsaddle/util/codec.py
@@ -4,6 +4,7 @@
 import tomllib
 import zlib
 from collections.abc import Callable, Iterator
+from decimal import Decimal
 from functools import partial
 from typing import Any, TypeVar
 
@@ -14,6 +15,7 @@
 Tree = dict[str, Any]
 _Model = TypeVar('_Model')
 
+_exact_decoder = msgspec.json.Decoder(float_hook=Decimal)
 _canonical_encoder = msgspec.msgpack.Encoder(order='deterministic')
 
 
@@ -55,6 +57,15 @@
         raise msgspec.DecodeError('nested too deeply') from None
 
 
+def decode_exact_json(raw: bytes) -> Any:
+    """Decodes JSON with fractions as decimals, so that no digit is lost.
+
+    Raises:
+        ValueError: The bytes are not a JSON document.
+    """
+    return _decode_or_refuse(_exact_decoder.decode, raw)
+
+
 def encode_canonical(tree: Any) -> bytes:
     """Encodes a tree as msgpack, equal trees as equal bytes (keys sorted)."""
     return _canonical_encoder.encode(tree)
