Tell the loser of a race about another spelling under its number

What callers saw: two operators that send one number with the same content and different spelling at the same moment both got 200; one spelling was read back.

Cause: the loser of a race is told from a resend by the digest of the content, which has no spelling.

Change: the files of the entry of that version are compared as well.

--- a/test/test_document_forms.py
+++ b/test/test_document_forms.py
@@ -120,8 +120,8 @@
     return json.loads(raw, parse_float=Decimal)
 
 
-def _put(state, raw, base):
-    """Accepts a configuration as the control hosts do; returns the outcome."""
+def _propose(state, raw, base):
+    """Returns the outcome of a configuration, or else its entry of the log."""
     text = render_document(decode_document(raw, base))
     sources = SourceSet(base=text, overlays={})
     checked = check_sources(sources)
@@ -130,7 +130,13 @@
     if outcome is not None:
         return outcome
     edit = Edit(sources=sources, author='operator')
-    return state.apply(state.encode_entry(edit, checked, 5))
+    return state.encode_entry(edit, checked, 5)
+
+
+def _put(state, raw, base):
+    """Accepts a configuration as the control hosts do; returns the outcome."""
+    decided = _propose(state, raw, base)
+    return state.apply(decided) if isinstance(decided, bytes) else decided
 
 
 def _get(state):
@@ -174,6 +180,21 @@
     assert isinstance(_put(state, other, '00000000'), Conflict)
 
 
+def test_other_spelling_that_lost_a_race_is_told_so():
+    """Guards against two acknowledgements of one number: case 15.
+
+    Both are checked against the same state; the order in the log decides.
+    """
+    state = EditState(3, 10)
+    spellings = (b'"800ms"', b'"0.80s"', b'"800ms"')
+    entries = [
+        _propose(state, CONFIGURATION.replace(b'"800ms"', text), '00000000')
+        for text in spellings
+    ]
+    outcomes = [type(state.apply(entry)) for entry in entries]
+    assert outcomes == [Accepted, Conflict, Accepted]
+
+
 @params(
     (b'"ratePerS":296', b'"ratePerS":0.1000000000000000055'),
     (b'"ratePerS":296', b'"ratePerS":1e-400'),
--- a/waxwingsaddle/edits.py
+++ b/waxwingsaddle/edits.py
@@ -250,15 +250,13 @@
     def _race_conflict(self, entry: EditEntry) -> Conflict | None:
         """Returns the conflict of a document that lost a race, if it did.
 
-        Two documents with the same content and different numbers are two
-        edits; by the digest alone, the loser would look like a resend.
+        Two documents with the same content and different numbers or forms
+        are two edits; by the digest alone, the loser would look like a resend.
         """
         accepted = self._history.of_version(entry.version)
-        if (
-            accepted is None
-            or not entry.number
-            or accepted.number == entry.number
-        ):
+        if accepted is None or not entry.number:
+            return None
+        if accepted.number == entry.number and self._has_files(entry):
             return None
         return Conflict(
             version=entry.number,
@@ -267,6 +265,11 @@
             current_version=self.number,
         )
 
+    def _has_files(self, entry: EditEntry) -> bool:
+        """Returns whether the entry of its version has the same files."""
+        stored = self._entries[-1] if self._entries else entry
+        return stored.version != entry.version or stored.files == entry.files
+
     def _accept(self, entry: EditEntry) -> Accepted:
         self._add_version(entry)
         accepted = HistoryEntry(
