Take over restored departures after the confirmation of the entry

Cause: departures-kept restored the departures and then confirmed the entry of the hello, which names none, so that they counted as not kept.

Change: the entry is confirmed first.

Evidence: test_restored_departure_is_acknowledged_at_once fails before and passes now.

--- a/test/test_departures.py
+++ b/test/test_departures.py
@@ -258,6 +258,37 @@
         restarted.kernel.stop()
 
 
+def test_restored_departure_is_acknowledged_at_once():
+    """Guards against a refusal until a renewal has brought it back.
+
+    The control host has restarted as well and has it from the log alone.
+    """
+    with fleet(node_options=FAST) as (controls, nodes):
+        nodes[0].upstreams.departed = (ENDED,)
+        nodes[0].announce()
+        assert nodes[0].service.entry.wait_until_kept(ENDED.key)
+        nodes[0].crash()
+        first = controls[0]
+        first.kernel.stop()
+        # Time for the socket to close.
+        eventlet.sleep(0.1)
+        controls[0] = Control(first.host, first.hosts, {})
+        log = first.replication.state.departures
+        replication = controls[0].replication
+        replication.state.departures = log
+        replication.has_leader = False
+        controls[0].accept(1)
+        slow = {'departure_wait_ms': 50, 'lease_renew_ms': 5000}
+        restarted = Node('node-0', nodes[0].hosts, options=slow)
+        until(lambda: restarted.version == 1, 'the configuration')
+        # The first renewal follows the lease.
+        eventlet.sleep(0.2)
+        replication.has_leader = True
+        until(lambda: restarted.upstreams.is_restored, 'the confirmation')
+        assert restarted.service.entry.wait_until_kept(ENDED.key)
+        restarted.kernel.stop()
+
+
 def test_departures_of_many_nodes_take_one_entry():
     """Guards against an entry of the log for each upstream of a release."""
     replication = FakeReplication()
--- a/waxwingsaddle/node_session.py
+++ b/waxwingsaddle/node_session.py
@@ -227,11 +227,11 @@
         self.is_leased = True
         self.majority_age_ms = message.majority_age_ms
         self._revision = -1
+        if message.are_departures_kept:
+            self._entry.confirm(self._entry.sequence)
         self._entry.restore(
             message.departures, are_all=message.are_departures_kept
         )
-        if message.are_departures_kept:
-            self._entry.confirm(self._entry.sequence)
         if previous_link is not None and previous_link is not link:
             previous_link.close()
         self._hello_answered.set()
@@ -240,8 +240,8 @@
     def _on_departures_kept(
         self, message: DeparturesKept, link: ControlLink, raw: bytes
     ) -> None:
-        self._entry.restore(message.departures, are_all=True)
         self._entry.confirm(message.sequence)
+        self._entry.restore(message.departures, are_all=True)
 
     @_dispatch.register
     def _on_busy(self, message: Busy, link: ControlLink, raw: bytes) -> None:
