Displace the upstream at an address instead of ending it

What callers saw: one announcement with a new name, the address and service of a sound upstream and a later start ended that upstream for good; 0 of 78 calls of its route were served, while its own heartbeats were acknowledged.

Cause: the announcement was taken for a successor and the end of the other was recorded. Nobody vouches for it.

Change: a successor displaces the upstream at its address. One that goes on returns; an address that answers 421 refutes its successor; after a silence an earlier incarnation may return. A call that no upstream was left for logs which were known and why each was passed over.

--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -15,7 +15,7 @@
 from waxwingsaddle.retry_allowance import UNBOUNDED_ALLOWANCE
 from waxwingsaddle.routing import Match
 from waxwingsaddle.service_policies import PolicyTable
-from waxwingsaddle.tasks import attempt_result
+from waxwingsaddle.tasks import attempt_result, no_upstream_answer
 from waxwingsaddle.util.clock import monotonic_s
 from waxwingsaddle.util.outcome import Outcome
 
@@ -227,3 +227,22 @@
     answer = Answer(Outcome.RAN, 200, body=b'ok')
     assert attempt_result(answer, 0.1, upload).transfer_bytes == 60_002
     assert attempt_result(not_run('busy'), 0.1, upload).transfer_bytes is None
+
+
+def test_refusal_says_why_no_upstream_was_taken():
+    """Guards against a refused call whose log line doesn't tell the cause."""
+    known = (
+        {**vars(_upstream('a')), 'state': 'draining'},
+        vars(_upstream('b')),
+        vars(_upstream('c')),
+    )
+    entries = [SimpleNamespace(**fields) for fields in known]
+    task = _task()
+    task.barred = frozenset((('here', 'c'),))
+    tried = {('here', 'b'), ('here', 'c')}
+    assert no_upstream_answer(task, 0, entries, tried).reason == 'no-upstream'
+    assert no_upstream_answer(task, 0, (), ()).reason == 'no-upstream'
+    assert task.attempt_trail == [
+        'none of 3 upstreams: 1 draining, 1 tried, 1 of another version',
+        'none known',
+    ]
--- a/waxwingsaddle/announcement_order.py
+++ b/waxwingsaddle/announcement_order.py
@@ -58,6 +58,13 @@
         if started_at_ms:
             self._newest[name] = (started_at_ms, sequence)
 
+    def forget(self, name: str) -> None:
+        """Forgets the newest announcement of an upstream that fell silent.
+
+        Its ends are kept. Whoever announces this name from now on is alive.
+        """
+        self._newest.pop(name, None)
+
     def record_end(self, name: str, started_at_ms: int) -> int:
         """Records that an upstream has left; ignores its late announcements.
 
--- a/waxwingsaddle/dispatch.py
+++ b/waxwingsaddle/dispatch.py
@@ -92,7 +92,8 @@
             upstream = self._choose_upstream(policies, task, call, tried)
             if upstream is None:
                 retry_after_s = policies.balancer.hold_off_s(call, tried)
-                return no_upstream_answer(task, retry_after_s)
+                known = self._directory.upstreams_of(task.match.route.service)
+                return no_upstream_answer(task, retry_after_s, known, tried)
             task.attempts += 1
             answer = self._run_with_hedge(policies, task, call, upstream, tried)
             if task.is_cancelled or not self._is_failed(answer):
--- a/waxwingsaddle/tasks.py
+++ b/waxwingsaddle/tasks.py
@@ -1,6 +1,7 @@
 """State of a running call, and the evaluation of its attempts."""
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 from math import inf
 
@@ -13,7 +14,7 @@
 from waxwingsaddle.guard_decisions import OVERLOAD
 from waxwingsaddle.routing import Match
 from waxwingsaddle.upstream_estimate import AttemptResult
-from waxwingsaddle.upstream_keys import Upstream, UpstreamKey
+from waxwingsaddle.upstream_keys import Upstream, UpstreamKey, key_of
 from waxwingsaddle.util.clock import MS_PER_S
 from waxwingsaddle.util.outcome import Outcome
 
@@ -232,16 +233,44 @@
     return True
 
 
-def no_upstream_answer(task: CallTask, retry_after_s: float) -> Answer:
+def no_upstream_answer(
+    task: CallTask,
+    retry_after_s: float,
+    known: Sequence[Upstream],
+    tried: Collection[UpstreamKey],
+) -> Answer:
     """Returns the refusal of a call for which no upstream is available.
 
     Args:
         task: The call.
         retry_after_s: Seconds until a full upstream may accept the call; 0 if
             there is no upstream to wait for.
+        known: All upstreams of its service.
+        tried: Keys of those that it was sent to or must not be sent to.
     """
     if not retry_after_s:
+        task.attempt_trail.append(_describe_known(task, known, tried))
         return not_run('no-upstream')
     retry_after_ms = max(1, round(retry_after_s * MS_PER_S))
     task.attempt_trail.append(f'held off, all full for {retry_after_ms}ms')
     return not_run(OVERLOAD, retry_after_ms)
+
+
+def _describe_known(
+    task: CallTask, known: Sequence[Upstream], tried: Collection[UpstreamKey]
+) -> str:
+    """Returns why no upstream of a service was taken, for the log."""
+    reasons = Counter(_skip_reason(task, one, tried) for one in known)
+    parts = ', '.join(f'{count} {why}' for why, count in reasons.items())
+    return f'none of {len(known)} upstreams: {parts}' if known else 'none known'
+
+
+def _skip_reason(
+    task: CallTask, upstream: Upstream, tried: Collection[UpstreamKey]
+) -> str:
+    if upstream.state != 'ready':
+        return upstream.state
+    key = key_of(upstream)
+    if key in task.barred:
+        return 'of another version'
+    return 'tried' if key in tried else 'not chosen'
--- a/waxwingsaddle/upstream_calls.py
+++ b/waxwingsaddle/upstream_calls.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import eventlet
 from eventlet.event import Event
@@ -91,11 +92,11 @@
         metrics.gauge(
             'waxwing_guard_queued',
             'Calls that wait for a slot at the upstreams of this node.',
-        ).set_function(self._count_queued)
+        ).set_function(partial(self._sum_loads, 'queued'))
         metrics.gauge(
             'waxwing_guard_in_flight',
             'Calls that hold a slot at the upstreams of this node.',
-        ).set_function(self._count_in_flight)
+        ).set_function(partial(self._sum_loads, 'in_flight'))
 
     @property
     def pending(self) -> int:
@@ -154,6 +155,8 @@
             raise
         if answer.stream is None:
             self._jobs.pop(call.call_id, None)
+        if answer.reason == 'other-upstream':
+            self._upstreams.refute(upstream)
         if claim and answer.outcome is Outcome.RAN:
             self._record_execution(claim, answer)
         answer.load = guarded.guard.load(call.route)
@@ -177,10 +180,7 @@
     def _admit_and_send(self, job: _Job, request: Request) -> Answer:
         decision = job.guarded.guard.offer(job.call)
         if isinstance(decision, Queued):
-            self._wake(decision.displaced)
-            queued_s = self._clock()
-            decision = self._wait_for_decision(job)
-            guard_metrics.WAIT.observe(self._clock() - queued_s)
+            decision = self._wait_queued(job, decision)
         if isinstance(decision, Admitted):
             return self._run_admitted(job, decision, request)
         if isinstance(decision, Duplicate):
@@ -188,6 +188,13 @@
         guard_metrics.REFUSED.labels(decision.reason).inc()
         return not_run(decision.reason, decision.retry_after_ms)
 
+    def _wait_queued(self, job: _Job, queued: Queued) -> Admitted | Refused:
+        self._wake(queued.displaced)
+        queued_s = self._clock()
+        decision = self._wait_for_decision(job)
+        guard_metrics.WAIT.observe(self._clock() - queued_s)
+        return decision
+
     def _wait_for_decision(self, job: _Job) -> Admitted | Refused:
         remaining_s = max(0, job.call.deadline_s - self._clock())
         with eventlet.Timeout(remaining_s, False):
@@ -218,16 +225,16 @@
             is_aborted = job.exchange.is_aborted
             outcome = Outcome.CANCELLED if is_aborted else answer.outcome
             self._finish(job, outcome, elapsed_s)
-        else:
-            job.guarded.answer(job.call)
-            guarded_stream = GuardedStream(
-                answer.stream,
-                self._clock,
-                lambda outcome, reading_s: self._finish(
-                    job, outcome, elapsed_s + reading_s
-                ),
-            )
-            answer.stream = ReadAheadStream(guarded_stream, self._read_ahead)
+            return answer
+        job.guarded.answer(job.call)
+        guarded_stream = GuardedStream(
+            answer.stream,
+            self._clock,
+            lambda outcome, reading_s: self._finish(
+                job, outcome, elapsed_s + reading_s
+            ),
+        )
+        answer.stream = ReadAheadStream(guarded_stream, self._read_ahead)
         return answer
 
     def _finish(self, job: _Job, outcome: Outcome, elapsed_s: float) -> None:
@@ -288,12 +295,6 @@
         services = {} if current is None else current.document.services
         return services.get(name) or Service()
 
-    def _count_queued(self) -> int:
-        return sum(
-            guarded.guard.load().queued for guarded in self._guarded.values()
-        )
-
-    def _count_in_flight(self) -> int:
-        return sum(
-            guarded.guard.load().in_flight for guarded in self._guarded.values()
-        )
+    def _sum_loads(self, field: str) -> int:
+        loads = (guarded.guard.load() for guarded in self._guarded.values())
+        return sum(getattr(load, field) for load in loads)
--- a/waxwingsaddle/upstreams.py
+++ b/waxwingsaddle/upstreams.py
@@ -5,6 +5,7 @@
 
 import eventlet
 
+from waxwingsaddle.address_claims import AddressClaims
 from waxwingsaddle.announcement_checks import (
     AnnouncementChecks,
     Decode,
@@ -58,6 +59,7 @@
         # A heartbeat that arrives after its time to live has no effect, so it
         # can be ignored.
         self._order = AnnouncementOrder(self._ttl_s, clock)
+        self._claims = AddressClaims(clock)
         self._is_draining = False
         self._published: tuple[Announcement, ...] = ()
         self._departures = DepartureLog(lambda: round(clock() * MS_PER_S))
@@ -165,8 +167,11 @@
         """
         if not self._order.is_newer(name, body.started_at_ms, body.sequence):
             return False
-        if not self._replace_at_address(name, body):
+        displaced = self._claims.displaced_by(name, body, self._announcements)
+        if displaced is None:
             return False
+        for other in displaced:
+            self._delete(other, 'displaced')
         self._order.record(name, body.started_at_ms, body.sequence)
         now_s = self._clock()
         state = body.state
@@ -213,6 +218,16 @@
             self._publish_change()
         return is_deleted
 
+    def refute(self, name: str) -> None:
+        """Handles the answer of an address that it is another upstream.
+
+        Args:
+            name: Name of the upstream that was expected there.
+        """
+        current = self._announcements.get(name)
+        if current and self._claims.refute(name, current.incarnation):
+            self._delete(name, 'refuted')
+
     def _delete(self, name: str, state: str) -> bool:
         self._last_heard_s.pop(name, None)
         current = self._announcements.pop(name, None)
@@ -222,25 +237,6 @@
         self._publish_change()
         return True
 
-    def _replace_at_address(self, name: str, body: AnnouncementBody) -> bool:
-        """Removes older upstreams at the address; False if one is newer."""
-        if not body.started_at_ms:
-            return True
-        conflicting = [
-            one
-            for one in self._announcements.values()
-            if one.address == body.address and one.name != name
-        ]
-        if any(
-            one.incarnation > body.started_at_ms
-            for one in conflicting
-            if one.service == body.service
-        ):
-            return False
-        for older in conflicting:
-            self.remove(older.name)
-        return True
-
     def expire(self) -> None:
         """Removes upstreams whose last heartbeat is too old."""
         if self._is_held and self._held_until_s <= self._clock():
@@ -250,8 +246,10 @@
             name for name, at_s in self._last_heard_s.items() if at_s < oldest_s
         ]
         for name in silent:
-            # It may only be unreachable, so its next announcement is accepted.
+            # It may only be unreachable, so its next announcement is accepted,
+            # also of an earlier incarnation: nothing of before can arrive now.
             self._delete(name, 'silent')
+            self._order.forget(name)
 
     @property
     def _is_held(self) -> bool:
