Record which version serves before an order needs it

Cause: the host took the base version from its directory, which is empty right after a start, took "none" for an answer, and the order went into the log.

Change: the leader records the serving version of each service in the log once it knows all upstreams, or the first version right after the first configuration. Orders and nodes rest on it. Without a record, an order waits until its host knows all upstreams or sees exactly one other version ready.

Evidence: test_order_right_after_a_restart_moves_no_call_at_once fails on (108 of 558 runs at the target within 2 s) and passes now.

--- a/test/test_rollout_orders.py
+++ b/test/test_rollout_orders.py
@@ -14,13 +14,13 @@
 from waxwingsaddle.edit_image import MAX_ENTRY_BYTES
 from waxwingsaddle.edits import EditState
 from waxwingsaddle.outcomes import Accepted, Edit, Refused
+from waxwingsaddle.rollout_entries import encode_start, encode_step
 from waxwingsaddle.rollout_models import (
     RolloutAccepted,
     RolloutConflict,
     RolloutOrder,
     RolloutStep,
 )
-from waxwingsaddle.rollout_orders import encode_start, encode_step
 from waxwingsaddle.util.codec import compress, decompress, pack
 
 ORDER = RolloutOrder(service='desk', target_version='v2', duration_ms=12_000)
--- a/test/test_rollout_processes.py
+++ b/test/test_rollout_processes.py
@@ -4,6 +4,7 @@
 
 from nose2.tools import params
 
+from test.processes import wait_until
 from test.rollout_mesh import BASE, rollout_fleet
 
 DURATION_MS = 12_000
@@ -70,3 +71,28 @@
         assert fleet.state() == 'running'
         fleet.wait_state('completed', 3 * DURATION_S)
         assert set(fleet.answers()) == {'200'}, fleet.answers()
+
+
+@params(1, 3)
+def test_order_right_after_a_restart_moves_no_call_at_once(restarted):
+    """Guards against a base version taken from no upstreams: review case 12.
+
+    The control host that takes the order has just restarted, alone or with
+    all others.
+    """
+    # The host learns the upstreams of others later than the order.
+    with rollout_fleet('route', directory_digest_ms=2000) as fleet:
+        members = fleet.mesh.deployment.members_of('control')[:restarted]
+        processes = [fleet.mesh.processes[member.host] for member in members]
+        for process in processes:
+            process.kill()
+        for process in processes:
+            process.start()
+        wait_until(
+            lambda: fleet.order(DURATION_MS)[0] == 200, 'the order', DURATION_S
+        )
+        time.sleep(2)
+        exposed = fleet.count('v2', fleet.ordered_s)
+        runs = fleet.count('v1', fleet.ordered_s) + exposed
+        assert exposed <= runs * 0.1 + 50, (exposed, runs)
+        fleet.wait_state('rolled_back', DURATION_S + 5)
--- a/waxwingsaddle/edits.py
+++ b/waxwingsaddle/edits.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from waxwingsaddle import departure_records, rollout_orders
+from waxwingsaddle import departure_records, rollout_entries, rollout_orders
 from waxwingsaddle.config import CheckedSources, SourceSet
 from waxwingsaddle.documents import Form, has_form
 from waxwingsaddle.edit_history import EditHistory, HistoryEntry
@@ -192,8 +192,8 @@
         """Applies a log entry; returns the outcome of its edit or order."""
         if departure_records.is_departure_entry(command):
             return self.departures.apply(command)
-        if rollout_orders.is_rollout_entry(command):
-            services = rollout_orders.services_of(self.sites)
+        if rollout_entries.is_rollout_entry(command):
+            services = rollout_entries.services_of(self.sites)
             return self.rollouts.apply(command, services, self.version)
         entry = _decode_entry(decompress(command, MAX_ENTRY_BYTES))
         outcome = self.decide_version(
@@ -281,7 +281,7 @@
         )
         self._history.add(accepted)
         self.rollouts.end_removed(
-            rollout_orders.services_of(self.sites), self.version
+            rollout_entries.services_of(self.sites), self.version
         )
         return accepted.as_outcome()
 
--- a/waxwingsaddle/leader_requests.py
+++ b/waxwingsaddle/leader_requests.py
@@ -19,22 +19,20 @@
 )
 from waxwingsaddle.polling import wait_until
 from waxwingsaddle.raft_driver import RaftDriver
+from waxwingsaddle.rollout_entries import encode_start, services_of
 from waxwingsaddle.rollout_models import (
     RolloutAccepted,
     RolloutStart,
-    RolloutStep,
-)
-from waxwingsaddle.rollout_orders import (
-    RolloutOutcome,
-    encode_start,
-    encode_step,
-    services_of,
 )
+from waxwingsaddle.rollout_orders import RolloutOutcome
 from waxwingsaddle.util.clock import monotonic_s, wall_ms
 from waxwingsaddle.voter_policy import OPERATORS_ONLY, VoterPolicy
 
 NOT_LEADER = Unavailable(reason='not the leader')
 IN_DOUBT = Unavailable(reason='the result is unknown')
+SERVING_UNKNOWN = Unavailable(
+    reason='the serving version of the service is not known yet'
+)
 NO_MAJORITY = Unavailable(reason='no contact with a majority')
 TOO_FEW_VOTERS = Unavailable(
     reason='too few voters to bear the tolerated losses'
@@ -151,24 +149,29 @@
             outcome = _rollout_verdict(state, request)
         if outcome is not None:
             return outcome
-        command = encode_start(request.order, request.base_version, wall_ms())
+        base_version = request.base_version or state.rollouts.base_version(
+            request.order.service
+        )
+        if not base_version:
+            return SERVING_UNKNOWN
+        command = encode_start(request.order, base_version, wall_ms())
         proposal = self._driver.propose(command)
         if proposal is None:
             return NOT_LEADER
         return proposal.wait(deadline_s - monotonic_s()) or IN_DOUBT
 
-    def step_rollout(
-        self, step: RolloutStep, budget_s: float
+    def commit_rollout(
+        self, command: bytes, budget_s: float
     ) -> RolloutOutcome | Unavailable:
-        """Changes a running rollout; has no effect on a later state of it.
+        """Appends an entry of `rollout_entries` to the log.
 
         Args:
-            step: The change.
+            command: The entry.
             budget_s: Seconds to wait until it is committed.
         """
         proposal = None
         if self._is_established():
-            proposal = self._driver.propose(encode_step(step))
+            proposal = self._driver.propose(command)
         if proposal is None:
             return NOT_LEADER
         return proposal.wait(budget_s) or IN_DOUBT
--- a/waxwingsaddle/replication.py
+++ b/waxwingsaddle/replication.py
@@ -22,7 +22,7 @@
 from waxwingsaddle.raft_driver import RaftDriver
 from waxwingsaddle.raft_messages import MESSAGE_TYPES, Members, Message
 from waxwingsaddle.replication_status import ReplicationStatus
-from waxwingsaddle.rollout_models import RolloutStart, RolloutStep
+from waxwingsaddle.rollout_models import RolloutStart
 from waxwingsaddle.storage import Storage
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s
 from waxwingsaddle.versions import StoredVersion
@@ -199,10 +199,10 @@
             _deadline_after(self._settings.submit_deadline_ms),
         )
 
-    def step_rollout(self, step: RolloutStep) -> Answer:
-        """Changes a running rollout if this host leads."""
+    def commit_rollout(self, command: bytes) -> Answer:
+        """Appends an entry of `rollout_entries` if this host leads."""
         budget_s = self._settings.submit_deadline_ms / MS_PER_S
-        return self._leader.requests.step_rollout(step, budget_s)
+        return self._leader.requests.commit_rollout(command, budget_s)
 
     def store_departures(self, hosts: tuple[HostDepartures, ...]) -> Answer:
         """Stores departures of upstreams through the leader.
--- a/waxwingsaddle/rollout_driver.py
+++ b/waxwingsaddle/rollout_driver.py
@@ -1,13 +1,19 @@
 """Runs the rollouts on the control host that leads the log."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Any
 
 from eventlet import greenthread
 
 from waxwingsaddle import logs, metrics
 from waxwingsaddle.control_settings import ControlSettings
+from waxwingsaddle.edit_history import HistoryEntry
 from waxwingsaddle.kernel import Kernel
+from waxwingsaddle.rollout_entries import (
+    encode_serving,
+    encode_step,
+    services_of,
+)
 from waxwingsaddle.rollout_evidence import Evidence
 from waxwingsaddle.rollout_messages import RolloutBatch, RolloutReport
 from waxwingsaddle.rollout_models import (
@@ -17,12 +23,16 @@
 )
 from waxwingsaddle.rollout_plan import ExposureLimit, Situation, next_step
 from waxwingsaddle.rollout_progress import NodeProgress
+from waxwingsaddle.serving_versions import ServingVersions
 from waxwingsaddle.util.clock import MS_PER_S, monotonic_s, wall_ms
 
 # Rounds of the leader in the time within which a faulty version has to be out
 # of service, and the longest interval.
 _TICKS_PER_BACK = 50
 _MAX_TICK_S = 0.1
+_SERVING_INTERVAL_S = 1.0
+# Time after the first configuration in which its upstreams are announced.
+_FIRST_MS = 5000
 
 STEPS = metrics.counter(
     'waxwing_rollout_steps',
@@ -53,6 +63,8 @@
         self._tick_s = min(_MAX_TICK_S, back_s / _TICKS_PER_BACK or _MAX_TICK_S)
         self._reports: list[tuple[str, RolloutReport]] = []
         self._progress = NodeProgress()
+        self._serving = ServingVersions()
+        self._serving_checked_s = 0.0
         self._evidence: dict[str, Evidence] = {}
         # Number of the current step of each service, and when this leader
         # learned of it.
@@ -101,6 +113,7 @@
             self._peers.send(leader, RolloutBatch(reports))
 
     def _lead(self, reports: Iterable[tuple[str, RolloutReport]]) -> None:
+        self._record_serving()
         running = self._replication.state.rollouts.running()
         services = {rollout.order.service for rollout in running}
         for ended in self._evidence.keys() - services:
@@ -121,6 +134,37 @@
             if step is not None:
                 self._take(step)
 
+    def _record_serving(self) -> None:
+        """Records which versions serve, if this host can tell.
+
+        It can if it knows all upstreams, or right after the first
+        configuration: the first version of a service then serves.
+        """
+        feed = self._distribution.feed
+        is_complete = feed.is_complete and not feed.hidden_holders
+        state = self._replication.state
+        is_known = is_complete or _is_new(state.history())
+        now_s = monotonic_s()
+        is_due = now_s - self._serving_checked_s >= _SERVING_INTERVAL_S
+        if not (is_known and is_due and self._limit.percent):
+            return
+        self._serving_checked_s = now_s
+        services = {
+            name
+            for name in services_of(state.sites)
+            if state.rollouts.find(name) is None
+        }
+        versions = self._serving.find_changes(
+            self._distribution.entries(),
+            state.rollouts.serving,
+            services,
+            now_s,
+            is_complete=is_complete,
+        )
+        if versions:
+            self._replication.commit_rollout(encode_serving(versions))
+            logs.logger().info('serving versions', versions=versions)
+
     def _follow_step(self, rollout: Rollout, now_s: float) -> None:
         service = rollout.order.service
         evidence = self._evidence.get(service)
@@ -159,7 +203,7 @@
         )
 
     def _take(self, step: RolloutStep) -> None:
-        outcome: Any = self._replication.step_rollout(step)
+        outcome: Any = self._replication.commit_rollout(encode_step(step))
         logs.logger().info(
             'rollout step',
             service=step.service,
@@ -170,3 +214,10 @@
             is_committed=isinstance(outcome, RolloutAccepted),
         )
         STEPS.labels(step.state).inc()
+
+
+def _is_new(history: Sequence[HistoryEntry]) -> bool:
+    """Returns whether the first configuration was accepted a moment ago."""
+    if not history or history[0].version != 1:
+        return False
+    return 0 <= wall_ms() - history[0].accepted_ms < _FIRST_MS
--- a/waxwingsaddle/rollout_models.py
+++ b/waxwingsaddle/rollout_models.py
@@ -45,8 +45,8 @@
 
     Attributes:
         order: The order.
-        base_version: Version of most upstreams that are ready, as seen by the
-            host that received the order.
+        base_version: Version that serves, as far as the host that received the
+            order can tell; empty if it cannot.
     """
 
     order: RolloutOrder
@@ -122,6 +122,12 @@
     target_version: str
 
 
+class ServingRecorded(
+    msgspec.Struct, frozen=True, kw_only=True, tag='serving-recorded'
+):
+    """The serving versions of services are durably stored."""
+
+
 class RolloutConflict(
     msgspec.Struct, frozen=True, kw_only=True, tag='rollout-conflict'
 ):
--- a/waxwingsaddle/rollout_orders.py
+++ b/waxwingsaddle/rollout_orders.py
@@ -13,33 +13,23 @@
 
 from waxwingsaddle.config_models import ROLLOUTS_TABLE
 from waxwingsaddle.outcomes import Refused
+from waxwingsaddle.rollout_entries import (
+    Serve,
+    Start,
+    decode_entry,
+    services_of,
+)
 from waxwingsaddle.rollout_models import (
     Rollout,
     RolloutAccepted,
     RolloutConflict,
     RolloutOrder,
     RolloutStep,
+    ServingRecorded,
 )
-from waxwingsaddle.util.codec import Tree, msgpack_decoder, pack
-
-# Entries of configurations are compressed and begin with another byte.
-ENTRY_PREFIX = b'rollout:'
-
-RolloutOutcome = RolloutAccepted | RolloutConflict | Refused
-
-
-class _Start(msgspec.Struct, frozen=True, kw_only=True, tag='start'):
-    """Entry of the log that starts a rollout."""
-
-    order: RolloutOrder
-    base_version: str
-    started_ms: int
+from waxwingsaddle.util.codec import Tree
 
-
-class _Step(msgspec.Struct, frozen=True, kw_only=True, tag='step'):
-    """Entry of the log that changes a running rollout."""
-
-    step: RolloutStep
+RolloutOutcome = RolloutAccepted | RolloutConflict | Refused | ServingRecorded
 
 
 class RolloutImage(msgspec.Struct, frozen=True, kw_only=True):
@@ -48,13 +38,12 @@
     Attributes:
         changes: Number of changes so far.
         rollouts: The newest rollout of each service.
+        serving: See `RolloutOrders`.
     """
 
     changes: int = 0
     rollouts: tuple[Rollout, ...] = ()
-
-
-_decode_entry = msgpack_decoder(_Start | _Step)
+    serving: dict[str, str] = {}
 
 
 class RolloutOrders:
@@ -62,10 +51,12 @@
 
     Attributes:
         changes: Number of changes of rollouts so far.
+        serving: Versions that serve the services without any rollout.
     """
 
     def __init__(self) -> None:
         self.changes = 0
+        self.serving: dict[str, str] = {}
         self._rollouts: dict[str, Rollout] = {}
 
     def find(self, service: str) -> Rollout | None:
@@ -107,18 +98,22 @@
             services: Services of the newest configuration.
             version: Number of the newest configuration.
         """
-        entry = _decode_entry(command.removeprefix(ENTRY_PREFIX))
-        if isinstance(entry, _Start):
+        entry = decode_entry(command)
+        if isinstance(entry, Start):
             return self._start(entry, services, version)
+        if isinstance(entry, Serve):
+            return self._serve(entry.versions, services)
         return self._step(entry.step, version)
 
     def end_removed(self, services: Collection[str], version: int) -> None:
-        """Rolls back the running rollouts of services that do not exist.
+        """Ends rollouts and serving versions of services that do not exist.
 
         Args:
             services: Services of the newest configuration.
             version: Number of that configuration.
         """
+        for name in self.serving.keys() - set(services):
+            self.serving.pop(name)
         for rollout in self.running():
             if rollout.order.service not in services:
                 self._store(
@@ -133,19 +128,36 @@
     def dump(self) -> RolloutImage:
         """Returns the content of a snapshot."""
         return RolloutImage(
-            changes=self.changes, rollouts=tuple(self._rollouts.values())
+            changes=self.changes,
+            rollouts=tuple(self._rollouts.values()),
+            serving=dict(self.serving),
         )
 
     def load(self, image: RolloutImage) -> None:
         """Replaces the state by that of a snapshot."""
         self.changes = image.changes
+        self.serving = dict(image.serving)
         self._rollouts = {
             rollout.order.service: rollout for rollout in image.rollouts
         }
 
     def table(self, services: Collection[str]) -> Tree:
-        """Returns the table of the rollouts of services, as nodes get it."""
-        return {
+        """Returns the table of the rollouts of services, as nodes get it.
+
+        A service without any rollout is listed like one whose target version
+        does not exist and was rolled back to the serving version.
+        """
+        serving = {
+            name: {
+                'target_version': '',
+                'base_version': version,
+                'state': 'rolled_back',
+                'share_permille': 0,
+            }
+            for name, version in self.serving.items()
+            if name in services
+        }
+        rollouts = {
             name: {
                 'target_version': rollout.order.target_version,
                 'base_version': rollout.base_version,
@@ -156,9 +168,23 @@
             for name, rollout in self._rollouts.items()
             if name in services
         }
+        return serving | rollouts
+
+    def base_version(self, service: str) -> str:
+        """Returns the version that serves beside a rollout; '' if not known.
+
+        The directory may still list upstreams of a version that was rolled
+        back.
+        """
+        earlier = self._rollouts.get(service)
+        if earlier is None:
+            return self.serving.get(service, '')
+        if earlier.state == 'completed':
+            return earlier.order.target_version
+        return earlier.base_version
 
     def _start(
-        self, entry: _Start, services: Collection[str], version: int
+        self, entry: Start, services: Collection[str], version: int
     ) -> RolloutOutcome:
         # Decided again, because another order may have been appended since.
         outcome = self.decide(entry.order, services)
@@ -166,7 +192,9 @@
             return outcome
         rollout = Rollout(
             order=entry.order,
-            base_version=self._base_version(entry),
+            base_version=(
+                self.base_version(entry.order.service) or entry.base_version
+            ),
             started_ms=entry.started_ms,
             state='running',
             share_permille=0,
@@ -175,18 +203,18 @@
         )
         return _accepted(self._store(rollout))
 
-    def _base_version(self, entry: _Start) -> str:
-        """Returns the version that serves until the rollout is completed.
-
-        The control hosts know it after an earlier rollout. The directory may
-        still list upstreams of a version that was rolled back.
-        """
-        earlier = self._rollouts.get(entry.order.service)
-        if earlier is None:
-            return entry.base_version
-        if earlier.state == 'completed':
-            return earlier.order.target_version
-        return earlier.base_version
+    def _serve(
+        self, versions: Mapping[str, str], services: Collection[str]
+    ) -> ServingRecorded:
+        changed = {
+            name: version
+            for name, version in versions.items()
+            if name in services and name not in self._rollouts
+        }
+        if changed.items() - self.serving.items():
+            self.changes += 1
+            self.serving.update(changed)
+        return ServingRecorded()
 
     def _step(self, step: RolloutStep, version: int) -> RolloutOutcome:
         current = self._rollouts.get(step.service)
@@ -211,40 +239,6 @@
         return stored
 
 
-def encode_start(
-    order: RolloutOrder, base_version: str, started_ms: int
-) -> bytes:
-    """Returns the entry of the log that starts a rollout.
-
-    Args:
-        order: The order.
-        base_version: Version of most upstreams that are ready.
-        started_ms: When the leader received the order, in milliseconds since
-            the epoch.
-    """
-    entry = _Start(
-        order=order, base_version=base_version, started_ms=started_ms
-    )
-    return ENTRY_PREFIX + pack(entry)
-
-
-def encode_step(step: RolloutStep) -> bytes:
-    """Returns the entry of the log that changes a running rollout."""
-    return ENTRY_PREFIX + pack(_Step(step=step))
-
-
-def is_rollout_entry(command: bytes) -> bool:
-    """Returns whether an entry of the log concerns a rollout."""
-    return command.startswith(ENTRY_PREFIX)
-
-
-def services_of(sites: Mapping[str, Tree]) -> frozenset[str]:
-    """Returns the services of all sites of a configuration."""
-    return frozenset().union(
-        *(site.get('services', {}) for site in sites.values())
-    )
-
-
 def with_rollouts(
     sites: Mapping[str, Tree], rollouts: RolloutOrders
 ) -> Mapping[str, Tree]:
--- a/waxwingsaddle/rollout_service.py
+++ b/waxwingsaddle/rollout_service.py
@@ -4,8 +4,10 @@
 from waxwingsaddle.kernel import Kernel
 from waxwingsaddle.leader_forwarding import Answer
 from waxwingsaddle.outcomes import Refused, Unavailable
+from waxwingsaddle.polling import wait_until
 from waxwingsaddle.rollout_models import Rollout, RolloutOrder, RolloutStart
-from waxwingsaddle.rollout_split import most_common_version
+from waxwingsaddle.serving_versions import find_base_version
+from waxwingsaddle.util.clock import MS_PER_S
 
 _OFF = Refused(
     problems=('rollouts are off (setting control.rollout_exposed_percent)',)
@@ -16,13 +18,14 @@
     """Starts rollouts through the leader and reads their confirmed state.
 
     Args:
-        kernel: Provides the services `replication` and `directory`.
+        kernel: Provides the services `replication` and `distribution`.
         settings: Settings of the control host.
     """
 
     def __init__(self, kernel: Kernel, settings: ControlSettings) -> None:
         self._kernel = kernel
         self._is_on = settings.rollout_exposed_percent > 0
+        self._wait_s = settings.read_deadline_ms / MS_PER_S
 
     def start_rollout(self, order: RolloutOrder) -> Answer:
         """Starts a rollout; the same order may be sent again.
@@ -33,17 +36,31 @@
         """
         if not self._is_on:
             return _OFF
-        ready = [
-            entry
-            for entry in self._kernel.find('directory').entries()
-            if entry.service == order.service and entry.state == 'ready'
-        ]
-        base_version = most_common_version(ready, {order.target_version})
-        if base_version is None:
-            # The target is the only version, and goes on to serve.
-            base_version = order.target_version
+        wait_until(lambda: self._is_base_known(order), self._wait_s)
         return self._kernel.find('replication').start_rollout(
-            RolloutStart(order=order, base_version=base_version),
+            RolloutStart(order=order, base_version=self._find_base(order)),
+        )
+
+    def _is_base_known(self, order: RolloutOrder) -> bool:
+        rollouts = self._kernel.find('replication').state.rollouts
+        is_recorded = bool(rollouts.base_version(order.service))
+        return is_recorded or bool(self._find_base(order))
+
+    def _find_base(self, order: RolloutOrder) -> str:
+        """Returns the version that serves; empty if this host can't tell.
+
+        The one in the log counts before it.
+        """
+        distribution = self._kernel.find('distribution')
+        entries = (
+            entry
+            for entry in distribution.entries()
+            if entry.service == order.service
+        )
+        return find_base_version(
+            entries,
+            order.target_version,
+            is_complete=distribution.feed.is_complete,
         )
 
     def find(self, service: str) -> Rollout | Unavailable | None:
