Start where the Python has pyOpenSSL installed

What users saw: with the distribution's Python 3.11.2, which has pyOpenSSL, no process started (RecursionError at import).

Cause: eventlet imports OpenSSL, which uses a module that is still deferred; the stand-in of the module imported itself.

Change: a deferred module that is used while it is deferred makes way first, and the module that took its place stays.

Evidence: test_deferred_module_can_be_used_at_once fails before (RecursionError) and passes now. platform/run.py with that Python ends with the RecursionError before, and now says that the settings file is not named.

--- a/test/test_imports.py
+++ b/test/test_imports.py
@@ -69,3 +69,15 @@
     """Guards against deferring a loaded module, which would load it twice."""
     with imports.defer_imports('json', loads=None):
         assert import_module('json').loads
+
+
+def test_deferred_module_can_be_used_at_once():
+    """Guards against a module that loads itself without end.
+
+    Another library, such as pyOpenSSL below eventlet, uses it while it is
+    deferred.
+    """
+    sys.modules.pop('wave', None)
+    with imports.defer_imports('wave'):
+        used = import_module('wave').Error
+    assert used is import_module('wave').Error
--- a/waxwingsaddle/util/imports.py
+++ b/waxwingsaddle/util/imports.py
@@ -20,6 +20,9 @@
         """Returns an attribute of the module itself."""
         if name.startswith('__'):
             raise AttributeError(name)
+        # A library may use it while it is still deferred.
+        if sys.modules.get(self.__name__) is self:
+            sys.modules.pop(self.__name__)
         return getattr(import_module(self.__name__), name)
 
 
@@ -88,8 +91,9 @@
     try:
         yield
     finally:
-        for name in deferred:
-            sys.modules.pop(name)
+        for name, module in deferred.items():
+            if sys.modules.get(name) is module:
+                sys.modules.pop(name)
 
 
 def import_submodule(package: str, name: str) -> ModuleType:
