Reset the metric of waiting nodes when their departures are kept

What operators saw: waxwing_departures_waiting kept the number of the last round for up to a minute, though nothing waited.

Cause: the gauge was set at the beginning of a round only.

Change: it is set after the answers as well.

Result: the added lines of test_departures_of_many_nodes_take_one_entry fail before and pass now; test_departures and test_docs pass (26 of 26).

--- a/test/test_departures.py
+++ b/test/test_departures.py
@@ -19,7 +19,7 @@
 from test.processes import get_json, wait_until
 from test.test_announcement_order import _body, _states
 from waxwingsaddle.announced_entry import AnnouncedEntry
-from waxwingsaddle.departure_keeper import DepartureKeeper
+from waxwingsaddle.departure_keeper import WAITING, DepartureKeeper
 from waxwingsaddle.departures import (
     DEPARTURES_KEPT_MS,
     Departure,
@@ -301,10 +301,12 @@
         keeper.keep(host, (ENDED,), partial(answers.__setitem__, host))
     eventlet.sleep(0.1)
     assert not answers
+    assert WAITING._value.get() == 100
     replication.has_leader = True
     until(lambda: len(answers) == 100, 'the answers')
     assert {kept[0].key for kept in answers.values()} == {ENDED.key}
     assert replication.state.departures.changes == 1
+    until(lambda: not WAITING._value.get(), 'the end of the wait')
     keeper.stop()
 
 
--- a/waxwingsaddle/departure_keeper.py
+++ b/waxwingsaddle/departure_keeper.py
@@ -110,6 +110,7 @@
             return
         if self._settle(requests):
             self._answer(requests)
+            WAITING.set(len(self._requests))
             return
         self._requests = {
             host: request
